Catch SIGHUP: read the configuration again and move discovery at once

Now signals are caught before the listener is bound. The file is read and checked whole, and kept out if it can't be used; discovery moves at once, and a new agent is asked for its whole list first, since its versions say nothing of another's. What else differs is named in the log and counts from the next start on. The same holds during an orderly end. The list's fetch, so far never called, is what asks for the whole list; calls to the agent wait 1 s, not 5 s. Hosts that are gone are dropped from the directory with their idle connections: they were marked and kept for ever (Directory::apply).

Tests: SIGHUP in the middle of a stream with an agent of lower versions; a broken file; SIGHUP after SIGTERM.

--- a/src/config.rs
+++ b/src/config.rs
@@ -14,7 +14,7 @@
 pub struct ConfigError(pub String);
 
 /// The machine's limits.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct Limits {
     /// Memory over which the conductor is killed.
@@ -30,7 +30,7 @@
 }
 
 /// The tool-call front, in an operator's file only.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct ToolSettings {
     /// Where the tool side listens.
     pub dial: SocketAddr,
@@ -161,6 +161,19 @@
         Self::from_value(value, |_| None)
     }
 
+    /// The fields in which another configuration differs and that count at a start only.
+    pub fn differences(&self, other: &Config) -> Vec<&'static str> {
+        let [a, b] = [self, other];
+        let all = [
+            ("name", a.name != b.name),
+            ("listen", a.listen != b.listen),
+            ("limits", a.limits != b.limits),
+            ("settings", a.settings != b.settings || a.idle_close != b.idle_close),
+            ("tools", a.tools != b.tools),
+        ];
+        all.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
+
     fn from_value(value: Value, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let raw: Raw = serde_json::from_value(value).map_err(|e| ConfigError(e.to_string()))?;
         let address = |given: Option<SocketAddr>, name: &str| match (given, env(name)) {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -91,6 +91,10 @@
     lists,
     /// Watches of discovery that broke or fell silent.
     watches_lost,
+    /// Configurations taken in on SIGHUP.
+    reloads,
+    /// Configurations that could not be used on SIGHUP.
+    reloads_failed,
     /// Tool calls that writers asked for.
     tool_calls,
     /// Tool calls whose bytes went out to the tool side.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -36,7 +36,7 @@
 }
 
 /// A kind of worker.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Kind {
     /// Its name in worker lists.
     pub name: String,
@@ -70,7 +70,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Class {
     /// Its name.
     pub name: String,
@@ -93,7 +93,7 @@
 }
 
 /// A tenant and its share of the service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Its name.
     pub name: String,
@@ -114,7 +114,7 @@
 }
 
 /// What a deployment states at start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// This router's number among `routers`, from 0.
     pub index: u32,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The conductor's program: wiring, signals, log.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,8 +35,8 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let done = match words.as_slice() {
-        [] => platform_config().and_then(serve),
-        ["serve", file] => read(file).and_then(|text| Config::from_toml(&text)).and_then(serve),
+        [] => platform_source().and_then(serve),
+        ["serve", file] => serve(Source { file: (*file).to_owned(), platform: false }),
         ["import", "haproxy", file] => read(file).and_then(|text| import(&text)),
         ["-h" | "--help" | "help"] => {
             println!("{USAGE}");
@@ -66,19 +67,77 @@
     Ok(())
 }
 
-fn platform_config() -> Result<Config, ConfigError> {
+/// Where the configuration is read, at start and at each SIGHUP.
+struct Source {
+    file: String,
+    platform: bool,
+}
+
+impl Source {
+    fn load(&self) -> Result<Config, ConfigError> {
+        let text = read(&self.file)?;
+        if self.platform {
+            Config::from_json(&text, |name| std::env::var(name).ok().filter(|v| !v.is_empty()))
+        } else {
+            Config::from_toml(&text)
+        }
+    }
+}
+
+fn platform_source() -> Result<Source, ConfigError> {
     let file = std::env::var("NODE_CONFIG").map_err(|_| ConfigError("NODE_CONFIG is not set".into()))?;
-    Config::from_json(&read(&file)?, |name| std::env::var(name).ok().filter(|v| !v.is_empty()))
+    Ok(Source { file, platform: true })
 }
 
-fn serve(config: Config) -> Result<(), ConfigError> {
+fn serve(source: Source) -> Result<(), ConfigError> {
+    let config = source.load()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| ConfigError(format!("runtime: {e}")))?;
     let local = tokio::task::LocalSet::new();
-    runtime.block_on(local.run_until(run(config)))
+    runtime.block_on(local.run_until(run(config, source)))
+}
+
+/// Takes a new configuration in: discovery moves, all else stays as it was at the start. A file that can't be used
+/// changes nothing.
+fn reload(
+    source: &Source,
+    held: &mut Config,
+    discovery: &watch::Sender<Option<SocketAddr>>,
+    counters: &Counters,
+) {
+    let new = match source.load() {
+        Ok(new) => new,
+        Err(error) => {
+            counters.reloads_failed.up();
+            log::error!("reload: {error}; the configuration held stands");
+            return;
+        }
+    };
+    counters.reloads.up();
+    let fixed = held.differences(&new);
+    if !fixed.is_empty() {
+        log::warn!("reload: a new {} counts from the next start on", fixed.join(", "));
+    }
+    let moved = discovery.send_if_modified(|at| {
+        let moved = *at != new.discovery;
+        *at = new.discovery;
+        moved
+    });
+    held.discovery = new.discovery;
+    match new.discovery {
+        Some(address) if moved => log::info!("reload: discovery is now at {address}"),
+        None if moved => log::info!("reload: no discovery any more; the list stands"),
+        _ => log::info!("reload: discovery stays where it was"),
+    }
 }
 
-async fn run(config: Config) -> Result<(), ConfigError> {
+async fn run(mut config: Config, source: Source) -> Result<(), ConfigError> {
+    // Before anything can be reached: until it is caught, SIGHUP ends the process.
+    let failed = |e: std::io::Error| ConfigError(format!("signals: {e}"));
+    let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
+    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+    let mut usr1 = signal(SignalKind::user_defined1()).map_err(failed)?;
     let listener = TcpListener::bind(config.listen).await;
     let bound = listener.and_then(|l| Ok((l.local_addr()?, l)));
     let (address, listener) = bound.map_err(|e| ConfigError(format!("listen {}: {e}", config.listen)))?;
@@ -114,13 +173,13 @@
             move |worker| pool.hang_up(worker)
         }),
         again: watch_again,
+        fetch_list,
         counters: counters.clone(),
     };
-    follower.take(config.known, ListKind::Saved);
+    follower.take(std::mem::take(&mut config.known), ListKind::Saved);
     tokio::task::spawn_local(driver.run(queue));
-    if let Some(address) = config.discovery {
-        tokio::task::spawn_local(follower.follow(address));
-    }
+    let (discovery, address_told) = watch::channel(config.discovery);
+    tokio::task::spawn_local(follower.follow(address_told));
     let stopping = Rc::new(Cell::new(false));
     let ready = {
         let (directory, stopping, kinds) = (directory.clone(), stopping.clone(), settings.kinds.clone());
@@ -135,7 +194,7 @@
         ids: RefCell::default(),
     });
     let seed = config.seed;
-    let tools = config.tools.map(|t| Front::new(shared.clone(), t, connect_timeout, seed));
+    let tools = config.tools.clone().map(|t| Front::new(shared.clone(), t, connect_timeout, seed));
     let (stage, stages) = watch::channel(Stage::Open);
     let open = Rc::new(Cell::new(0));
     let bound = each - 32;
@@ -144,30 +203,37 @@
     let accepting = tokio::task::spawn_local(accepting.accept(listener));
     log::info!("{} serves on {}, {} sockets for each side", config.name, address, each);
 
-    let failed = |e: std::io::Error| ConfigError(format!("signals: {e}"));
-    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
-    let mut usr1 = signal(SignalKind::user_defined1()).map_err(failed)?;
     let mut retire = tokio::time::interval(RETIRE);
     loop {
         tokio::select! {
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
             _ = usr1.recv() => log::info!("counters: {counters}"),
+            _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
             _ = retire.tick() => pool.retire(),
         }
     }
     log::info!("stopping: accepting for {} ms more", ACCEPT_ON.as_millis());
     stopping.set(true);
-    tokio::time::sleep(ACCEPT_ON).await;
-    accepting.abort();
-    let _ = stage.send(Stage::Closing);
-    pool.clear();
-    while open.get() > 0 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+    let ending = async {
+        tokio::time::sleep(ACCEPT_ON).await;
+        accepting.abort();
+        let _ = stage.send(Stage::Closing);
+        pool.clear();
+        while open.get() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        // What was just answered may still have a release on its way.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    tokio::pin!(ending);
+    // What was taken may run on for long: the list has to follow discovery meanwhile.
+    loop {
+        tokio::select! {
+            () = &mut ending => break,
+            _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
+        }
     }
-    // What was just answered may still have a release on its way.
-    tokio::time::sleep(Duration::from_millis(50)).await;
     log::info!("stopped; counters: {counters}");
     Ok(())
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -17,11 +17,13 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tower::{Service, ServiceExt};
 
 /// A watch that says nothing for this long, not even an empty line, is dead: those come every 2 s.
 const SILENCE: Duration = Duration::from_secs(5);
+/// The agent is on this machine and answers at once, or is down: asked again rather than waited for.
+const ANSWER: Duration = Duration::from_secs(1);
 /// Before the next try after a failure: the agent is on this machine, and asking it costs nothing.
 const PAUSE: Duration = Duration::from_millis(200);
 /// The longest line that is read: thousands of hosts.
@@ -111,7 +113,7 @@
 }
 
 impl Directory {
-    /// Takes a listing in; gives back the hosts whose connections are of an earlier life.
+    /// Takes a listing in; gives back the hosts whose connections are of an earlier life, or that are gone.
     pub fn apply(&self, listing: &Listing) -> Vec<WorkerId> {
         let mut hosts = self.hosts.borrow_mut();
         self.seq.set(listing.seq);
@@ -129,6 +131,14 @@
                 Host { address, status: entry.status, kind: entry.kind.clone(), started: entry.started };
             hosts.insert(entry.worker.clone(), host);
         }
+        // Machines are replaced under new ids for as long as this runs: what is gone is forgotten here, and its
+        // idle connections with it.
+        hosts.retain(|worker, host| {
+            if host.status == Status::Gone {
+                reborn.push(worker.clone());
+            }
+            host.status != Status::Gone
+        });
         reborn
     }
 
@@ -145,8 +155,7 @@
     /// All hosts in service, and after them those that drain: any of them takes a release.
     pub fn running(&self) -> Vec<WorkerId> {
         let hosts = self.hosts.borrow();
-        let mut running: Vec<(&WorkerId, &Host)> =
-            hosts.iter().filter(|(_, h)| h.status != Status::Gone).collect();
+        let mut running: Vec<(&WorkerId, &Host)> = hosts.iter().collect();
         running.sort_by_key(|(_, h)| h.status != Status::Ready);
         running.into_iter().map(|(w, _)| w.clone()).collect()
     }
@@ -198,10 +207,12 @@
     pub directory: Rc<Directory>,
     /// Whom it tells.
     pub core: CoreHandle,
-    /// Called for hosts whose connections are of an earlier life.
+    /// Called for hosts whose idle connections are of no more use.
     pub hang_up: Box<dyn Fn(&WorkerId)>,
     /// Asks for a new watch ahead of time.
     pub again: Rc<Notify>,
+    /// Asks for the whole list.
+    pub fetch_list: Rc<Notify>,
     /// Counters.
     pub counters: Rc<Counters>,
 }
@@ -221,18 +232,30 @@
         self.core.tell(Input::List { kind, entries });
     }
 
-    /// Watches until the task ends; what breaks is begun again, from the version held.
-    pub async fn follow(self, address: SocketAddr) {
-        let mut discovery = Discovery { address };
+    /// Watches until the task ends; what breaks is begun again, from the version held. Where the address changes,
+    /// the watch moves at once.
+    pub async fn follow(self, mut address: watch::Receiver<Option<SocketAddr>>) {
         let mut failures = 0u32;
+        // The list held is the configuration's or this agent's. Versions of another one say nothing of it, so that
+        // one is asked for its whole list before its changes.
+        let mut whole = false;
         loop {
-            let target = format!("/v1/servers?watch=1&after={}", self.directory.seq.get());
-            let watching = async {
-                let response = tokio::time::timeout(SILENCE, discovery.ready().await?.call(target)).await??;
-                self.watch(response.into_body()).await
+            let Some(at) = *address.borrow_and_update() else {
+                if address.changed().await.is_err() {
+                    return;
+                }
+                continue;
             };
             let ended = tokio::select! {
-                ended = watching => ended,
+                biased;
+                changed = address.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    (whole, failures) = (true, 0);
+                    continue;
+                }
+                ended = self.watching(at, &mut whole) => ended,
                 () = self.again.notified() => Err("asked again".into()),
             };
             self.counters.watches_lost.up();
@@ -246,7 +269,44 @@
                 failures = 0;
             }
             self.core.tell(Input::List { kind: ListKind::Failed, entries: Vec::new() });
-            tokio::time::sleep(PAUSE).await;
+            tokio::select! {
+                _ = address.changed() => (whole, failures) = (true, 0),
+                () = tokio::time::sleep(PAUSE) => {}
+            }
+        }
+    }
+
+    async fn watching(
+        &self,
+        address: SocketAddr,
+        whole: &mut bool,
+    ) -> Result<(), Box<dyn std::error::Error>> {
+        let mut discovery = Discovery { address };
+        if *whole {
+            let listing = tokio::time::timeout(ANSWER, self.fetch(&mut discovery)).await??;
+            // An agent that has just started may know nobody yet: no reason to think that all have gone.
+            if listing.entries.is_empty() {
+                return Err("the whole list is empty".into());
+            }
+            self.take(listing, ListKind::Full);
+            *whole = false;
+        }
+        let target = format!("/v1/servers?watch=1&after={}", self.directory.seq.get());
+        let response = tokio::time::timeout(ANSWER, discovery.ready().await?.call(target)).await??;
+        let body = response.into_body();
+        tokio::select! {
+            ended = self.watch(body) => ended,
+            // Where the module asks for the whole list, it comes beside the watch.
+            error = async {
+                loop {
+                    self.fetch_list.notified().await;
+                    match tokio::time::timeout(ANSWER, self.fetch(&mut Discovery { address })).await {
+                        Ok(Ok(listing)) => self.take(listing, ListKind::Full),
+                        Ok(Err(error)) => break error,
+                        Err(error) => break error.into(),
+                    }
+                }
+            } => Err(error),
         }
     }
 
@@ -281,12 +341,10 @@
     }
 
     /// Asks once for the whole list.
-    pub async fn fetch(address: SocketAddr) -> Option<Listing> {
-        let mut discovery = Discovery { address };
-        let response =
-            tokio::time::timeout(SILENCE, discovery.ready().await.ok()?.call("/v1/servers".into())).await;
-        let body = response.ok()?.ok()?.into_body();
-        let body = http_body_util::Limited::new(body, MOST_LINE).collect().await.ok()?.to_bytes();
-        serde_json::from_slice::<ListMessage>(&body).ok().map(Listing::from)
+    async fn fetch(&self, discovery: &mut Discovery) -> Result<Listing, Box<dyn std::error::Error>> {
+        let response = discovery.ready().await?.call("/v1/servers".into()).await?;
+        let body = http_body_util::Limited::new(response.into_body(), MOST_LINE).collect().await;
+        let message = serde_json::from_slice::<ListMessage>(&body.map_err(|e| e.to_string())?.to_bytes())?;
+        Ok(Listing { whole: true, ..message.into() })
     }
 }
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -252,6 +252,71 @@
     assert_eq!(old.1.try_iter().filter(|l| l.starts_with("POST")).count(), 0);
 }
 
+/// Guards against a SIGHUP that ends the process, a watch that stays with the old agent for as long as that one
+/// lives, and a new agent asked for changes since a version that it never had.
+#[test]
+fn sighup_moves_discovery_at_once_and_what_is_in_hand_goes_on() {
+    let (begun, begins) = news();
+    let go = Arc::new(Mutex::new(()));
+    let held = go.lock().unwrap();
+    let gate = go.clone();
+    let old_writer = Peer::start(move |_, conn| {
+        conn.begin_stream();
+        conn.delta("one");
+        begun("".into());
+        drop(gate.lock());
+        conn.end_stream();
+        true
+    });
+    let (reader, new_writer) = (Peer::reader(), writer());
+    let (closed, closes) = news();
+    let old = Peer::start(move |_, conn| {
+        conn.begin_stream();
+        conn.chunk("\n");
+        closed(conn.is_closed().to_string());
+        false
+    });
+    let (asked, asks) = news();
+    let (reads, writes) = (reader.address, new_writer.address);
+    let new = Peer::start(move |message, conn| {
+        asked(message.line.clone());
+        if message.line.contains("watch") {
+            conn.begin_stream();
+            return !conn.is_closed();
+        }
+        conn.answer("200 OK", "", &format!("{{\"seq\":1,\"whole\":true,\"hosts\":[{{\"host\":\"prompt-0\",\"dial\":\"{reads}\",\"health\":\"ready\",\"class\":\"prompt\",\"site\":\"here\"}},{{\"host\":\"answer-9\",\"dial\":\"{writes}\",\"health\":\"ready\",\"class\":\"answer\",\"site\":\"here\"}}]}}"));
+        true
+    });
+    let file = |more: &str| operator_file(&[reader.address], &[old_writer.address], more);
+    let conductor = Conductor::start(&file(&format!("discovery = \"{}\"", old.address)));
+    let mut client = conductor.connect();
+    client.write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    begins.recv().unwrap();
+    conductor.reload("listen = ");
+    assert!(conductor.wait_for("the configuration held stands").contains("line 1"));
+    conductor.reload(&file(&format!("discovery = \"{}\"", new.address)));
+    assert_eq!(closes.recv().unwrap(), "true");
+    for wanted in ["GET /v1/servers HTTP", "GET /v1/servers?watch=1&after=1 HTTP"] {
+        assert!(asks.recv().unwrap().starts_with(wanted));
+    }
+    assert_eq!(conductor.ask("id-2", "send").status(), 200);
+    drop(held);
+    assert!(Message::read(&mut BufReader::new(client)).unwrap().whole);
+    let counters = conductor.stop();
+    assert_eq!(["reloads", "reloads_failed", "taken"].map(|c| counters.get(c)), [1, 1, 2]);
+}
+
+/// Guards against a SIGHUP during an orderly end that breaks it off.
+#[test]
+fn sighup_while_stopping_does_no_harm() {
+    let conductor = Conductor::start(&operator_file(&[Peer::nobody()], &[Peer::nobody()], ""));
+    conductor.signal("-TERM");
+    conductor.wait_for("stopping");
+    conductor.signal("-HUP");
+    conductor.wait_for("reload: discovery stays");
+    assert_eq!(conductor.stop().get("reloads"), 1);
+}
+
 /// Guards against a stop that loses what was taken: SIGTERM lets it finish, and new connections still come.
 #[test]
 fn sigterm_finishes_what_was_taken_and_exits_in_order() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -242,6 +242,12 @@
         }
     }
 
+    /// Replaces its configuration and tells it so.
+    pub fn reload(&self, operator_file: &str) {
+        std::fs::write(&self.file, operator_file).unwrap();
+        self.signal("-HUP");
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
