Bound what a client connection may hold, and read its framing as bytes

Cause, from the counters and src/net/server.rs: IDLE_CLIENT 60 s and SLOW_CLIENT 10 s let clients that stay for good, say nothing or send half a request hold all places (bound 200), and every later client was refused. Checked and ruled out: the module (it refused few of those it saw), memory (8 of 64 MB), the core's time.

Now, in src/net/server.rs and the new src/net/framing.rs: - a connection that never said anything ends after 2.2 s; a request has 2.4 s to come whole from its first byte (the first one from the accept on), not renewed by progress; 408 and close otherwise; - places: the longest idle connection makes room, else the request that dawdles; only then is anyone refused; - body budget is taken as bytes come, not as a length claims; more is left to clients than halves gave; - an answer to a request that is not read whole is followed by a half-close and a bounded lingering, or the reset would take the answer along; the rest of a 60 MB body stays unread; - heads are looked at as bytes: hyper drops a Content-Length behind a Transfer-Encoding before the service sees either. Both in one head, differing lengths, other codings, and bytes behind a body that begin no request give 400 and close. What is sent on was and is framed anew.

--- a/src/main.rs
+++ b/src/main.rs
@@ -16,14 +16,14 @@
 use whinhaven::net::client::Hosts;
 use whinhaven::net::discovery::{Directory, Follower};
 use whinhaven::net::pool::Pool;
-use whinhaven::net::server::{Edge, Listener, Shared, Stage};
+use whinhaven::net::server::{Connections, Edge, Listener, OVER, Shared, Stage};
 
 /// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
 /// How often idle connections are looked at.
 const RETIRE: Duration = Duration::from_millis(500);
 /// Descriptors for everything that is neither a client nor a model host.
-const SPARE_SOCKETS: usize = 48;
+const SPARE_SOCKETS: usize = 24;
 
 const USAGE: &str =
     "usage: whinhaven                      serve on the platform (NODE_CONFIG names the configuration)
@@ -145,14 +145,15 @@
     let clock = Clock::start();
     let (core, queue) = CoreHandle::channel(clock);
     let settings = config.settings.clone();
-    // Half of the sockets for each side: every request in hand may hold one of both.
+    // Every request in hand may hold a socket of either side; clients that say nothing hold some more of theirs.
     let spare = SPARE_SOCKETS + config.tools.as_ref().map_or(0, |t| t.max_calls_at_once);
-    let each = config.limits.sockets.saturating_sub(spare) / 2;
-    if each < 64 {
+    let sockets = config.limits.sockets.saturating_sub(spare);
+    let (to_hosts, to_clients) = (sockets * 9 / 20, sockets - sockets * 9 / 20);
+    if to_hosts < 64 {
         return Err(ConfigError(format!("limits.sockets: {} are too few", config.limits.sockets)));
     }
     let connect_timeout = Duration::from_micros(settings.connect_timeout.max(10_000));
-    let pool = Pool::new(each, connect_timeout, config.idle_close / 3, counters.clone());
+    let pool = Pool::new(to_hosts, connect_timeout, config.idle_close / 3, counters.clone());
     let directory = Rc::new(Directory::default());
     let (watch_again, fetch_list) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
     let hosts = Hosts {
@@ -196,12 +197,18 @@
     let seed = config.seed;
     let tools = config.tools.clone().map(|t| Front::new(shared.clone(), t, connect_timeout, seed));
     let (stage, stages) = watch::channel(Stage::Open);
-    let open = Rc::new(Cell::new(0));
-    let bound = each - 32;
+    let open = Rc::new(Connections::default());
+    let bound = to_clients - OVER;
     let accepting =
         Listener { edge: Edge { shared, tools }, bound, waiting: bound, stage: stages, open: open.clone() };
     let accepting = tokio::task::spawn_local(accepting.accept(listener));
-    log::info!("{} serves on {}, {} sockets for each side", config.name, address, each);
+    log::info!(
+        "{} serves on {}, {} sockets for clients and {} for model hosts",
+        config.name,
+        address,
+        to_clients,
+        to_hosts
+    );
 
     let mut retire = tokio::time::interval(RETIRE);
     loop {
@@ -220,7 +227,7 @@
         accepting.abort();
         let _ = stage.send(Stage::Closing);
         pool.clear();
-        while open.get() > 0 {
+        while open.count() > 0 {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         // What was just answered may still have a release on its way.
--- /dev/null
+++ b/src/net/framing.rs
@@ -0,0 +1,315 @@
+//! A client's socket, watched: how far its request has come, and whether its framing can be read in one way only.
+//!
+//! hyper settles a head with both `Content-Length` and `Transfer-Encoding` by dropping the one, and before the
+//! service can see it. Such a head may hide a second request in its body, so heads are looked at here, as bytes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Bytes of one header line that are looked at; framing headers are far shorter.
+const MOST_HEADER: usize = 256;
+
+/// Where a client connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing of a next request has come since.
+    Idle(Instant),
+    /// A request began to arrive then, and has not come whole.
+    Arriving(Instant),
+    /// A request is being answered.
+    InHand,
+}
+
+/// What is known of a client connection, shared between its socket, its supervisor and its service.
+pub struct Watch {
+    standing: Cell<Standing>,
+    blocked: Cell<bool>,
+    unwanted: Cell<bool>,
+    answered: Cell<bool>,
+    changed: Notify,
+    scan: RefCell<Scan>,
+}
+
+impl Watch {
+    /// A connection accepted now.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Watch {
+            standing: Cell::new(Standing::Idle(Instant::now())),
+            blocked: Cell::new(false),
+            unwanted: Cell::new(false),
+            answered: Cell::new(false),
+            changed: Notify::new(),
+            scan: RefCell::default(),
+        })
+    }
+
+    /// Where it stands.
+    pub fn standing(&self) -> Standing {
+        self.standing.get()
+    }
+
+    /// Whether bytes wait that the client doesn't take.
+    pub fn is_blocked(&self) -> bool {
+        self.blocked.get()
+    }
+
+    /// Whether its place is wanted for others.
+    pub fn is_unwanted(&self) -> bool {
+        self.unwanted.get()
+    }
+
+    /// Whether anything was ever answered on it.
+    pub fn has_answered(&self) -> bool {
+        self.answered.get()
+    }
+
+    /// Resolves when it stands elsewhere, or its place is wanted.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    fn stand(&self, standing: Standing) {
+        self.standing.set(standing);
+        self.changed.notify_one();
+    }
+
+    /// The next head is handed to the service; whether its framing can be read in one way only.
+    pub fn head(&self) -> bool {
+        self.scan.borrow_mut().verdicts.pop_front().unwrap_or(false)
+    }
+
+    /// The request in hand has come whole.
+    pub fn whole(&self) {
+        self.stand(Standing::InHand);
+    }
+
+    /// Its answer has been handed over.
+    pub fn finish(&self) {
+        self.answered.set(true);
+        let (now, begun) = (Instant::now(), self.scan.borrow().begun());
+        self.stand(if begun { Standing::Arriving(now) } else { Standing::Idle(now) });
+    }
+
+    /// Its place is wanted for others.
+    pub fn evict(&self) {
+        self.unwanted.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Whether not all of the last request's body was read, or it is past following: the connection ends with it.
+    pub fn is_spent(&self) -> bool {
+        self.scan.borrow().at != At::Line
+    }
+
+    /// Whether what came behind the request in hand is no beginning of another: its length was wrong.
+    pub fn has_excess(&self) -> bool {
+        let scan = self.scan.borrow();
+        scan.at == At::Line && scan.verdicts.is_empty() && scan.lines == 0 && {
+            let method = scan.line.split(|b| *b == b' ').next().unwrap_or_default();
+            !method.iter().all(|b| b.is_ascii_uppercase() || *b == b'\r')
+        }
+    }
+
+    fn read(&self, bytes: &[u8]) {
+        if let Standing::Idle(_) = self.standing.get() {
+            self.stand(Standing::Arriving(Instant::now()));
+        }
+        self.scan.borrow_mut().take(bytes);
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum At {
+    /// In a head.
+    #[default]
+    Line,
+    /// In a body, with so many bytes to come.
+    Body(u64),
+    /// Past what can be followed: a chunked body, or a head that is refused. The connection ends with it.
+    Lost,
+}
+
+/// Follows the heads and bodies that a client sends.
+#[derive(Default)]
+struct Scan {
+    at: At,
+    line: Vec<u8>,
+    /// Lines of the current head that weren't blank.
+    lines: usize,
+    length: Option<u64>,
+    coded: bool,
+    bad: bool,
+    /// One for each head that has passed: whether it is sound.
+    verdicts: VecDeque<bool>,
+}
+
+impl Scan {
+    /// Whether bytes of a head have come that the service has not been handed.
+    fn begun(&self) -> bool {
+        !self.verdicts.is_empty() || self.at == At::Line && (self.lines > 0 || !self.line.is_empty())
+    }
+
+    fn take(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            match self.at {
+                At::Lost => return,
+                At::Body(left) => {
+                    let part = left.min(bytes.len() as u64);
+                    bytes = &bytes[part as usize..];
+                    self.at = if part == left { At::Line } else { At::Body(left - part) };
+                }
+                At::Line => {
+                    let end = bytes.iter().position(|b| *b == b'\n');
+                    let part = &bytes[..end.unwrap_or(bytes.len())];
+                    let room = MOST_HEADER.saturating_sub(self.line.len());
+                    self.line.extend_from_slice(&part[..part.len().min(room)]);
+                    bytes = &bytes[end.map_or(bytes.len(), |e| e + 1)..];
+                    if end.is_some() {
+                        self.line_ended();
+                    }
+                }
+            }
+        }
+    }
+
+    fn line_ended(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        let line = line.strip_suffix(b"\r").unwrap_or(&line);
+        if line.is_empty() {
+            // Blank lines ahead of a request are skipped, here as in hyper.
+            if self.lines > 0 {
+                self.head_ended();
+            }
+            return;
+        }
+        self.lines += 1;
+        let Some(colon) = line.iter().position(|b| *b == b':').filter(|_| self.lines > 1) else { return };
+        let (name, value) = (line[..colon].trim_ascii(), line[colon + 1..].trim_ascii());
+        if name.eq_ignore_ascii_case(b"content-length") {
+            let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+            let length = std::str::from_utf8(value).ok().filter(|_| digits).and_then(|v| v.parse().ok());
+            self.bad |= length.is_none() || self.length.is_some_and(|l| Some(l) != length);
+            self.length = length;
+        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            self.bad |= self.coded || !value.eq_ignore_ascii_case(b"chunked");
+            self.coded = true;
+        }
+    }
+
+    fn head_ended(&mut self) {
+        let sound = !(self.bad || self.coded && self.length.is_some());
+        self.verdicts.push_back(sound);
+        self.at = match self.length {
+            _ if self.coded || !sound => At::Lost,
+            Some(length) if length > 0 => At::Body(length),
+            _ => At::Line,
+        };
+        (self.lines, self.length, self.coded, self.bad) = (0, None, false, false);
+    }
+}
+
+/// The socket itself.
+pub struct Watched {
+    stream: TcpStream,
+    watch: Rc<Watch>,
+}
+
+impl Watched {
+    /// A client's socket.
+    pub fn new(stream: TcpStream, watch: Rc<Watch>) -> Self {
+        Watched { stream, watch }
+    }
+
+    /// The socket alone.
+    pub fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+
+    fn wrote<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        self.watch.blocked.set(result.is_pending());
+        result
+    }
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let come = &buf.filled()[before..];
+        if !come.is_empty() {
+            self.watch.read(come);
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.wrote(result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.wrote(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::plain("Content-Length: 3\r\n\r\nabc", &[true])]
+    #[case::twice_the_same("Content-Length: 3\r\ncontent-length:3\r\n\r\nabc", &[true])]
+    #[case::two_lengths("Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", &[false])]
+    #[case::negative("Content-Length: -3\r\n\r\n", &[false])]
+    #[case::huge("Content-Length: 99999999999999999999999\r\n\r\n", &[false])]
+    #[case::length_first("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", &[false])]
+    #[case::coding_first("transfer-encoding: chunked\nCONTENT-LENGTH: 3\n\n", &[false])]
+    #[case::coded("Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", &[true])]
+    #[case::other_coding("Transfer-Encoding: gzip, chunked\r\n\r\n", &[false])]
+    #[case::coded_twice("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", &[false])]
+    #[case::the_next_one("Content-Length: 1\r\n\r\na\r\nPOST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", &[true, false])]
+    fn framing_that_can_be_read_in_two_ways_is_seen_wherever_the_bytes_are_cut(
+        #[case] rest: &str,
+        #[case] wanted: &[bool],
+    ) {
+        let wire = format!("\r\nPOST /a:b HTTP/1.1\r\nHost: a\r\n{rest}");
+        for cut in 0..wire.len() {
+            let mut scan = Scan::default();
+            scan.take(&wire.as_bytes()[..cut]);
+            scan.take(&wire.as_bytes()[cut..]);
+            assert_eq!(scan.verdicts, wanted, "cut at {cut}");
+        }
+    }
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,38 +1,61 @@
 //! The server side: accepts clients, takes requests in, passes answers on.
 
 use super::Local;
+use super::framing::{Standing, Watch, Watched};
 use crate::core::CoreHandle;
 use crate::counters::Counters;
 use crate::exchange::Call;
 use crate::front::jsonrpc;
 use crate::front::platform::{self, AnswerBody, plain};
 use crate::interface::Micros;
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tower::{Service, ServiceBuilder, ServiceExt};
 
 /// No body is longer.
 pub const MOST_BODY: usize = 256 * 1024;
-/// A head or a body that takes longer to come is given up.
-const SLOW_CLIENT: Duration = Duration::from_secs(10);
-/// Idle clients are let go after this.
-const IDLE_CLIENT: Duration = Duration::from_secs(60);
+/// A request has this long to come whole, from its first byte and, the first on a connection, from the accept on.
+/// Progress doesn't renew it: half a head, half a body and a drip without end all hold a place.
+const ARRIVE: Duration = Duration::from_millis(2_400);
+/// A client that has said nothing since it connected is let go after this.
+const SILENT_CLIENT: Duration = Duration::from_millis(2_200);
+/// One that was answered before may come again: a session's next turn, and this conductor knows where its text is
+/// kept. It is let go after this, or as soon as its place is wanted.
+const IDLE_CLIENT: Duration = Duration::from_secs(30);
+/// A client that takes nothing of its answer for this long is gone.
+const CLIENT_STALLED: Duration = Duration::from_secs(30);
+/// Where places are short, a connection may have to go that has been idle for this long: a client that has just
+/// connected gets to send its request.
+const SETTLED: Duration = Duration::from_millis(50);
+/// The same for a request that is still not whole.
+const DAWDLES: Duration = Duration::from_millis(400);
+/// After an answer to a request that was not read whole, the client has this long to take the answer: a socket
+/// closed over unread bytes is reset, and what the client has not read is lost with it.
+const LINGER: Duration = Duration::from_secs(1);
+/// Bytes that are read and forgotten meanwhile.
+const MOST_LINGER: usize = 2 * MOST_BODY;
 /// Connections over the bound that are still told so; beyond them, new ones wait in the system's queue.
-const OVER: usize = 32;
+pub const OVER: usize = 16;
 /// Advice to clients that came when there was no room.
 const COME_BACK: Micros = 500_000;
+/// For a request that did not come in time.
+const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// What all connections of the edge share.
 pub struct Shared {
@@ -54,9 +77,14 @@
 struct Held(Rc<Shared>, usize);
 
 impl Held {
-    fn take(shared: &Rc<Shared>, bytes: usize) -> Option<Self> {
-        shared.budget.set(shared.budget.get().checked_sub(bytes)?);
-        Some(Held(shared.clone(), bytes))
+    /// Takes more, as bytes come: a length that is only claimed takes nothing from others.
+    fn grow(&mut self, bytes: usize) -> bool {
+        let left = self.0.budget.get().checked_sub(bytes);
+        if let Some(left) = left {
+            self.0.budget.set(left);
+            self.1 += bytes;
+        }
+        left.is_some()
     }
 }
 
@@ -91,7 +119,11 @@
         plain(status, text)
     }
 
-    async fn respond(self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn respond(self, arrival: Arrival) -> Response<AnswerBody> {
+        let Arrival { request, watch } = arrival;
+        if !watch.head() {
+            return self.bad(StatusCode::BAD_REQUEST, "ambiguous framing\n");
+        }
         let path = request.uri().path();
         if path == "/healthz" && request.method() == Method::GET {
             let ready = (self.shared.ready)();
@@ -105,19 +137,19 @@
             if request.method() != Method::POST {
                 return self.bad(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n");
             }
-            return match self.body(request.into_body()).await {
+            return match self.body(request.into_body(), &watch).await {
                 Ok((body, _held)) => front.respond(body).await,
                 Err(response) => response,
             };
         }
         match (path, request.method()) {
-            (platform::PATH, &Method::POST) => self.platform(request).await,
+            (platform::PATH, &Method::POST) => self.platform(request, &watch).await,
             (platform::PATH | "/healthz", _) => self.bad(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n"),
             _ => self.bad(StatusCode::NOT_FOUND, "no such path\n"),
         }
     }
 
-    async fn platform(self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn platform(self, request: Request<Incoming>, watch: &Watch) -> Response<AnswerBody> {
         let shared = self.shared.clone();
         let (head, body) = request.into_parts();
         let mut intake = match platform::decode(&head.headers, shared.core.clock.now()) {
@@ -127,7 +159,7 @@
         if !shared.classes.contains(&intake.ask.class) {
             return self.bad(StatusCode::BAD_REQUEST, "unknown class\n");
         }
-        let (body, held) = match self.body(body).await {
+        let (body, held) = match self.body(body, watch).await {
             Ok(body) => body,
             Err(response) => return response,
         };
@@ -148,28 +180,45 @@
         platform::encode(answer, presence)
     }
 
-    /// Reads a body whole, within the bounds of its length, of time and of what all bodies may take.
-    async fn body(&self, body: Incoming) -> Result<(Bytes, impl Sized + use<>), Response<AnswerBody>> {
-        let length = body.size_hint().exact().unwrap_or(MOST_BODY as u64);
-        if length > MOST_BODY as u64 {
-            return Err(self.bad(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n"));
+    /// Reads a body whole, within the bounds of its length and of what all bodies may take. Its time is bounded
+    /// by the connection's supervisor.
+    async fn body(
+        &self,
+        mut body: Incoming,
+        watch: &Watch,
+    ) -> Result<(Bytes, impl Sized + use<>), Response<AnswerBody>> {
+        let too_long = || self.bad(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n");
+        if body.size_hint().lower() > MOST_BODY as u64 {
+            return Err(too_long());
         }
-        let Some(held) = Held::take(&self.shared, length as usize) else {
-            self.shared.counters.over_bound.up();
-            return Err(platform::refusal(Some(COME_BACK)));
-        };
-        match tokio::time::timeout(SLOW_CLIENT, Limited::new(body, MOST_BODY).collect()).await {
-            Err(_) => Err(self.bad(StatusCode::REQUEST_TIMEOUT, "body too slow\n")),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                Err(self.bad(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n"))
+        let (mut whole, mut held) = (BytesMut::new(), Held(self.shared.clone(), 0));
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return Err(self.bad(StatusCode::BAD_REQUEST, "body broken\n")) };
+            let Ok(data) = frame.into_data() else { continue };
+            if whole.len() + data.len() > MOST_BODY {
+                return Err(too_long());
+            }
+            if !held.grow(data.len()) {
+                self.shared.counters.over_bound.up();
+                return Err(platform::refusal(Some(COME_BACK)));
             }
-            Ok(Err(_)) => Err(self.bad(StatusCode::BAD_REQUEST, "body broken\n")),
-            Ok(Ok(whole)) => Ok((whole.to_bytes(), held)),
+            whole.extend_from_slice(&data);
         }
+        if watch.has_excess() {
+            return Err(self.bad(StatusCode::BAD_REQUEST, "more bytes than the length says\n"));
+        }
+        watch.whole();
+        Ok((whole.freeze(), held))
     }
 }
 
-impl Service<Request<Incoming>> for Edge {
+/// A request whose head has come, and the connection it comes on.
+pub struct Arrival {
+    request: Request<Incoming>,
+    watch: Rc<Watch>,
+}
+
+impl Service<Arrival> for Edge {
     type Response = Response<AnswerBody>;
     type Error = Infallible;
     type Future = Local<Result<Self::Response, Infallible>>;
@@ -178,9 +227,9 @@
         Poll::Ready(Ok(()))
     }
 
-    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+    fn call(&mut self, arrival: Arrival) -> Self::Future {
         let edge = self.clone();
-        Box::pin(async move { Ok(edge.respond(request).await) })
+        Box::pin(async move { Ok(edge.respond(arrival).await) })
     }
 }
 
@@ -193,26 +242,94 @@
     Closing,
 }
 
+/// The client connections that are open.
+#[derive(Default)]
+pub struct Connections {
+    all: RefCell<BTreeMap<u64, Rc<Watch>>>,
+    next: Cell<u64>,
+}
+
+impl Connections {
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.all.borrow().len()
+    }
+
+    fn enter(self: &Rc<Self>, watch: Rc<Watch>) -> Place {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        self.all.borrow_mut().insert(number, watch);
+        Place(self.clone(), number)
+    }
+
+    /// Makes room: the longest idle connection goes, else the one that takes longest to send its request. Guards
+    /// against clients that connect by the hundred and say nothing, or never all.
+    fn make_room(&self) -> bool {
+        let all = self.all.borrow();
+        let idle = |w: &Watch| match w.standing() {
+            Standing::Idle(since) => Some((0, since)).filter(|_| since.elapsed() >= SETTLED),
+            Standing::Arriving(since) => Some((1, since)).filter(|_| since.elapsed() >= DAWDLES),
+            Standing::InHand => None,
+        };
+        let found = all.values().filter(|w| !w.is_unwanted() && !w.is_blocked());
+        let found = found.filter_map(|w| idle(w).map(|since| (since, w))).min_by_key(|(since, _)| *since);
+        found.inspect(|(_, w)| w.evict()).is_some()
+    }
+}
+
+/// A connection's place among them, given back when dropped.
+struct Place(Rc<Connections>, u64);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.all.borrow_mut().remove(&self.1);
+    }
+}
+
+/// An answer's body that tells its connection when it is over.
+struct Answering {
+    body: AnswerBody,
+    watch: Rc<Watch>,
+}
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.watch.finish();
+    }
+}
+
+impl Body for Answering {
+    type Data = Bytes;
+    type Error = platform::Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<hyper::body::Frame<Bytes>, platform::Broken>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Accepts clients until told to stop, at most `bound` at once.
 pub struct Listener {
     /// The service.
     pub edge: Edge,
-    /// Most client connections.
+    /// Most client connections; [`OVER`] more are told that there is no room.
     pub bound: usize,
     /// Most requests that wait for their first event.
     pub waiting: usize,
     /// How far the end has come.
     pub stage: watch::Receiver<Stage>,
     /// Connections that are open.
-    pub open: Rc<Cell<usize>>,
-}
-
-struct Slot(Rc<Cell<usize>>);
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
+    pub open: Rc<Connections>,
 }
 
 impl Listener {
@@ -223,8 +340,9 @@
         let service =
             ServiceBuilder::new().load_shed().concurrency_limit(self.waiting).service(self.edge.clone());
         loop {
-            while self.open.get() >= self.bound + OVER {
-                tokio::time::sleep(Duration::from_millis(10)).await;
+            while self.open.count() >= self.bound + OVER {
+                self.open.make_room();
+                tokio::time::sleep(Duration::from_millis(5)).await;
             }
             let stream = match listener.accept().await {
                 Ok((stream, _)) => stream,
@@ -236,23 +354,27 @@
                 }
             };
             counters.connections_in.up();
-            self.open.set(self.open.get() + 1);
-            let slot = Slot(self.open.clone());
-            let over = self.open.get() > self.bound;
+            let watch = Watch::new();
+            let place = self.open.enter(watch.clone());
+            // Room is made before there is none: clients that keep their connections for good must not leave a burst
+            // to those that are refused.
+            let crowded = self.open.count() > self.bound * 3 / 4;
+            let over = crowded && !self.open.make_room() && self.open.count() > self.bound;
             if over {
                 counters.connections_over_bound.up();
             }
             let (service, stage, counters) = (service.clone(), self.stage.clone(), counters.clone());
-            let count = counters.clone();
             tokio::task::spawn_local(async move {
-                let _slot = slot;
+                let _place = place;
+                let (seen, count) = (watch.clone(), counters.clone());
                 let answer = move |request: Request<Incoming>| {
-                    let (service, counters) = (service.clone(), counters.clone());
-                    async move {
+                    let (service, watch, counters) = (service.clone(), seen.clone(), count.clone());
+                    let answered: Local<Result<_, Infallible>> = Box::pin(async move {
+                        let arrival = Arrival { request, watch: watch.clone() };
                         let mut response = if over {
                             platform::refusal(Some(COME_BACK))
                         } else {
-                            match service.oneshot(request).await {
+                            match service.oneshot(arrival).await {
                                 Ok(response) => response,
                                 Err(_) => {
                                     counters.over_bound.up();
@@ -260,48 +382,107 @@
                                 }
                             }
                         };
-                        if over {
+                        if over || watch.is_spent() {
                             let close = hyper::header::HeaderValue::from_static("close");
                             response.headers_mut().insert("connection", close);
                         }
-                        Ok::<_, Infallible>(response)
-                    }
+                        Ok(response.map(|body| Answering { body, watch }))
+                    });
+                    answered
                 };
-                serve(stream, hyper::service::service_fn(answer), stage, &count).await;
+                serve(stream, hyper::service::service_fn(answer), stage, &watch, &counters).await;
             });
         }
     }
 }
 
-async fn serve<S, F>(stream: TcpStream, service: S, mut stage: watch::Receiver<Stage>, counters: &Counters)
-where
+/// When a connection is to be closed as it stands.
+fn due(watch: &Watch, accepted: Instant) -> Option<Instant> {
+    match watch.standing() {
+        Standing::InHand => None,
+        Standing::Idle(since) if watch.is_blocked() => Some(since + CLIENT_STALLED),
+        _ if watch.is_unwanted() => Some(accepted),
+        Standing::Idle(since) if watch.has_answered() => Some(since + IDLE_CLIENT),
+        Standing::Idle(since) => Some(since + SILENT_CLIENT),
+        Standing::Arriving(_) if !watch.has_answered() => Some(accepted + ARRIVE),
+        Standing::Arriving(since) => Some(since + ARRIVE),
+    }
+}
+
+async fn serve<S>(
+    stream: TcpStream,
+    service: S,
+    mut stage: watch::Receiver<Stage>,
+    watch: &Rc<Watch>,
+    counters: &Counters,
+) where
     S: hyper::service::Service<
             Request<Incoming>,
-            Response = Response<AnswerBody>,
+            Response = Response<Answering>,
             Error = Infallible,
-            Future = F,
-        >,
-    F: Future<Output = Result<Response<AnswerBody>, Infallible>>,
+            Future = Local<Result<Response<Answering>, Infallible>>,
+        > + Unpin,
 {
     let _ = stream.set_nodelay(true);
-    let connection = http1::Builder::new()
+    let accepted = Instant::now();
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(IDLE_CLIENT)
+        .header_read_timeout(None)
         .max_buf_size(64 * 1024)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = &mut connection => ended,
-        _ = stage.wait_for(|s| *s == Stage::Closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        .serve_connection(TokioIo::new(Watched::new(stream, watch.clone())), service);
+    let mut stopping = false;
+    let ended = loop {
+        let due = due(watch, accepted);
+        tokio::select! {
+            biased;
+            // First: what has come by now is looked at before any deadline is.
+            ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => break Some(ended),
+            _ = stage.wait_for(|s| *s == Stage::Closing), if !stopping => {
+                stopping = true;
+                Pin::new(&mut connection).graceful_shutdown();
+            }
+            () = watch.changed() => {}
+            () = async { tokio::time::sleep_until(due.unwrap_or(accepted)).await }, if due.is_some() => break None,
         }
     };
-    if let Err(error) = ended {
+    let unread = match &ended {
         // hyper has answered what was no HTTP with a 4xx of its own.
-        if error.is_parse() || error.is_parse_too_large() {
+        Some(Err(error)) if error.is_parse() || error.is_parse_too_large() => {
             counters.bad_requests.up();
+            true
         }
+        _ => watch.is_spent() || matches!(watch.standing(), Standing::Arriving(_)),
+    };
+    if let Some(Err(error)) = &ended {
         log::debug!("client connection: {error}");
     }
+    let stream = connection.into_parts().io.into_inner().into_inner();
+    if ended.is_none() && unread && !watch.is_blocked() {
+        counters.slow_clients.up();
+        let _ = stream.try_write(TOO_SLOW);
+    }
+    if unread {
+        watch.finish();
+        tokio::select! {
+            () = linger(stream) => {}
+            () = async { while !watch.is_unwanted() { watch.changed().await } } => {}
+        }
+    }
+}
+
+/// Lets a client take its last answer, though not all that it sends is read.
+async fn linger(mut stream: TcpStream) {
+    let _ = tokio::time::timeout(LINGER, async {
+        let _ = stream.shutdown().await;
+        let (mut scrap, mut left) = (vec![0; 8 * 1024], MOST_LINGER);
+        while left > 0 {
+            match stream.read(&mut scrap).await {
+                Ok(n) if n > 0 => left = left.saturating_sub(n),
+                _ => return,
+            }
+        }
+        // Past that its sending is left to stand.
+        std::future::pending().await
+    })
+    .await;
 }
