Pass on whole events of model hosts only, and reuse no connection on which bytes wait

Seen: with a scripted writer whose 503 stands behind a good stream, the next request on that connection got it for its answer (test a_second_answer fails with the old pool: src/net/pool.rs reuse() asked hyper, which had not looked at the socket yet). A chunk that is too large turned chunk heads into passed data, a chunk said to have 3 GB was passed on without end (src/net/client.rs stream(): any bytes renewed the 4.5 s of silence), and a header with control bytes cost a good answer.

Now src/net/events.rs lets a stream of events through event by event, bytes unchanged; a line that can't stand in one, or 128 KiB without an end, breaks it: a failed attempt that may have run before the first event, the end of the client's connection without the last chunk after it, and the host's connection is dropped. Silence counts from the last whole event. The pool peeks at the socket before it reuses a connection; headers that can't be read are skipped; the short body of an answer that is no stream has 0.5 s behind its head.

Tests: seven spoilt streams, each for a class that may be repeated and one that may not; 1xx ahead, an unreadable report, a second answer behind, twenty requests each; the gate cut at every byte.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,6 +1,7 @@
 //! The client side: carries out attempts at model hosts and the calls around them.
 
 use super::discovery::Directory;
+use super::events::Events;
 use super::pool::{ConnectError, Connection, Pool, Target};
 use super::{Local, is_plain_id};
 use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
@@ -17,6 +18,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use tower::{Service, ServiceExt};
 
 /// The longest answer that is not a stream.
@@ -24,6 +26,8 @@
 /// A stream without an event for this long is dead, whatever its connection says: a machine that vanished
 /// says nothing, and a client left waiting 5 s has lost its answer.
 const STALLED: Duration = Duration::from_millis(4500);
+/// The short body of an answer that is no stream comes with its head.
+const BODY_BEHIND: Duration = Duration::from_millis(500);
 /// A client that takes nothing of its stream for this long is gone.
 const CLIENT_STALLED: Duration = Duration::from_secs(30);
 /// Before a release, so that the model host has seen the attempt's connection close.
@@ -200,20 +204,21 @@
         }
     }
 
-    /// Passes a stream on: its bytes as they come, no deadline, until one side ends it.
+    /// Passes a stream on: its events as they come, unchanged, no deadline, until one side ends it.
     async fn stream(&self, attempt: &mut Attempt, stream: Stream) -> (End, bool) {
-        let Stream { first, mut body, content_type, framed } = stream;
+        let Stream { first, mut events, content_type, framed } = stream;
         let (FeedSource { frames, mut replies, paused }, feed) = feed(content_type);
         let (request, index) = (attempt.request, attempt.attempt);
         self.core.tell(Input::First { request, attempt: index, feed });
         let mut tail = Vec::with_capacity(2 * TAIL);
         let mut next = Some(first);
+        let mut heard = Instant::now();
         loop {
             if let Some(data) = next.take() {
                 keep_tail(&mut tail, &data);
                 // The channel is short: a slow client makes the model host wait, not this memory grow.
                 match tokio::time::timeout(CLIENT_STALLED, frames.send(Frame::Data(data))).await {
-                    Ok(Ok(())) => {}
+                    Ok(Ok(())) => heard = Instant::now(),
                     _ => return (Outcome::Dropped.into(), false),
                 }
             }
@@ -221,21 +226,26 @@
                 biased;
                 _ = &mut attempt.cancelled => return (Outcome::Dropped.into(), false),
                 () = frames.closed() => return (Outcome::Dropped.into(), false),
-                Some(reply) = replies.recv() => self.reply(attempt, reply),
-                frame = tokio::time::timeout(STALLED, body.frame()) => match frame {
-                    Ok(Some(Ok(frame))) => next = frame.into_data().ok().filter(|d| !d.is_empty()),
-                    Ok(None) if framed || ends_done(&tail) => {
+                Some(reply) = replies.recv() => {
+                    heard = Instant::now();
+                    self.reply(attempt, reply);
+                }
+                // From the last whole event on: bytes that make none are no sign of life.
+                came = tokio::time::timeout_at(heard + STALLED, events.next()) => match came {
+                    Ok(Ok(Some(data))) => next = Some(data),
+                    Ok(Ok(None)) if framed || ends_done(&tail) => {
                         let _ = frames.send(Frame::End).await;
                         return (End { outcome: Outcome::Served, kept: kept(&tail), report: None }, framed);
                     }
                     // A writer that waits for a tool's result has nothing to say.
-                    Err(_) if paused.get() => {}
+                    Err(_) if paused.get() => heard = Instant::now(),
                     // Dropping the sender without the end breaks the client's stream off, without its last chunk.
                     broken => {
                         self.counters.streams_broken.up();
                         let why = match broken {
-                            Err(_) => "fell silent",
-                            _ => "broke",
+                            Err(_) => "fell silent".to_owned(),
+                            Ok(Err(spoilt)) => format!("broke: {spoilt}"),
+                            Ok(Ok(_)) => "broke: it ended early".to_owned(),
                         };
                         log::info!("request {}: stream of {} {why}", attempt.call.id, attempt.worker.0);
                         return (Outcome::ConnectionLost.into(), false);
@@ -327,7 +337,7 @@
 
 struct Stream {
     first: Bytes,
-    body: Incoming,
+    events: Events,
     content_type: Option<String>,
     framed: bool,
 }
@@ -340,7 +350,7 @@
 
 impl Answered {
     async fn read(response: Response<Incoming>) -> Result<Self, Box<dyn std::error::Error>> {
-        let (head, mut body) = response.into_parts();
+        let (head, body) = response.into_parts();
         let not_run = head.headers.contains_key("x-not-run");
         let report = head.headers.get("x-load").and_then(|v| read_report(v.to_str().ok()?).ok());
         if head.status == StatusCode::OK {
@@ -348,16 +358,18 @@
             let framed = chunked || body.size_hint().exact().is_some();
             let text = |v: &hyper::header::HeaderValue| v.to_str().ok().map(str::to_owned);
             let content_type = head.headers.get("content-type").and_then(text);
+            let checked = content_type.as_ref().is_some_and(|t| t.starts_with("text/event-stream"));
+            let mut events = Events::new(body, checked);
             // The head alone is no event: until one has come, the attempt is still this conductor's.
-            while let Some(frame) = body.frame().await {
-                if let Some(first) = frame?.into_data().ok().filter(|d| !d.is_empty()) {
-                    return Ok(Answered::Stream(Stream { first, body, content_type, framed }));
-                }
-            }
-            return Ok(Answered::Whole { end: Outcome::ConnectionLost.into(), reusable: false });
+            return match events.next().await? {
+                Some(first) => Ok(Answered::Stream(Stream { first, events, content_type, framed })),
+                None => Ok(Answered::Whole { end: Outcome::ConnectionLost.into(), reusable: false }),
+            };
         }
-        let whole = Limited::new(body, MOST_ANSWER).collect().await;
-        let (reusable, bytes) = whole.map_or((false, Bytes::new()), |b| (true, b.to_bytes()));
+        // The status says it all: a body that doesn't come, or not to an end, costs the connection alone.
+        let whole = tokio::time::timeout(BODY_BEHIND, Limited::new(body, MOST_ANSWER).collect()).await;
+        let (reusable, bytes) =
+            whole.ok().and_then(Result::ok).map_or((false, Bytes::new()), |b| (true, b.to_bytes()));
         let outcome = match head.status {
             StatusCode::ACCEPTED => Outcome::Read,
             StatusCode::GONE if not_run => Outcome::NoState,
--- /dev/null
+++ b/src/net/events.rs
@@ -0,0 +1,151 @@
+//! A model host's stream of events, let through whole event by whole event.
+//!
+//! A stream may come spoilt after any byte: a chunk whose size doesn't fit makes chunk heads look like data, and a
+//! chunk that is said to be huge brings whatever follows. What is no event ends the stream here, before it is passed
+//! on; the bytes of what is passed on are not touched.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+
+/// The longest event.
+const MOST_EVENT: usize = 128 * 1024;
+
+/// Why a stream can't go on.
+#[derive(Debug, thiserror::Error)]
+pub enum Spoilt {
+    /// It broke, or its framing can't be read.
+    #[error("{0}")]
+    Broken(#[from] hyper::Error),
+    /// What came is no event.
+    #[error("what came is no event")]
+    NoEvent,
+    /// An event without end.
+    #[error("an event without end")]
+    TooLong,
+}
+
+/// The events of one answer.
+pub struct Events {
+    body: Incoming,
+    /// Whether the answer says that it is made of events; others are passed on as they come.
+    checked: bool,
+    gate: Gate,
+}
+
+impl Events {
+    /// Over an answer's body.
+    pub fn new(body: Incoming, checked: bool) -> Self {
+        Events { body, checked, gate: Gate::default() }
+    }
+
+    /// Whether the length of the rest is known beforehand.
+    pub fn has_length(&self) -> bool {
+        self.body.size_hint().exact().is_some()
+    }
+
+    /// The next events as they came, one or more whole ones; `None` at the stream's end. May be dropped and called
+    /// again.
+    ///
+    /// # Errors
+    /// The stream is spoilt from here on.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Spoilt> {
+        while let Some(frame) = self.body.frame().await {
+            let Ok(data) = frame?.into_data() else { continue };
+            let passed = if self.checked { self.gate.take(data)? } else { data };
+            if !passed.is_empty() {
+                return Ok(Some(passed));
+            }
+        }
+        // The last event may lack the blank line behind it.
+        let rest = self.gate.rest()?;
+        Ok(Some(rest).filter(|r| !r.is_empty()))
+    }
+}
+
+/// Holds back what is no whole event yet.
+#[derive(Default)]
+struct Gate {
+    held: BytesMut,
+    /// Bytes of `held` that have been looked at: whole lines.
+    seen: usize,
+}
+
+impl Gate {
+    fn take(&mut self, data: Bytes) -> Result<Bytes, Spoilt> {
+        self.held.extend_from_slice(&data);
+        let mut whole = 0;
+        while let Some(end) = self.held[self.seen..].iter().position(|b| *b == b'\n') {
+            let line = &self.held[self.seen..self.seen + end];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if !is_field(line) {
+                return Err(Spoilt::NoEvent);
+            }
+            self.seen += end + 1;
+            if line.is_empty() {
+                whole = self.seen;
+            }
+        }
+        if self.held.len() - whole > MOST_EVENT {
+            return Err(Spoilt::TooLong);
+        }
+        self.seen -= whole;
+        Ok(self.held.split_to(whole).freeze())
+    }
+
+    fn rest(&mut self) -> Result<Bytes, Spoilt> {
+        let rest = self.held.split().freeze();
+        let last = &rest[std::mem::take(&mut self.seen)..];
+        if is_field(last) { Ok(rest) } else { Err(Spoilt::NoEvent) }
+    }
+}
+
+/// Whether a line may stand in an event.
+fn is_field(line: &[u8]) -> bool {
+    let name = line.split(|b| *b == b':').next().unwrap_or_default();
+    // A comment has no name before its colon, a blank line nothing at all.
+    matches!(name, b"" | b"data" | b"event" | b"id" | b"retry") && std::str::from_utf8(line).is_ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::good("data: a\n\n: hi\r\nevent: x\r\ndata: b\r\n\r\ndata\nid:1\n\n", "", false)]
+    #[case::cut("data: a\n\ndata: b\n", "data: b\n", false)]
+    #[case::a_chunk_head("data: a\n\n\r\n2f\r\ndata: b\n\n", "", true)]
+    #[case::noise("data: a\n\nx\u{7f}\n", "", true)]
+    fn whole_events_pass_unchanged_and_nothing_else_does(
+        #[case] wire: &str,
+        #[case] held: &str,
+        #[case] spoilt: bool,
+    ) {
+        for cut in 0..wire.len() {
+            let mut gate = Gate::default();
+            let mut passed = Vec::new();
+            let mut bad = false;
+            for part in [&wire[..cut], &wire[cut..]] {
+                match gate.take(Bytes::copy_from_slice(part.as_bytes())) {
+                    Ok(bytes) => passed.extend_from_slice(&bytes),
+                    Err(_) => bad = true,
+                }
+            }
+            assert_eq!(bad, spoilt, "cut at {cut}");
+            assert!(passed.ends_with(b"\n") || passed.is_empty());
+            if !spoilt {
+                assert_eq!(passed, wire.strip_suffix(held).unwrap().as_bytes(), "cut at {cut}");
+                assert_eq!(gate.rest().unwrap(), held);
+            }
+        }
+    }
+
+    #[test]
+    fn an_event_without_end_is_no_event() {
+        let mut gate = Gate::default();
+        let part = Bytes::from(vec![b'a'; 1024]);
+        assert!(gate.take("data: ".into()).is_ok());
+        assert!((0..200).any(|_| gate.take(part.clone()).is_err()));
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod discovery;
+pub mod events;
 pub mod framing;
 pub mod pool;
 pub mod server;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -12,13 +12,15 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -66,63 +68,68 @@
     }
 }
 
-/// A socket whose writes are counted.
+/// A socket whose writes are counted. It is shared with the connection's owner, who has to see what waits on it
+/// before hyper does.
 struct Metered {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     meter: Rc<Meter>,
 }
 
 impl AsyncRead for Metered {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done.map(|_| ())),
+            }
+        }
     }
 }
 
 impl AsyncWrite for Metered {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(n)) = result {
-            self.meter.count(&buf[..n]);
-        }
-        result
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(buf)])
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        if let Poll::Ready(Ok(mut n)) = result {
-            for buf in bufs {
-                let part = n.min(buf.len());
-                self.meter.count(&buf[..part]);
-                n -= part;
+        let written = loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bufs) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                done => break done?,
             }
+        };
+        let mut left = written;
+        for buf in bufs {
+            let part = left.min(buf.len());
+            self.meter.count(&buf[..part]);
+            left -= part;
         }
-        result
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
     }
 }
 
 /// A connection; its socket is closed when this is dropped.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    stream: Rc<TcpStream>,
     meter: Rc<Meter>,
     driver: tokio::task::AbortHandle,
     _permit: OwnedSemaphorePermit,
@@ -150,8 +157,12 @@
         self.sender.send_request(request).await
     }
 
+    /// Whether it can take a request. Bytes that wait belong to no request of ours: a host that sends a second answer
+    /// behind the first would have it taken for the answer to the next request, before hyper has looked at the socket.
     fn usable(&self) -> bool {
-        self.sender.is_ready() && !self.sender.is_closed()
+        let waiting = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let quiet = waiting.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+        quiet && self.sender.is_ready() && !self.sender.is_closed()
     }
 }
 
@@ -260,15 +271,18 @@
         let connecting = tokio::time::timeout(self.connect_timeout, TcpStream::connect(target.address));
         let stream = connecting.await.map_err(|_| ConnectError::TimedOut)??;
         stream.set_nodelay(true)?;
-        let meter = Rc::new(Meter::default());
-        let io = TokioIo::new(Metered { stream, meter: meter.clone() });
-        let (sender, connection) = http1::Builder::new().max_buf_size(64 * 1024).handshake(io).await?;
+        let (stream, meter) = (Rc::new(stream), Rc::new(Meter::default()));
+        let io = TokioIo::new(Metered { stream: stream.clone(), meter: meter.clone() });
+        // A header that can't be read (a load report, say) is no reason to lose a good answer.
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(64 * 1024).ignore_invalid_headers_in_responses(true);
+        let (sender, connection) = builder.handshake(io).await?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to a model host: {error}");
             }
         });
-        Ok(Connection { sender, meter, driver: driver.abort_handle(), _permit: permit })
+        Ok(Connection { sender, stream, meter, driver: driver.abort_handle(), _permit: permit })
     }
 }
 
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -102,6 +102,74 @@
     assert!(!begun || answer.text().contains("one"));
 }
 
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// Guards against what a model host may write instead of a stream, on a connection that it keeps open: a repeat
+/// of what must not run twice before the first event, and after it a client left waiting, or given what is no event.
+#[rstest]
+#[case::noise("\u{1}\u{2}\u{3} nothing like HTTP\r\n\r\n", false)]
+#[case::a_head_that_can_t_be_read("HTTP/1.1 2x0 OK\r\n\r\n", false)]
+#[case::noise_for_a_first_event("{HEAD}5\r\nnoise\r\n6\r\nnoise\n\r\n", false)]
+#[case::a_size_that_can_t_be_read("{HEAD}b\r\ndata: one\n\n\r\nzz\r\n", true)]
+#[case::a_size_too_small("{HEAD}b\r\ndata: one\n\n\r\n3\r\ndata: two\n\n\r\n", true)]
+#[case::a_size_too_large("{HEAD}b\r\ndata: one\n\n\r\n40\r\ndata: two\n\n\r\nb\r\ndata: x\n\n\r\n", true)]
+#[case::three_gigabytes("{HEAD}b\r\ndata: one\n\n\r\nb2d05e00\r\n{MORE}", true)]
+fn a_stream_that_comes_spoilt(
+    #[case] wire: &str,
+    #[case] begun: bool,
+    #[values("send", "explain")] class: &str,
+) {
+    let (closed, closes) = news();
+    let wire = wire.replace("{HEAD}", HEAD);
+    let count = AtomicU32::new(0);
+    let writer = Peer::start(move |_, conn| {
+        if count.fetch_add(1, Ordering::SeqCst) > 0 {
+            conn.begin_stream();
+            conn.delta("one");
+            conn.end_stream();
+            return true;
+        }
+        let _ = conn.0.write_all(wire.replace("{MORE}", "").as_bytes());
+        while wire.contains("{MORE}") && conn.0.write_all(&[b'x'; 4096]).is_ok() {}
+        closed((wire.contains("{MORE}") || conn.is_closed()).to_string());
+        false
+    });
+    let reader = Peer::reader();
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    let answer = conductor.ask("id-1", class);
+    let status = if begun || class == "explain" { 200 } else { 502 };
+    assert_eq!((answer.status(), answer.whole), (status, !begun));
+    assert!(!begun || answer.text() == "data: one\n\n", "{}", answer.text());
+    assert_eq!(closes.recv().unwrap(), "true");
+}
+
+/// Guards against good streams lost to what else a model host writes, and against a second answer taken for the
+/// answer to the next request on that connection.
+#[rstest]
+#[case::answers_ahead(
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n{HEAD}",
+    ""
+)]
+#[case::a_report_that_can_t_be_read("{HEAD}", "")]
+#[case::a_second_answer("{HEAD}", "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")]
+fn a_good_stream_that_brings_more_than_belongs_to_it(#[case] head: &str, #[case] behind: &'static str) {
+    let report = "transfer-encoding: chunked\r\nx-load: \u{1}\u{2}\r\nx-load: what\r\n";
+    let head = head.replace("{HEAD}", HEAD).replace("transfer-encoding: chunked\r\n", report);
+    let writer = Peer::start(move |message, conn| {
+        let _ = conn.0.write_all(head.as_bytes());
+        conn.delta(message.header("x-request-id").unwrap());
+        conn.end_stream();
+        let _ = conn.0.write_all(behind.as_bytes());
+        true
+    });
+    let reader = Peer::reader();
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    for i in 0..20 {
+        let answer = conductor.ask(&format!("id-{i}"), "send");
+        assert!(answer.whole && answer.text().contains(&format!("\"id-{i}\"")), "{}", answer.line);
+    }
+}
+
 #[rstest]
 #[case::unreachable("")]
 #[case::turned_away("503 Service Unavailable")]
