Keep an id in hand until the last attempt of its request is over

Seen in src/net/server.rs platform(): the id and the room of a body were given back with the answer's head, while the stream ran on. Another client naming that id was passed on, a second copy at the model hosts under the id of an open request; a test shows it (409 only with the change). The body itself lived on in the call. Both now go with the call, so an id is free once its last attempt and release are over.

Looked for more that has no end, in every file: the driver's guards stood until the deadline that a client states, up to ten minutes, though their requests had ended (src/core/mod.rs ask()): cleared out when they are the most. The tool side's idle connections and outcomes were let go only when another call came: now by the clock. Hosts that are gone got their test. Ruled out: sessions and prefixes age out, requests and attempts end.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,6 +16,9 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::Instant;
 
+/// Timers and guards that are kept without looking whether anything still needs them.
+const MOST_DUE: usize = 1024;
+
 /// The conductor's clock: microseconds since 1970 at its start, monotonic from there. All machines read a
 /// single clock, so starts of model hosts can be set against it.
 #[derive(Clone, Copy, Debug)]
@@ -349,6 +352,14 @@
             Open { call, deadline, answer: Some(answer), class_safe, attempts: Vec::new(), releasing: None };
         self.open.insert(request, open);
         self.due.push(Reverse((deadline + self.settings.answer_slack, Due::Guard(request))));
+        // Guards stand until their deadline, minutes away if the client says so, though most requests end long
+        // before: those are cleared out once they are the most.
+        if self.due.len() > 2 * self.open.len() + MOST_DUE {
+            self.due.retain(|Reverse((_, due))| match due {
+                Due::Timer(_) => true,
+                Due::Guard(request) => self.open.contains_key(request),
+            });
+        }
         self.handle(Event::Ask(ask));
     }
 
@@ -527,3 +538,51 @@
         open.releasing = Some(releasing);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bytes::Bytes;
+
+    struct Nowhere;
+
+    impl Outbound for Nowhere {
+        fn send(&self, _: Attempt) {}
+        fn release(&self, _: Rc<Call>, _: Rc<Releasing>) {}
+        fn hold(&self, _: RequestId, _: Rc<Call>, _: WorkerId) {}
+        fn probe(&self, _: WorkerId) {}
+        fn hang_up(&self, _: &WorkerId) {}
+        fn ask_list(&self, _: bool) {}
+    }
+
+    /// Guards against memory that grows with every request for as long as the longest deadline that clients state.
+    #[tokio::test]
+    async fn requests_that_have_ended_leave_no_guards_behind() {
+        let clock = Clock::start();
+        let (handle, mut queue) = CoreHandle::channel(clock);
+        let mut core = Core::new(Settings::default(), 1, clock, Rc::new(Nowhere), Rc::default());
+        for _ in 0..5 * MOST_DUE {
+            let ask = Ask {
+                request: RequestId(0),
+                deadline: clock.now() + 600_000_000,
+                session: None,
+                prefix: None,
+                prefix_tokens: 0,
+                prompt_tokens: 1,
+                max_tokens: 1,
+                hint: None,
+                class: String::new(),
+                tenant: None,
+            };
+            let target = String::new();
+            let call =
+                Call { id: String::new(), target, content_type: None, body: Bytes::new(), keeps: None };
+            drop(handle.ask(ask, call));
+            while let Ok(input) = queue.try_recv() {
+                core.input(input);
+            }
+        }
+        assert!(core.open.is_empty());
+        assert!(core.due.len() <= MOST_DUE + 1, "{}", core.due.len());
+    }
+}
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -6,6 +6,7 @@
 
 use crate::interface::Micros;
 use bytes::Bytes;
+use std::any::Any;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
@@ -24,6 +25,8 @@
     pub content_type: Option<String>,
     /// Its body.
     pub body: Bytes,
+    /// What lasts for as long as anything of the request does, after its answer too: its id, the room it takes.
+    pub keeps: Option<Rc<dyn Any>>,
 }
 
 /// The final answer, or the beginning of one.
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -338,6 +338,11 @@
         Rc::new(Front { shared, ledger, active: RefCell::default(), next: Cell::new(1), seed, path })
     }
 
+    /// Lets go of what has had its time, also when no call comes any more.
+    pub fn tidy(&self) {
+        self.ledger.sweep();
+    }
+
     /// Answers one HTTP message: a request, a notification or a batch.
     pub async fn respond(self: Rc<Self>, body: Bytes) -> Response<AnswerBody> {
         if !body.trim_ascii_start().starts_with(b"[") {
@@ -526,7 +531,7 @@
         // Fresh for every try, as on the platform; what lasts is the client's name for the request.
         let id = format!("{:016x}", xxh3_64_with_seed(&in_hand.number.to_le_bytes(), self.seed));
         let target = super::platform::PATH.to_owned();
-        let call = Call { id, target, content_type: Some("application/json".into()), body };
+        let call = Call { id, target, content_type: Some("application/json".into()), body, keeps: None };
         let waiting = self.shared.core.ask(ask, call).answer();
         let (answer, presence) = tokio::select! {
             answered = waiting => answered,
--- a/src/front/ledger.rs
+++ b/src/front/ledger.rs
@@ -222,7 +222,8 @@
         }
     }
 
-    fn sweep(&self) {
+    /// Forgets outcomes that have been remembered for long enough, and closes connections that idle.
+    pub fn sweep(&self) {
         if self.swept.get().is_some_and(|at| at.elapsed() < Duration::from_secs(1)) {
             return;
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -196,6 +196,7 @@
     });
     let seed = config.seed;
     let tools = config.tools.clone().map(|t| Front::new(shared.clone(), t, connect_timeout, seed));
+    let front = tools.clone();
     let (stage, stages) = watch::channel(Stage::Open);
     let open = Rc::new(Connections::default());
     let bound = to_clients - OVER;
@@ -217,7 +218,12 @@
             _ = interrupt.recv() => break,
             _ = usr1.recv() => log::info!("counters: {counters}"),
             _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
-            _ = retire.tick() => pool.retire(),
+            _ = retire.tick() => {
+                pool.retire();
+                if let Some(front) = &front {
+                    front.tidy();
+                }
+            }
         }
     }
     log::info!("stopping: accepting for {} ms more", ACCEPT_ON.as_millis());
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -348,3 +348,27 @@
         Ok(Listing { whole: true, ..message.into() })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a list that grows with every machine that is replaced under a new id.
+    #[test]
+    fn hosts_that_are_gone_are_forgotten() {
+        let directory = Directory::default();
+        let listing = |whole: bool, host: String, health: &str| -> Listing {
+            let text = format!(
+                r#"{{"seq":1,"whole":{whole},"hosts":[{{"host":"{host}","dial":"127.0.0.1:1","health":"{health}"}}]}}"#
+            );
+            serde_json::from_str::<ListMessage>(&text).unwrap().into()
+        };
+        for i in 0..10 {
+            directory.apply(&listing(i % 2 == 0, format!("h{i}"), "ready"));
+            let gone = directory.apply(&listing(false, format!("h{i}"), "gone"));
+            assert_eq!(gone, [WorkerId(format!("h{i}").into())]);
+            assert!(!directory.is_ready(&gone[0]));
+        }
+        assert!(directory.hosts.borrow().is_empty());
+    }
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -14,6 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
 use std::convert::Infallible;
@@ -167,26 +168,24 @@
             // One token is four characters.
             intake.ask.prompt_tokens = body.len() as u64 / 4;
         }
-        // Model hosts tell requests apart by their ids: two at once under one would share what is held.
+        // Model hosts tell requests apart by their ids: two at once under one would share what is held. An id is in
+        // hand until the last attempt and release of its request are over, or another client could send a second
+        // copy of a request whose stream still runs.
         if !shared.ids.borrow_mut().insert(intake.id.clone()) {
             return self.bad(StatusCode::CONFLICT, "a request with this id is in hand\n");
         }
         let in_hand = InHand(shared.clone(), intake.id.clone());
         let target = head.uri.path_and_query().map_or(platform::PATH, |p| p.as_str()).to_owned();
         let content_type = head.headers.get("content-type").and_then(|v| v.to_str().ok()).map(str::to_owned);
-        let call = Call { id: intake.id, target, content_type, body };
+        let keeps: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, held)));
+        let call = Call { id: intake.id, target, content_type, body, keeps };
         let (answer, presence) = shared.core.ask(intake.ask, call).answer().await;
-        drop((in_hand, held));
         platform::encode(answer, presence)
     }
 
     /// Reads a body whole, within the bounds of its length and of what all bodies may take. Its time is bounded
     /// by the connection's supervisor.
-    async fn body(
-        &self,
-        mut body: Incoming,
-        watch: &Watch,
-    ) -> Result<(Bytes, impl Sized + use<>), Response<AnswerBody>> {
+    async fn body(&self, mut body: Incoming, watch: &Watch) -> Result<(Bytes, Held), Response<AnswerBody>> {
         let too_long = || self.bad(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n");
         if body.size_hint().lower() > MOST_BODY as u64 {
             return Err(too_long());
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use rstest::rstest;
-use std::io::{BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::Shutdown;
 use std::process::Command;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -215,6 +215,35 @@
     assert!(lines.len() == 3 && lines.iter().zip(wanted).all(|(l, w)| l.starts_with(w)), "{lines:?}");
 }
 
+/// Guards against a second copy sent under the id of a request whose stream still runs: other clients may name it.
+#[test]
+fn an_id_is_in_hand_until_its_stream_has_ended() {
+    let (begun, begins) = news();
+    let go = Arc::new(Mutex::new(()));
+    let held = go.lock().unwrap();
+    let gate = go.clone();
+    let writer = Peer::start(move |_, conn| {
+        conn.begin_stream();
+        conn.delta("one");
+        begun("".into());
+        drop(gate.lock());
+        conn.end_stream();
+        true
+    });
+    let reader = Peer::reader();
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    let mut client = BufReader::new(conductor.connect());
+    client.get_mut().write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
+    begins.recv().unwrap();
+    // The head of the answer: the request has its answer, and its stream runs.
+    client.fill_buf().unwrap();
+    assert_eq!(conductor.ask("id-1", "send").status(), 409);
+    drop(held);
+    assert!(Message::read(&mut client).unwrap().whole);
+    while conductor.ask("id-1", "send").status() == 409 {}
+    assert_eq!(conductor.stop().get("taken"), 2);
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_attempt_along_and_its_state_is_released() {
     let (tell, told) = news();
