Let less of the flow stay near while near writers hang and those afar don't

Reports tell nothing here, paces are kept by distance, and slowness is measured against them, so a whole cell that jams looks ordinary to itself. Checked and ruled out: the sockets (requests sent match those the hosts report, time to the client 0.2 ms), readers (50 to 600 ms throughout), far links.

Now a time-out of a near writer counts as one from afar does; the part that stays near falls with each and comes back by halves every 2 s. Not while first tokens from afar take over 3 times as long: links are slow then.

Test: two cells, sends that hang in one; without the change all of its writers end up set aside.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,6 +16,9 @@
 const IMBALANCE: f64 = 2.0;
 /// A nearer writer is taken while it is no more of its memory fuller than the best: one long request's part.
 const CLEARLY_FULLER: f64 = 0.1;
+/// First tokens from afar that take this many times as long as near ones: sites state up to 2.7 for the way
+/// between zones.
+const SLOW_WAY: f64 = 3.0;
 /// Weight of a new sample in every learned average: the last ten or so count, enough to outlast one outlier.
 const LEARN: f64 = 0.1;
 /// An attempt is overdue at this multiple of what it should take: more than other routers' queues explain.
@@ -53,7 +56,8 @@
     sessions: BTreeMap<Arc<str>, (WorkerId, Credit)>,
     tenants: BTreeMap<String, (f64, f64, Micros)>, // this router's part of the promised rate, level, since
     learned: Learned,
-    hung_far: Fading, // states that did not reach a writer out of the reader's cell in time
+    hung_near: Fading, // sends to writers in the reader's cell that did not begin in time
+    hung_far: Fading,  // states that did not reach a writer out of the reader's cell in time
     patience: [u32; 2],
     most: [usize; 3], // workers of each role seen in service at once
     swept: bool,
@@ -451,13 +455,21 @@
         // While states from afar have just not come in time, the near writers take all that they have room
         // for. Guards against slow links, of which the learned paces tell only after seconds.
         let luck = if self.hung_far.left(self.now, HALF_LIFE) >= 0.5 { 0.0 } else { luck };
+        // While near writers have just not begun in time, and those afar have, the near ones are jammed: the part
+        // of the flow that stays near falls with each, never to nothing, or it would not be seen that they are
+        // well again. Guards against jams that no report tells of; harms where the whole fleet is jammed. Where
+        // the way takes longer than distance alone explains, links are slow, and afar would be worse.
+        let hung = |f: &Fading| f.left(self.now, HALF_LIFE);
+        let slow_way = pace(2) > SLOW_WAY * pace(0);
+        let jam = if slow_way { 0.0 } else { (hung(&self.hung_near) - hung(&self.hung_far)).max(0.0) };
+        let well = 1.0 / (1.0 + jam);
         let (cell, zone) = (|w: &Worker| w.cell == near.cell, |w: &Worker| w.zone == near.zone);
         let roomy = |w: &Worker| w.keep[0] > 1.0;
         let in_zone = least(&|w| zone(w) && roomy(w)).or_else(|| least(&zone));
         for (far, candidate) in [least(&cell), in_zone].into_iter().enumerate() {
             let fuller = CLEARLY_FULLER * worth(far, beyond);
             if let Some(w) = candidate.filter(|w| fill[w] <= fill[best] + fuller)
-                && luck < near.keep[far] * worth(far, far + 1).min(1.0 + CLEARLY_FULLER)
+                && luck < near.keep[far] * worth(far, far + 1).min(1.0 + CLEARLY_FULLER) * well
             {
                 return Some(w.clone());
             }
@@ -704,8 +716,9 @@
                 // It would have taken at least this long: else time-outs under load breed time-outs.
                 self.learn(&worker, writes.then_some(far), elapsed, work);
                 self.bad(&worker, sent);
-                if writes && far > 0 {
-                    self.hung_far.add(now, HALF_LIFE, 1.0);
+                if writes {
+                    let hung = if far > 0 { &mut self.hung_far } else { &mut self.hung_near };
+                    hung.add(now, HALF_LIFE, 1.0);
                 }
                 // Without a report, it's as if it had told of so much work.
                 let waiting = elapsed as f64 / self.learned.read_pace.or(f64::MAX).max(1e-9);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -151,7 +151,12 @@
     let names: Vec<Arc<str>> = actions.iter().filter_map(to).collect();
     names
         .iter()
-        .map(|n| ["r1", "r2", "w1", "w2", "w3", "m1", "r3"].into_iter().find(|k| **n == **k).unwrap())
+        .map(|n| {
+            ["r1", "r2", "w1", "w2", "w3", "w4", "w5", "w6", "m1", "r3"]
+                .into_iter()
+                .find(|k| **n == **k)
+                .unwrap()
+        })
         .collect()
 }
 
@@ -279,6 +284,40 @@
     assert_ne!(sends(&first), sends(&second));
 }
 
+#[test]
+fn while_near_writers_hang_the_flow_goes_to_those_that_do_not() {
+    // Found in an incident: two cells' writers jammed for seconds beside a third cell's that idled, since nothing
+    // reported the jam and states were kept near.
+    let mut rig = Rig::new(settings());
+    let cell = |worker: &str| u64::from(["r2", "w4", "w5", "w6"].contains(&worker));
+    let names = ["r1", "r2", "w1", "w2", "w3", "w4", "w5", "w6"];
+    rig.list(ListKind::Saved, names.iter().map(|w| entry(w, cell(w), Status::Ready, None)).collect());
+    let mut id = 0;
+    // Requests read in the first cell, and how many of them stay there to be written.
+    let mut near = |rig: &mut Rig, hang: bool| {
+        let mut stayed = 0;
+        for _ in 0..40 {
+            id += 1;
+            let read_at = sends(&rig.ask(id, "safe"))[0].to_owned();
+            let wrote_at = sends(&rig.end(id, 0, Outcome::Read))[0].to_owned();
+            let is_near = cell(&read_at) == 0 && cell(&wrote_at) == 0;
+            stayed += u32::from(is_near);
+            // One after the other hangs, each of them seldom enough not to be set aside itself.
+            if hang && is_near && stayed % 2 == 0 {
+                rig.end(id, 1, Outcome::NoAnswer);
+                rig.end(id, 2, Outcome::Served);
+            } else {
+                rig.end(id, 1, Outcome::Served);
+            }
+        }
+        stayed
+    };
+    let before = near(&mut rig, false);
+    near(&mut rig, true);
+    let after = near(&mut rig, false);
+    assert!((1..=before / 2).contains(&after), "{before} near before, {after} after");
+}
+
 #[test]
 fn a_keyed_request_is_repeated_in_its_group_and_window_alone() {
     let mut rig = Rig::fleet(settings());
