--- a/src/policy.rs
+++ b/src/policy.rs
@@ -455,10 +455,10 @@
         // While states from afar have just not come in time, the near writers take all that they have room
         // for. Guards against slow links, of which the learned paces tell only after seconds.
         let luck = if self.hung_far.left(self.now, HALF_LIFE) >= 0.5 { 0.0 } else { luck };
-        // While near writers have just not begun in time, and those afar have, the near ones are jammed: the
-        // part of the flow that stays near falls with each, never to nothing, or it would not be seen that they
-        // are well again. Guards against jams that no report tells of; harms where the whole fleet is jammed.
-        // Where the way takes longer than distance alone explains, links are slow, and afar would be worse.
+        // While near writers have just not begun in time, and those afar have, the near ones are jammed:
+        // less of the flow stays near with each, but never nothing: else nobody would see that they are well
+        // again. Guards against jams that no report tells of; harms where the whole fleet is jammed. Where
+        // the way takes longer than distance alone explains, links are slow, and afar would be worse.
         let hung = |f: &Fading| f.left(self.now, HALF_LIFE);
         let slow_way = pace(2) > SLOW_WAY * pace(0);
         let jam = if slow_way { 0.0 } else { (hung(&self.hung_near) - hung(&self.hung_far)).max(0.0) };
