Move prompts to readers that idle; hold no overtaken time-out against a worker

Two causes, both in src/policy.rs: - pick_reader(): the cost of text read anew was multiplied by the reads out at all readers together, so the longer the queue at the holder, the dearer an idle reader looked. Now by those at the reader itself, who are the ones that pay; - ended(): answers were lost on the way at some hosts (time-outs beside answers of 0.1 s). Their time-outs came all at once, a second and a half after the good answers, so they looked like failures in a row: the readers were set aside for up to 16 s and credited with the work of a full queue. Now a time-out counts nothing against a worker that has answered a later send: it waits in no queue there. Ruled out: the sockets (0.15 ms to the client, 0.4 ms to the first attempt at the median), the core's time (0.13 at most of the second), descriptors (278 of 768), writers (0.05 to 0.2 s, one but), resets of kept connections (1).

Tests: one holder with sixteen reads beside five idle readers; time-outs overtaken by a later answer, and not.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -353,11 +353,11 @@
                 return Some((holder.id.clone(), holder.rest));
             }
         }
-        let reads = self.requests.values().flat_map(Request::out).filter(|a| !a.writes).count();
-        let crowd = 1.0 + reads as f64 / usable.len() as f64;
-        // Every read that waits pays for tokens read anew: under load, moving a prompt off its holder
-        // feeds the very queue that it flees, until nothing is found kept anywhere.
-        let cost = |v: &View| v.load + self.eviction(v.id, v.rest) + v.rest * v.slow * crowd;
+        // Every read that waits at a reader pays for tokens read anew there: moving a prompt off its holder
+        // to one as crowded feeds the very queue that it flees, until nothing is found kept anywhere. Who
+        // waits elsewhere doesn't pay: counted over all readers, they kept idle ones from taking anything.
+        let crowd = |v: &View| 1.0 + self.out_at(v.id).filter(|a| !a.writes).count() as f64;
+        let cost = |v: &View| v.load + self.eviction(v.id, v.rest) + v.rest * v.slow * crowd(v);
         // Equals: by a hash that all routers share, so that a session's next turn finds its text again.
         let least = |a: &&View, b: &&View| cost(a).total_cmp(&cost(b)).then(b.rank.cmp(&a.rank));
         views.iter().min_by(least).map(|v| (v.id.clone(), v.rest))
@@ -636,12 +636,12 @@
         let Some(a) = r.attempts.get_mut(attempt.0 as usize) else { return };
         a.first = Some(self.now);
         self.patience[1] = self.patience[1].saturating_sub(1);
-        let (worker, work, pace) = (a.worker.clone(), a.work, Some(a.far));
+        let (worker, work, pace, sent) = (a.worker.clone(), a.work, Some(a.far), a.sent);
         if r.phase != Phase::Done {
             r.phase = Phase::Streaming;
         }
         r.state = None;
-        self.good(&worker);
+        self.good(&worker, sent);
         self.learn(&worker, pace, elapsed, work);
     }
 
@@ -702,16 +702,19 @@
         match outcome {
             Outcome::Read => {
                 self.learned.unread.add(unread, LEARN);
-                self.good(&worker);
+                self.good(&worker, sent);
                 self.learn(&worker, None, elapsed, work - tokens + unread);
             }
             // A stream was good when it began; an answer without one is good now.
-            Outcome::Served if first.is_none() => self.good(&worker),
+            Outcome::Served if first.is_none() => self.good(&worker, sent),
             // Full, perhaps for this kind of request alone: others may still go there.
             Outcome::TurnedAway => {
                 let until = now + HALF_LIFE / 2;
                 self.workers.entry(worker.clone()).and_modify(|w| _ = w.full.insert(kind, until));
             }
+            // One sent later was answered: this one doesn't wait there, its answer was lost on the way.
+            // Guards against setting workers aside, or taking them to be full, while most answers come.
+            Outcome::NoAnswer if self.workers.get(&worker).is_some_and(|w| w.good_sent > sent) => {}
             Outcome::NoAnswer => {
                 // It would have taken at least this long: else time-outs under load breed time-outs.
                 self.learn(&worker, writes.then_some(far), elapsed, work);
@@ -757,9 +760,10 @@
         }
     }
 
-    fn good(&mut self, worker: &WorkerId) {
+    fn good(&mut self, worker: &WorkerId, sent: Micros) {
         if let Some(w) = self.workers.get_mut(worker) {
             w.last_good = self.now;
+            w.good_sent = w.good_sent.max(sent);
             w.lost = false;
             w.done.add(self.now, HALF_LIFE, 1.0);
             w.failing *= SICK;
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,6 +84,8 @@
     pub slowness: Average,
     pub failing: f64,
     pub last_good: Micros,
+    /// When the latest was sent of those that it has answered.
+    pub good_sent: Micros,
     pub sick_until: Micros,
     pub doublings: u32,
     pub lost: bool,
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -152,7 +152,7 @@
     names
         .iter()
         .map(|n| {
-            ["r1", "r2", "w1", "w2", "w3", "w4", "w5", "w6", "m1", "r3"]
+            ["r1", "r2", "w1", "w2", "w3", "w4", "w5", "w6", "m1", "r3", "r4", "r5", "r6"]
                 .into_iter()
                 .find(|k| **n == **k)
                 .unwrap()
@@ -872,3 +872,48 @@
         assert!(release.is_some() && send.is_none_or(|send| release < Some(send)), "{outcome:?}: {then:?}");
     }
 }
+
+/// Guards against readers that idle beside one whose queue is long: what waited anywhere kept prompts from moving.
+#[test]
+fn a_crowded_holder_gives_work_to_readers_that_idle() {
+    let mut rig = Rig::new(settings());
+    let list = ["r1", "r2", "r3", "r4", "r5", "r6", "w1", "w2"];
+    rig.list(ListKind::Saved, list.iter().map(|w| entry(w, 0, Status::Ready, None)).collect());
+    let prefix = |id, now| Ask {
+        request: RequestId(id),
+        prefix: Some(Arc::from("p")),
+        prefix_tokens: 1_900,
+        ..ask(now, "safe")
+    };
+    let readers: Vec<String> =
+        (0..16).map(|id| sends(&rig.ask_with(prefix(id, rig.now))).join(" ")).collect();
+    assert!(readers[..4].iter().all(|r| *r == readers[0]), "its holder first: {readers:?}");
+    assert!(readers.iter().any(|r| *r != readers[0]), "others idle: {readers:?}");
+}
+
+/// Answers that are lost on the way tell nothing of the worker that has answered a later send; those that time
+/// out with nothing answered since do. Guards against most readers set aside and the rest swamped.
+#[test]
+fn a_time_out_overtaken_by_a_later_answer_is_not_held_against_the_worker() {
+    for overtaken in [true, false] {
+        let mut rig = Rig::fleet(settings());
+        let prefix = |id, now| Ask {
+            request: RequestId(id),
+            prefix: Some(Arc::from("p")),
+            prefix_tokens: 1_900,
+            ..ask(now, "safe")
+        };
+        let mut home = String::new();
+        for id in 1..=4 {
+            home = sends(&rig.ask_with(prefix(id, rig.now)))[0].to_owned();
+            rig.now += MS;
+        }
+        let (answered, lost) = if overtaken { (4, [1, 2, 3]) } else { (1, [2, 3, 4]) };
+        rig.end(answered, 0, Outcome::Read);
+        rig.now += 900 * MS;
+        for id in lost {
+            rig.end(id, 0, Outcome::NoAnswer);
+        }
+        assert_eq!(sends(&rig.ask_with(prefix(9, rig.now))) == [home.as_str()], overtaken);
+    }
+}
