Take an answer that can't be read for no sign of dead kept connections

Lines at fault: Pool::broke() in src/net/pool.rs, called for any error before the first event, a head that can't be read included. Now the meter at the socket tells whether any byte of an answer had come; such a connection was alive.

Test: one spoilt answer among twelve requests; without the change the pool stops keeping connections.

--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -43,6 +43,8 @@
     /// Bytes of the body still to be written.
     left: Cell<usize>,
     written: Cell<u64>,
+    /// Whether any byte of an answer has come.
+    heard: Cell<bool>,
 }
 
 impl Meter {
@@ -50,6 +52,7 @@
     fn begin(&self, body: usize) {
         self.matched.set(0);
         self.left.set(body);
+        self.heard.set(false);
     }
 
     /// Counts bytes that the socket took.
@@ -86,7 +89,11 @@
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read_buf(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => return Poll::Ready(done.map(|_| ())),
+                done => {
+                    let heard = self.meter.heard.get() || done.as_ref().is_ok_and(|n| *n > 0);
+                    self.meter.heard.set(heard);
+                    return Poll::Ready(done.map(|_| ()));
+                }
             }
         }
     }
@@ -229,9 +236,9 @@
     /// A connection has broken off before its answer. One that was kept and is reset as soon as a request is written
     /// to it had been closed at its other end without a word, and others will have been, too: what is written to those
     /// may have run for all that anybody knows, and what must not run twice is lost. So none is kept for a while; a
-    /// new one costs a few round trips.
+    /// new one costs a few round trips. An answer that can't be read is no such thing: the connection was alive.
     pub fn broke(&self, connection: &Connection) {
-        if !connection.reused || connection.sent.elapsed() > AT_ONCE {
+        if !connection.reused || connection.meter.heard.get() || connection.sent.elapsed() > AT_ONCE {
             return;
         }
         self.counters.stale_connections.up();
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -172,6 +172,36 @@
     assert_eq!(conductor.stop().get("stale_connections"), 1);
 }
 
+/// Guards against a pool that keeps no connection because an answer could not be read: that one was alive.
+#[test]
+fn an_answer_that_can_t_be_read_costs_its_own_connection_alone() {
+    let count = AtomicU32::new(0);
+    let writer = Peer::start(move |message, conn| {
+        if message.line.starts_with("DELETE") {
+            conn.answer("204 No Content", "", "");
+            return true;
+        }
+        let spoilt = count.fetch_add(1, Ordering::SeqCst) == 3;
+        if spoilt {
+            let _ = conn.0.write_all(b"HTTP/1.1 2x0 OK\r\n\r\n");
+        } else {
+            conn.begin_stream();
+            conn.delta("one");
+            conn.end_stream();
+        }
+        true
+    });
+    let reader = Peer::reader();
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    for i in 0..12 {
+        let status = if i == 3 { 502 } else { 200 };
+        assert_eq!(conductor.ask(&format!("id-{i}"), "send").status(), status, "request {i}");
+    }
+    let counters = conductor.stop();
+    assert_eq!(counters.get("stale_connections"), 0);
+    assert!(counters.get("connections_out") <= 5, "{}", counters.0);
+}
+
 /// Guards against good streams lost to what else a model host writes, and against a second answer taken for the
 /// answer to the next request on that connection.
 #[rstest]
