Forget which tenants a worker has turned away once that is over

Expired entries now go when the next one comes. Test: ten thousand names leave ten entries; without the change all stay.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -727,7 +727,7 @@
             // Full, perhaps for this kind of request alone: others may still go there.
             Outcome::TurnedAway => {
                 let until = now + HALF_LIFE / 2;
-                self.workers.entry(worker.clone()).and_modify(|w| _ = w.full.insert(kind, until));
+                self.workers.entry(worker.clone()).and_modify(|w| w.turned_away(kind, now, until));
             }
             // One sent later was answered: this one doesn't wait there, its answer was lost on the way.
             // Guards against setting workers aside, or taking them to be full, while most answers come.
@@ -830,7 +830,7 @@
             .filter(|(id, w)| self.cold_allows(id, w))
             .collect();
         let kind = request.map(|r| (r.class, r.ask.tenant.clone()));
-        let full = |w: &Worker| kind.as_ref().and_then(|k| w.full.get(k)).is_some_and(|t| *t > self.now);
+        let full = |w: &Worker| kind.as_ref().is_some_and(|k| w.is_full(k, self.now));
         if ready.iter().any(|(_, w)| !full(w)) {
             ready.retain(|(_, w)| !full(w));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -95,6 +95,20 @@
     pub full: BTreeMap<(usize, Option<String>), Micros>,
 }
 
+impl Worker {
+    /// It has turned such a request away. What is over is dropped: tenants are whatever names clients write, and
+    /// the entries of all of them would be kept for as long as the worker is.
+    pub fn turned_away(&mut self, kind: (usize, Option<String>), now: Micros, until: Micros) {
+        self.full.retain(|_, until| *until > now);
+        self.full.insert(kind, until);
+    }
+
+    /// Whether it is taken to be full for such a request.
+    pub fn is_full(&self, kind: &(usize, Option<String>), now: Micros) -> bool {
+        self.full.get(kind).is_some_and(|until| *until > now)
+    }
+}
+
 /// Where a request stands.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Phase {
@@ -176,3 +190,19 @@
     let RequestId(id) = ask.request;
     name.map_or(id ^ own, |k| xxh3_64(k.as_bytes()))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against memory that grows with every tenant's name that a client makes up.
+    #[test]
+    fn tenants_that_were_turned_away_are_forgotten() {
+        let mut worker = Worker::default();
+        for i in 0..10_000 {
+            worker.turned_away((0, Some(i.to_string())), i, i + 10);
+            assert!(worker.is_full(&(0, Some(i.to_string())), i));
+        }
+        assert!(worker.full.len() <= 10, "{}", worker.full.len());
+    }
+}
