Take a head that doesn't end for a failed attempt after half a second

The meter at the socket now sees a head begin; not whole 0.5 s later, it is an attempt that may have run. Heads of 1xx don't count: what follows one has its own first byte. Ruled out: bounding the first event the same way, since events follow every few tokens only. Tests: a head that stops half way, told by its counters; the head's clock with 1xx ahead, cut at every byte.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -26,6 +26,8 @@
 /// A stream without an event for this long is dead, whatever its connection says: a machine that vanished
 /// says nothing, and a client left waiting 5 s has lost its answer.
 const STALLED: Duration = Duration::from_millis(4500);
+/// The head of an answer comes whole, from its first byte on.
+const HEAD_WHOLE: Duration = Duration::from_millis(500);
 /// The short body of an answer that is no stream comes with its head.
 const BODY_BEHIND: Duration = Duration::from_millis(500);
 /// A client that takes nothing of its stream for this long is gone.
@@ -171,7 +173,10 @@
         // What never left whole has never run.
         let cut_off = |outcome: Outcome| if meter.complete() { outcome } else { Outcome::NoConnection };
         let answering = async {
-            let response = connection.send(request, attempt.call.body.len()).await?;
+            let response = tokio::select! {
+                response = connection.send(request, attempt.call.body.len()) => response?,
+                () = meter.overdue(HEAD_WHOLE) => return Err("a head that doesn't end".into()),
+            };
             Answered::read(response).await
         };
         let answered = tokio::select! {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -24,7 +24,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
 /// Idle connections kept for each model host: a burst's worth; the rest would only hold sockets.
@@ -35,7 +35,10 @@
 /// How long no connection is kept after a kept one was found dead.
 const DISTRUST: Duration = Duration::from_secs(60);
 
-/// How much of a request was written, seen at the socket.
+/// Where the status stands in the first line of an answer.
+const STATUS_AT: usize = "HTTP/1.1 ".len();
+
+/// How much of a request was written and of its answer's head has come, seen at the socket.
 #[derive(Debug, Default)]
 pub struct Meter {
     /// Bytes of the current head that match the blank line that ends it; 4 once it has passed.
@@ -45,6 +48,48 @@
     written: Cell<u64>,
     /// Whether any byte of an answer has come.
     heard: Cell<bool>,
+    head: RefCell<Head>,
+    begun: Notify,
+}
+
+/// How far the head of an answer has come, heads of 1xx ahead of it included.
+#[derive(Debug, Default)]
+struct Head {
+    /// Since when it has been coming.
+    since: Option<Instant>,
+    /// Its first bytes, as far as its status.
+    start: Vec<u8>,
+    /// Bytes of its end that have matched.
+    matched: u8,
+}
+
+impl Head {
+    /// Takes bytes in; whether a head has begun with them.
+    fn take(&mut self, bytes: &[u8]) -> bool {
+        let before = self.since;
+        for byte in bytes {
+            self.since.get_or_insert_with(Instant::now);
+            if self.start.len() <= STATUS_AT {
+                self.start.push(*byte);
+            }
+            self.matched = blank_line(self.matched, *byte);
+            // One of 1xx that has ended is no answer: the next one counts from its own first byte.
+            if self.matched == 4 && self.start.get(STATUS_AT) == Some(&b'1') {
+                *self = Head::default();
+            }
+        }
+        self.since.is_some() && self.since != before
+    }
+}
+
+/// How many bytes of a blank line have matched after this one.
+fn blank_line(matched: u8, byte: u8) -> u8 {
+    match (matched, byte) {
+        (4, _) => 4,
+        (0 | 2, b'\r') | (1 | 3, b'\n') => matched + 1,
+        (_, b'\r') => 1,
+        _ => 0,
+    }
 }
 
 impl Meter {
@@ -53,6 +98,32 @@
         self.matched.set(0);
         self.left.set(body);
         self.heard.set(false);
+        self.head.take();
+    }
+
+    fn hear(&self, bytes: &[u8]) {
+        if !bytes.is_empty() {
+            self.heard.set(true);
+            if self.head.borrow_mut().take(bytes) {
+                self.begun.notify_one();
+            }
+        }
+    }
+
+    /// Resolves when a head has been coming for this long. Guards against one that never ends: its request would
+    /// wait for all the time that it has.
+    pub async fn overdue(&self, most: Duration) {
+        loop {
+            let since = self.head.borrow().since;
+            let Some(since) = since else {
+                self.begun.notified().await;
+                continue;
+            };
+            tokio::time::sleep_until(since + most).await;
+            if self.head.borrow().since == Some(since) {
+                return;
+            }
+        }
     }
 
     /// Counts bytes that the socket took.
@@ -61,11 +132,7 @@
         while self.matched.get() < 4 {
             let Some((byte, rest)) = bytes.split_first() else { return };
             bytes = rest;
-            self.matched.set(match (self.matched.get(), byte) {
-                (0 | 2, b'\r') | (1 | 3, b'\n') => self.matched.get() + 1,
-                (_, b'\r') => 1,
-                _ => 0,
-            });
+            self.matched.set(blank_line(self.matched.get(), *byte));
         }
         self.left.set(self.left.get().saturating_sub(bytes.len()));
     }
@@ -85,13 +152,13 @@
 
 impl AsyncRead for Metered {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read_buf(buf) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 done => {
-                    let heard = self.meter.heard.get() || done.as_ref().is_ok_and(|n| *n > 0);
-                    self.meter.heard.set(heard);
+                    self.meter.hear(&buf.filled()[before..]);
                     return Poll::Ready(done.map(|_| ()));
                 }
             }
@@ -358,6 +425,19 @@
 mod tests {
     use super::*;
 
+    /// Guards against good answers cut off since a host has said early that it goes on.
+    #[test]
+    fn a_head_is_timed_from_its_first_byte_and_those_of_1xx_are_not_it() {
+        let ahead = b"HTTP/1.1 102 Processing\r\na: b\r\n\r\n";
+        let wire = [&ahead[..], b"HTTP/1.1 200 OK\r\n\r\n"].concat();
+        for cut in 1..wire.len() {
+            let mut head = Head::default();
+            assert!(head.take(&wire[..cut]) == (cut != ahead.len()), "cut at {cut}");
+            head.take(&wire[cut..]);
+            assert!(head.start.starts_with(b"HTTP/1.1 2"), "cut at {cut}");
+        }
+    }
+
     #[test]
     fn a_request_is_complete_with_its_last_byte_and_not_before() {
         let meter = Meter::default();
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -172,6 +172,20 @@
     assert_eq!(conductor.stop().get("stale_connections"), 1);
 }
 
+/// Guards against heads that never end: what may have run fails then, and doesn't wait for all of its time.
+#[test]
+fn a_head_that_doesn_t_end_is_a_failed_attempt() {
+    let writer = Peer::start(|_, conn| {
+        let _ = conn.0.write_all(b"HTTP/1.1 200 OK\r\ncontent-type: text/ev");
+        !conn.is_closed()
+    });
+    let reader = Peer::reader();
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], ""));
+    assert_eq!(conductor.ask("id-1", "send").status(), 502);
+    let counters = conductor.stop();
+    assert_eq!(["ended_lost", "ended_no_answer"].map(|c| counters.get(c)), [1, 0]);
+}
+
 /// Guards against a pool that keeps no connection because an answer could not be read: that one was alive.
 #[test]
 fn an_answer_that_can_t_be_read_costs_its_own_connection_alone() {
