Time a head for its own request only, not from the answer before on that connection

Line at fault: the select in carry_out() (src/net/client.rs) polled the meter before the send had begun anew, and the meter told of the answer before; which branch goes first was drawn by chance. Now the send is polled first.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -174,6 +174,8 @@
         let cut_off = |outcome: Outcome| if meter.complete() { outcome } else { Outcome::NoConnection };
         let answering = async {
             let response = tokio::select! {
+                // First: until it has begun, the meter tells of the answer before.
+                biased;
                 response = connection.send(request, attempt.call.body.len()) => response?,
                 () = meter.overdue(HEAD_WHOLE) => return Err("a head that doesn't end".into()),
             };
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -186,6 +186,26 @@
     assert_eq!(["ended_lost", "ended_no_answer"].map(|c| counters.get(c)), [1, 0]);
 }
 
+/// Guards against the head of the answer before being timed in place of the next one's on a connection kept.
+#[test]
+fn a_head_is_timed_for_its_own_request_only() {
+    let count = AtomicU32::new(0);
+    let writer = writer();
+    let slow = Peer::start(move |message, conn| {
+        if message.line.starts_with("POST") && count.fetch_add(1, Ordering::SeqCst) % 2 == 1 {
+            // Longer than a head may take once it has begun; this one has not.
+            std::thread::sleep(std::time::Duration::from_millis(600));
+        }
+        conn.answer("202 Accepted", "", r#"{"cached_tokens":4}"#);
+        true
+    });
+    let conductor = Conductor::start(&operator_file(&[slow.address], &[writer.address], ""));
+    for i in 0..8 {
+        assert_eq!(conductor.ask(&format!("id-{i}"), "send").status(), 200);
+    }
+    assert_eq!(conductor.stop().get("ended_lost"), 0);
+}
+
 /// Guards against a pool that keeps no connection because an answer could not be read: that one was alive.
 #[test]
 fn an_answer_that_can_t_be_read_costs_its_own_connection_alone() {
