Leave writers whose streams crawl for others, near or not

Lines at fault: ended() in src/policy.rs learned nothing from a stream's end (Outcome::Served with a first token), and nothing at all looked at streams that still run; pick_writer() keeps to a near writer at nearly any fullness. Ruled out: long answers (max 12 s at one conductor's other writers, median 2.5 s), the hosts' release (it began at 7.5 s), readers (their paces are learned). Seen by the way, and left: with one cell a zone no pace is known within the zone, and 'clearly fuller' never bites there.

Now each writer's stream time of late, running streams included, is set against its ends and the lower median of its peers.

Test: three writers, one of which streams for 8 s; it is left though all is over. Without the term it is taken again.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,6 +38,12 @@
 const BURST: f64 = 10.0;
 /// News of load is worth half after this: the queues that workers hold without refusing are of seconds.
 const HALF_LIFE: Micros = 2_000_000;
+/// What is known of streams is worth half after this: they last for seconds.
+const STREAMS_HALF_LIFE: Micros = 4 * HALF_LIFE;
+/// Ends of streams that every writer is taken to have shown: fewer of its own are chance.
+const FEW_ENDS: f64 = 2.0;
+/// A writer's streams may last this multiple of what others' do: their lengths differ by as much.
+const SLOW_STREAMS: f64 = 2.0;
 /// Workers that one request may ask for their load: a home, and two that may stand in.
 const MOST_PROBES: u32 = 3;
 const SWEEP: TimerId = TimerId(1);
@@ -441,7 +447,8 @@
         }
         // An attempt whose answer is lost is as bad as one sent into a full memory. Some are lost to a slow
         // way or a long queue, so a writer that answers a third or more is not judged by the rest.
-        let fill = |w| self.fill(w) + self.lossy(w, r.class, 2.0);
+        let drags = self.drags(&usable);
+        let fill = |w| self.fill(w) + self.lossy(w, r.class, 2.0) + drags[w];
         let fill: BTreeMap<&WorkerId, f64> = usable.iter().map(|w| (w, fill(w))).collect();
         // Equals: by chance, or all routers would send to the same one.
         let chance = |w: &WorkerId| xxh3_64_with_seed(w.0.as_bytes(), id.0 ^ self.seed);
@@ -471,11 +478,12 @@
         let jam = if slow_way { 0.0 } else { (hung(&self.hung_near) - hung(&self.hung_far)).max(0.0) };
         let well = 1.0 / (1.0 + jam);
         let (cell, zone) = (|w: &Worker| w.cell == near.cell, |w: &Worker| w.zone == near.zone);
+        let swift = |w: &&WorkerId| drags[w] == 0.0;
         let roomy = |w: &Worker| w.keep[0] > 1.0;
         let in_zone = least(&|w| zone(w) && roomy(w)).or_else(|| least(&zone));
         for (far, candidate) in [least(&cell), in_zone].into_iter().enumerate() {
             let fuller = CLEARLY_FULLER * worth(far, beyond);
-            if let Some(w) = candidate.filter(|w| fill[w] <= fill[best] + fuller)
+            if let Some(w) = candidate.filter(swift).filter(|w| fill[w] <= fill[best] + fuller)
                 && luck < near.keep[far] * worth(far, far + 1).min(1.0 + CLEARLY_FULLER) * well
             {
                 return Some(w.clone());
@@ -519,6 +527,26 @@
         (lost - forgiven * came).max(0.0) / (lost + came + 1.0)
     }
 
+    /// How much longer each writer's streams last than is usual, from 0 for those within bounds to 1. Guards
+    /// against writers that begin at once and then crawl: of these only the first token is seen, and it is in
+    /// time. Streams that still run tell of it long before any has ended.
+    fn drags<'a>(&self, writers: &'a [WorkerId]) -> BTreeMap<&'a WorkerId, f64> {
+        let seen = |id: &WorkerId| {
+            let over = self
+                .workers
+                .get(id)
+                .map_or([0.0; 2], |w| w.streams.map(|f| f.left(self.now, STREAMS_HALF_LIFE)));
+            let running = self.out_at(id).filter_map(|a| a.first).map(|at| (self.now - at) as f64);
+            [over[0] + running.sum::<f64>(), over[1]]
+        };
+        let seen: Vec<[f64; 2]> = writers.iter().map(seen).collect();
+        let mut each: Vec<f64> = seen.iter().map(|[time, ends]| time / (ends + 1.0)).collect();
+        each.sort_by(f64::total_cmp);
+        let usual = each.get(each.len().saturating_sub(1) / 2).map_or(1.0, |t| t.max(1.0));
+        let longer = |[time, ends]: [f64; 2]| (time / usual + FEW_ENDS) / (ends + FEW_ENDS);
+        writers.iter().zip(seen).map(|(w, s)| (w, (1.0 - SLOW_STREAMS / longer(s)).max(0.0))).collect()
+    }
+
     // ------------------------------------------------------------ the one place that sends
 
     /// Sends, if every rule allows it: unanswered request, worker in service, attempts left, no second copy,
@@ -716,6 +744,11 @@
                 out.push(Action::Release { request: id });
             }
         }
+        if let (Some(at), Some(w)) = (first, self.workers.get_mut(&worker)) {
+            let ended = f64::from(u8::from(outcome == Outcome::Served));
+            w.streams[0].add(now, STREAMS_HALF_LIFE, (now - at) as f64);
+            w.streams[1].add(now, STREAMS_HALF_LIFE, ended);
+        }
         match outcome {
             Outcome::Read => {
                 self.learned.unread.add(unread, LEARN);
--- a/src/state.rs
+++ b/src/state.rs
@@ -91,6 +91,8 @@
     pub lost: bool,
     /// Attempts of each class whose answers were lost, and those whose answers came.
     pub answers: BTreeMap<usize, [Fading; 2]>,
+    /// The time that streams have run there, of those that are over, and how many of them came to their end.
+    pub streams: [Fading; 2],
     /// Until when it is taken to be full, for requests of a class and tenant.
     pub full: BTreeMap<(usize, Option<String>), Micros>,
 }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -984,3 +984,35 @@
     assert_eq!(to_w1(&mut rig, 100..120, "safe"), 0);
     assert!(to_w1(&mut rig, 120..140, "once") > 0);
 }
+
+/// Guards against a writer that begins its streams at once and then crawls: first tokens alone make it look as good
+/// as any, and it stands near the reader.
+#[test]
+fn a_writer_whose_streams_last_much_longer_is_left_for_others() {
+    let mut rig = Rig::new(settings());
+    let list = [("r1", 0), ("w1", 0), ("w2", 0), ("w3", 1)];
+    let list = list.iter().map(|(w, cell)| entry(w, *cell, Status::Ready, None));
+    rig.list(ListKind::Saved, list.collect());
+    let write = |rig: &mut Rig, id: u64| {
+        rig.now += MS;
+        rig.ask(id, "safe");
+        let writer = sends(&rig.end(id, 0, Outcome::Read))[0].to_owned();
+        let (request, attempt) = (RequestId(id), AttemptIndex(1));
+        rig.event(Event::Started { request, attempt, elapsed: 20 * MS });
+        writer
+    };
+    let to: Vec<(u64, String)> = (1..20).map(|id| (id, write(&mut rig, id))).collect();
+    assert!(["w1", "w2", "w3"].iter().all(|name| to.iter().any(|(_, w)| w == name)));
+    for (wait, crawls) in [(500 * MS, false), (8 * SECOND, true)] {
+        rig.pass(wait);
+        for (id, _) in to.iter().filter(|(_, w)| (w == "w1") == crawls) {
+            rig.end(*id, 1, Outcome::Served);
+        }
+    }
+    // All is over, and no writer holds anything.
+    for id in 100..120 {
+        assert_ne!(write(&mut rig, id), "w1");
+        rig.now += 100 * MS;
+        rig.end(id, 1, Outcome::Served);
+    }
+}
