Call no stream long before some stream has ended

A trace of every drag showed 78 at one conductor in the first 1.7 s: most writers had had no stream, so the median time was 0 and any stream was long. Lines at fault: the median over all writers in drags() (src/policy.rs). Ruled out: a truly slower writer there (after the start one stream of 5 s was flagged, once). Now only writers at which streams have ended tell what is usual, and a drag of up to 0.3 is chance.

Test: four streams in a calm start stay near their readers; taken from all writers the second one is sent afar.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,8 +44,8 @@
 const FEW_ENDS: f64 = 2.0;
 /// A writer's streams may last this multiple of what others' do: their lengths differ by as much.
 const SLOW_STREAMS: f64 = 2.0;
-/// Less than this is taken for chance: on calm days it would only send states further.
-const SLIGHT_DRAG: f64 = 0.2;
+/// Less drag than this is taken for chance: on calm days it would only send states further.
+const SLIGHT_DRAG: f64 = 0.3;
 /// Workers that one request may ask for their load: a home, and two that may stand in.
 const MOST_PROBES: u32 = 3;
 const SWEEP: TimerId = TimerId(1);
@@ -542,9 +542,11 @@
             [over[0] + running.sum::<f64>(), over[1]]
         };
         let seen: Vec<[f64; 2]> = writers.iter().map(seen).collect();
-        let mut each: Vec<f64> = seen.iter().map(|[time, ends]| time / ends.max(1.0)).collect();
+        // Only those at which streams have ended know what is usual: one that has had none took no time at all.
+        let known = seen.iter().filter(|[_, ends]| *ends >= 0.5);
+        let mut each: Vec<f64> = known.map(|[time, ends]| time / ends.max(1.0)).collect();
         each.sort_by(f64::total_cmp);
-        let usual = each.get(each.len().saturating_sub(1) / 2).map_or(1.0, |t| t.max(1.0));
+        let usual = each.get(each.len().saturating_sub(1) / 2).map_or(f64::MAX, |t| t.max(1.0));
         let longer = |[time, ends]: [f64; 2]| (time / usual + FEW_ENDS) / (ends + FEW_ENDS);
         let drag = |s| Some(1.0 - SLOW_STREAMS / longer(s)).filter(|d| *d > SLIGHT_DRAG).unwrap_or(0.0);
         writers.iter().zip(seen).map(|(w, s)| (w, drag(s))).collect()
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1016,3 +1016,24 @@
         rig.end(id, 1, Outcome::Served);
     }
 }
+
+/// Guards against a calm start in which every writer that has a stream looks slow beside those that have had none:
+/// nothing is usual before some stream has ended.
+#[test]
+fn before_any_stream_has_ended_none_is_long() {
+    let mut rig = Rig::new(settings());
+    let list = [("r1", 0), ("r2", 1), ("w1", 0), ("w2", 1)];
+    let list = list.iter().map(|(w, cell)| entry(w, *cell, Status::Ready, None));
+    rig.list(ListKind::Saved, list.collect());
+    for id in 1..5 {
+        rig.now += 200 * MS;
+        let reader =
+            sends(&rig.ask_with(Ask { request: RequestId(id), prompt_tokens: 500, ..ask(rig.now, "safe") }))
+                [0]
+            .to_owned();
+        let near = reader.replace('r', "w");
+        assert_eq!(sends(&rig.end(id, 0, Outcome::Read)), [near.as_str()]);
+        let (request, attempt) = (RequestId(id), AttemptIndex(1));
+        rig.event(Event::Started { request, attempt, elapsed: 20 * MS });
+    }
+}
