--- a/src/policy.rs
+++ b/src/policy.rs
@@ -542,7 +542,7 @@
             [over[0] + running.sum::<f64>(), over[1]]
         };
         let seen: Vec<[f64; 2]> = writers.iter().map(seen).collect();
-        // Only those at which streams have ended know what is usual: one that has had none took no time at all.
+        // Only those at which streams have ended know what is usual: where none ran, none took any time.
         let known = seen.iter().filter(|[_, ends]| *ends >= 0.5);
         let mut each: Vec<f64> = known.map(|[time, ends]| time / ends.max(1.0)).collect();
         each.sort_by(f64::total_cmp);
