Spread the conductors' calls for the list, and double the wait after each failure

Two causes: the follower asked again every 200 ms whatever the module's back-off said (discovery.rs, PAUSE), and a call in its queue was cut off by the module's own Subscribe or after 1 s (discovery.rs, select on again; ANSWER), though discovery answers after up to 2 s.

Where the list has to be asked for, the module alone says when: at a moment drawn by its seed from a span of 20 ms a router, doubled with each failure; the follower waits its turn for 10 s.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -173,9 +173,9 @@
 }
 
 impl Settings {
-    /// Whether neither workers nor other routers can tell this one of the load that the others make.
+    /// Whether nothing tells this router of the load that the others make.
     pub fn load_unknown(&self) -> bool {
-        !self.may_tell && self.reports == Reports::None
+        self.reports == Reports::None
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -173,7 +173,7 @@
             let pool = pool.clone();
             move |worker| pool.hang_up(worker)
         }),
-        again: watch_again,
+        ask: settings.list_on_request.then_some(watch_again),
         fetch_list,
         counters: counters.clone(),
     };
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -24,6 +24,9 @@
 const SILENCE: Duration = Duration::from_secs(5);
 /// The agent is on this machine and answers at once, or is down: asked again rather than waited for.
 const ANSWER: Duration = Duration::from_secs(1);
+/// Where it is one service for all conductors, calls wait their turn there: one given up early was in vain, and the
+/// next one waits behind it.
+const TURN: Duration = Duration::from_secs(10);
 /// Before the next try after a failure: the agent is on this machine, and asking it costs nothing.
 const PAUSE: Duration = Duration::from_millis(200);
 /// The longest line that is read: thousands of hosts.
@@ -209,8 +212,8 @@
     pub core: CoreHandle,
     /// Called for hosts whose idle connections are of no more use.
     pub hang_up: Box<dyn Fn(&WorkerId)>,
-    /// Asks for a new watch ahead of time.
-    pub again: Rc<Notify>,
+    /// Where discovery has to be asked for its list: the module's word that it is time for it.
+    pub ask: Option<Rc<Notify>>,
     /// Asks for the whole list.
     pub fetch_list: Rc<Notify>,
     /// Counters.
@@ -239,6 +242,7 @@
         // The list held is the configuration's or this agent's. Versions of another one say nothing of it, so that
         // one is asked for its whole list before its changes.
         let mut whole = false;
+        let mut moved = false;
         loop {
             let Some(at) = *address.borrow_and_update() else {
                 if address.changed().await.is_err() {
@@ -246,32 +250,44 @@
                 }
                 continue;
             };
+            // Where it has to be asked, the module says when: it knows how many ask besides. A new address tells of
+            // all that this one missed, and can't wait.
+            if let Some(ask) = self.ask.as_ref().filter(|_| !moved) {
+                tokio::select! {
+                    _ = address.changed() => {
+                        (whole, moved, failures) = (true, true, 0);
+                        continue;
+                    }
+                    () = ask.notified() => {}
+                }
+            }
+            moved = false;
             let ended = tokio::select! {
                 biased;
                 changed = address.changed() => {
                     if changed.is_err() {
                         return;
                     }
-                    (whole, failures) = (true, 0);
+                    (whole, moved, failures) = (true, true, 0);
                     continue;
                 }
                 ended = self.watching(at, &mut whole) => ended,
-                () = self.again.notified() => Err("asked again".into()),
             };
             self.counters.watches_lost.up();
             if let Err(error) = ended {
                 // Once for each outage: it may last long.
-                if failures == 0 {
-                    log::warn!("discovery: {error}; the list stands");
-                }
+                let level = if failures == 0 { log::Level::Warn } else { log::Level::Debug };
+                log::log!(level, "discovery: {error}; the list stands");
                 failures += 1;
             } else {
                 failures = 0;
             }
             self.core.tell(Input::List { kind: ListKind::Failed, entries: Vec::new() });
-            tokio::select! {
-                _ = address.changed() => (whole, failures) = (true, 0),
-                () = tokio::time::sleep(PAUSE) => {}
+            if self.ask.is_none() {
+                tokio::select! {
+                    _ = address.changed() => (whole, failures) = (true, 0),
+                    () = tokio::time::sleep(PAUSE) => {}
+                }
             }
         }
     }
@@ -282,8 +298,9 @@
         whole: &mut bool,
     ) -> Result<(), Box<dyn std::error::Error>> {
         let mut discovery = Discovery { address };
+        let patience = if self.ask.is_some() { TURN } else { ANSWER };
         if *whole {
-            let listing = tokio::time::timeout(ANSWER, self.fetch(&mut discovery)).await??;
+            let listing = tokio::time::timeout(patience, self.fetch(&mut discovery)).await??;
             // An agent that has just started may know nobody yet: no reason to think that all have gone.
             if listing.entries.is_empty() {
                 return Err("the whole list is empty".into());
@@ -292,7 +309,8 @@
             *whole = false;
         }
         let target = format!("/v1/servers?watch=1&after={}", self.directory.seq.get());
-        let response = tokio::time::timeout(ANSWER, discovery.ready().await?.call(target)).await??;
+        log::debug!("discovery: GET {target}");
+        let response = tokio::time::timeout(patience, discovery.ready().await?.call(target)).await??;
         let body = response.into_body();
         tokio::select! {
             ended = self.watch(body) => ended,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,8 +32,6 @@
 /// Sweeps in each release limit: fine enough that nothing held comes near it.
 const SWEEPS: Micros = 12;
 
-/// Tokens in a unit of what routers tell each other: 12 bits hold the longest prompts.
-const TOLD_UNIT: f64 = 32.0;
 /// Requests of a tenant that may come at once, and two seconds' worth at least: fewer are chance, not excess.
 const BURST: f64 = 10.0;
 /// News of load is worth half after this: the queues that workers hold without refusing are of seconds.
@@ -48,6 +46,8 @@
 const SLIGHT_DRAG: f64 = 0.3;
 /// Workers that one request may ask for their load: a home, and two that may stand in.
 const MOST_PROBES: u32 = 3;
+/// What a call to discovery for the list may take there: it is one service for all routers.
+const CALL: Micros = 20_000;
 const SWEEP: TimerId = TimerId(1);
 
 // ---------------------------------------------------------------- state
@@ -121,16 +121,15 @@
             Event::Ended(_) | Event::Started { .. } | Event::List { .. } | Event::Probed { .. }
         );
         match event {
-            Event::List { kind, entries } => self.list(kind, entries, out),
+            Event::List { kind, entries } => self.list(kind, entries),
             Event::Ask(ask) => self.ask(ask, out),
             Event::Started { request, attempt, elapsed } => self.started(request, attempt, elapsed),
             Event::Ended(end) => self.ended(end, out),
             Event::Left { request } => self.close(request, out),
             Event::Timer(timer) if timer == SWEEP => self.sweep(out),
             Event::Probed { worker, report, .. } => self.heard(&worker, report),
-            Event::Peer { payload, .. } => self.told(&payload),
-            // Places are never held ahead: the writer is picked after the read.
-            Event::Timer(_) | Event::Place { .. } => {}
+            // Routers tell each other nothing; places are never held ahead: the writer is picked after the read.
+            Event::Timer(_) | Event::Place { .. } | Event::Peer { .. } => {}
         }
         if ended {
             self.resume(false, out);
@@ -290,7 +289,7 @@
         }
     }
 
-    // ------------------------------------------------------------ what is asked and told of load
+    // ------------------------------------------------------------ what is asked of load
 
     /// Where probes bring reports, asks the chosen reader's load before a read, if not known of late; whether
     /// to wait for the answer. Guards against queues that no router sees; harms where probes cost much.
@@ -312,25 +311,6 @@
         true
     }
 
-    /// Tells all peers of tokens that a reader was sent or, below zero, has done with: 20 bits of the
-    /// worker's hash and 12 of tokens. Guards against herds on a reader; what a dead router sent fades by
-    /// itself.
-    fn tell(&self, worker: &WorkerId, tokens: f64, out: &mut Vec<Action>) {
-        if self.set.may_tell && self.set.routers > 1 {
-            let units = ((tokens / TOLD_UNIT) as i32).clamp(-2047, 2047) as u32 & 0xfff;
-            let word = tag(worker) << 12 | units;
-            out.push(Action::Tell { to: None, payload: word.to_be_bytes().to_vec() });
-        }
-    }
-
-    fn told(&mut self, payload: &[u8]) {
-        let Ok(word) = payload.try_into().map(u32::from_be_bytes) else { return };
-        let tokens = f64::from((word << 20) as i32 >> 20) * TOLD_UNIT;
-        if let Some((_, w)) = self.workers.iter_mut().find(|(id, _)| tag(id) == word >> 12) {
-            w.others.add(self.now, HALF_LIFE, tokens);
-        }
-    }
-
     // ------------------------------------------------------------ reader choice (E2)
 
     /// The reader, and how much of the prompt it would have to read.
@@ -610,9 +590,6 @@
             r.phase = if writes { Phase::Writing } else { Phase::Reading };
             r.state = r.state.take().filter(|_| writes);
         }
-        if !writes {
-            self.tell(worker, tokens, out);
-        }
         out.push(Action::Send { request: id, worker: worker.clone(), timeout });
     }
 
@@ -740,7 +717,6 @@
         }
         self.heard(&worker, report);
         if !writes {
-            self.tell(&worker, -tokens, out);
             // It may have read to its end as it was given up or broke: what it left is held like any state.
             if matches!(
                 outcome,
@@ -896,18 +872,21 @@
 
     // ------------------------------------------------------------ membership and cold starts
 
-    fn list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
+    fn list(&mut self, kind: ListKind, entries: Vec<Entry>) {
+        self.call_failures = match kind {
+            ListKind::Failed => (self.call_failures + 1).min(MAX_DOUBLINGS),
+            _ => 0,
+        };
+        if matches!(kind, ListKind::Failed | ListKind::Saved) && self.set.list_on_request {
+            // Drawn from a span that holds all routers' calls one by one and doubles with each failure. Guards
+            // against calls in step, which keep discovery full for good after a start of many at once.
+            let span = (CALL * Micros::from(self.set.routers)) << self.call_failures;
+            let drawn = unit(xxh3_64_with_seed(&self.now.to_le_bytes(), self.seed));
+            self.call_due = Some(self.now + (span as f64 * drawn) as Micros);
+        }
         if kind == ListKind::Failed {
-            self.call_failures = (self.call_failures + 1).min(MAX_DOUBLINGS);
-            let due = self.now + (self.set.connect_timeout << self.call_failures);
-            self.call_due = self.set.list_on_request.then_some(due);
             return;
         }
-        if kind == ListKind::Saved && self.set.list_on_request {
-            out.push(Action::Subscribe);
-        } else {
-            self.call_failures = 0;
-        }
         if kind != ListKind::Changes {
             self.workers.values_mut().for_each(|w| w.status = Status::Gone);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,7 +78,7 @@
     pub probed: Option<Micros>,
     /// Writers' part over readers' part, in its cell and in its zone.
     pub keep: [f64; 2],
-    /// Tokens that other routers, or unanswered reads, tell of.
+    /// Tokens that unanswered reads tell of.
     pub others: Fading,
     /// Time taken over time expected, for each kind of work.
     pub slowness: Average,
@@ -176,11 +176,6 @@
     pub rank: u64,
 }
 
-/// What stands for a worker in messages between routers.
-pub(crate) fn tag(worker: &WorkerId) -> u32 {
-    xxh3_64(worker.0.as_bytes()) as u32 & 0xfffff
-}
-
 /// A hash as a number between 0 and 1, neither of them.
 pub(crate) fn unit(hash: u64) -> f64 {
     ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
