--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 // ---------------------------------------------------------------- constants, each with its reason
 
@@ -48,6 +48,8 @@
 const MOST_PROBES: u32 = 3;
 /// What a call to discovery for the list may take there: it is one service for all routers.
 const CALL: Micros = 20_000;
+/// Homes of a shared text among cold readers: one alone would be pushed over by a text that many ask for.
+const HOMES: u64 = 4;
 const SWEEP: TimerId = TimerId(1);
 
 // ---------------------------------------------------------------- state
@@ -128,7 +130,7 @@
             Event::Left { request } => self.close(request, out),
             Event::Timer(timer) if timer == SWEEP => self.sweep(out),
             Event::Probed { worker, report, .. } => self.heard(&worker, report),
-            // Routers tell each other nothing; places are never held ahead: the writer is picked after the read.
+            // Nothing is told to peers. Places are never held ahead: the writer is picked after the read.
             Event::Timer(_) | Event::Place { .. } | Event::Peer { .. } => {}
         }
         if ended {
@@ -281,6 +283,8 @@
         // With nothing of ours out it is tried all the same, or paces would never be learned anew.
         let doomed = !coming.is_empty() && takes(ahead + unread) + first(prompt) > left;
         let late = waited + takes(unread) + first(prompt) > aim;
+        let unanswered = r.attempts.iter().any(|a| a.outcome == Some(Outcome::NoAnswer));
+        let doomed = doomed || unanswered && waited + takes(unread) > aim;
         if reads && writes && !doomed {
             self.send(id, &target, (!direct).then_some(unread), out);
         } else if doomed || late || r.over_share {
@@ -320,12 +324,16 @@
         let home = self.home(ask, usable)?;
         // Other routers send the same text there, too: it is taken to be kept there.
         let presumed = (ask.prefix_tokens as f64).min(prompt);
+        let cold = |id: &WorkerId| self.workers.get(id).is_some_and(|w| self.cold(w));
+        if cold(&home) {
+            return Some((home, prompt));
+        }
         let reports = usable.iter().map(|w| self.reported(w));
         let (sum, trust) = reports.fold((0.0, 1e-9), |(s, t), (v, trust)| (s + v * trust, t + trust));
         let key = hash_key(ask, self.seed);
         // What a lost answer costs, as tokens read in the time that it is waited for.
         let wait = self.aim(r) as f64 * (1.0 - STAGE_PART) / self.learned.read_pace.or(f64::MAX).max(1e-9);
-        let views: Vec<View> = (usable.iter())
+        let views: Vec<View> = (usable.iter().filter(|id| !cold(id)))
             .map(|id| {
                 let slow = self.slowness(id);
                 let kept = self.kept(ask, id).max(if *id == home { presumed } else { 0.0 });
@@ -386,12 +394,18 @@
         let zones: BTreeSet<&str> = self.workers.values().map(|w| w.zone.as_str()).collect();
         let size = |w: &WorkerId| self.workers[w].weight;
         let here = |w: &&WorkerId| self.workers[*w].zone == self.set.zone;
-        let total: f64 = usable.iter().map(size).sum();
-        let local = usable.iter().filter(here).map(size).sum::<f64>() * zones.len() as f64 / total.max(1e-9);
+        let ready = || self.workers.values().filter(|w| w.role == Role::Reader && w.status == Status::Ready);
+        let can = |w: &Worker| w.weight * self.warmth(w);
+        let local = ready().filter(|w| w.zone == self.set.zone).map(can).sum::<f64>() * zones.len() as f64
+            / ready().map(can).sum::<f64>().max(1e-9);
         let score = |w: &WorkerId| -size(w) / unit(xxh3_64_with_seed(w.0.as_bytes(), key)).ln();
         let near = unit(key ^ 1) < local;
-        let from = usable.iter().filter(|w| !near || here(w));
-        from.max_by(|a, b| score(a).total_cmp(&score(b)).then(b.cmp(a))).cloned()
+        let turn = usable.iter().find(|w| near && here(w) && self.cold(&self.workers[*w]));
+        let from = |near: bool| {
+            let from = usable.iter().filter(move |w| !near || here(w));
+            from.max_by(|a, b| score(a).total_cmp(&score(b)).then(b.cmp(a)))
+        };
+        turn.or_else(|| from(near)).or_else(|| from(false)).cloned()
     }
 
     /// Unanswered attempts of this router at a worker.
@@ -423,14 +437,10 @@
         let r = self.requests.get(&id)?;
         let mut usable = self.usable(Role::Writer, id);
         usable.extend(self.usable(Role::Mixed, id));
-        let tried = |w: &WorkerId| r.attempts.iter().any(|a| a.writes && a.worker == *w);
-        if usable.iter().any(|w| !tried(w)) {
-            usable.retain(|w| !tried(w));
-        }
         // An attempt whose answer is lost is as bad as one sent into a full memory. Some are lost to a slow
         // way or a long queue, so a writer that answers a third or more is not judged by the rest.
         let drags = self.drags(&usable);
-        let fill = |w| self.fill(w) + self.lossy(w, r.class, 2.0) + drags[w];
+        let fill = |w| self.fill(w) + self.lossy(w, r.class, 2.0) + drags[w] + self.risk(w, r);
         let fill: BTreeMap<&WorkerId, f64> = usable.iter().map(|w| (w, fill(w))).collect();
         // Equals: by chance, or all routers would send to the same one.
         let chance = |w: &WorkerId| xxh3_64_with_seed(w.0.as_bytes(), id.0 ^ self.seed);
@@ -463,7 +473,8 @@
         let swift = |w: &&WorkerId| drags[w] == 0.0;
         let roomy = |w: &Worker| w.keep[0] > 1.0;
         let in_zone = least(&|w| zone(w) && roomy(w)).or_else(|| least(&zone));
-        for (far, candidate) in [least(&cell), in_zone].into_iter().enumerate() {
+        let turn = usable.iter().find(|w| self.workers.get(w).is_some_and(|w| self.cold(w) && cell(w)));
+        for (far, candidate) in [turn.or_else(|| least(&cell)), in_zone].into_iter().enumerate() {
             let fuller = CLEARLY_FULLER * worth(far, beyond);
             if let Some(w) = candidate.filter(swift).filter(|w| fill[w] <= fill[best] + fuller)
                 && luck < near.keep[far] * worth(far, far + 1).min(1.0 + CLEARLY_FULLER) * well
@@ -509,6 +520,16 @@
         (lost - forgiven * came).max(0.0) / (lost + came + 1.0)
     }
 
+    /// What speaks against a writer for what it failed of late, one that never answered for one that must not run
+    /// twice. Of many routers each meets a bad worker for the first time: that is to cost a request that may be
+    /// repeated, which finds out for the others.
+    fn risk(&self, worker: &WorkerId, r: &Request) -> f64 {
+        let Some(w) = self.workers.get(worker) else { return 0.0 };
+        let faults = w.faults.left(self.now, PREFIX_TTL).min(1.0);
+        let unknown = self.set.classes[r.class].effect == Effect::Unsafe && w.last_good == 0;
+        faults + if unknown { CLEARLY_FULLER / 2.0 } else { 0.0 }
+    }
+
     /// How much longer each writer's streams last than is usual, from 0 for those within bounds to 1. Guards
     /// against writers that begin at once and then crawl: of these only the first token is seen, and it is in
     /// time. Streams that still run tell of it long before any has ended.
@@ -764,7 +785,10 @@
                     self.workers.entry(worker.clone()).and_modify(|w| w.others.add(now, HALF_LIFE, waiting));
                 }
             }
-            Outcome::Error | Outcome::ConnectionLost => self.bad(&worker, sent),
+            Outcome::Error | Outcome::ConnectionLost => {
+                self.workers.entry(worker.clone()).and_modify(|w| w.faults.add(now, PREFIX_TTL, 1.0));
+                self.bad(&worker, sent);
+            }
             Outcome::NoConnection => {
                 // Twice in a row: once may be a full table of connections.
                 self.workers.entry(worker.clone()).and_modify(|w| w.lost |= w.failing >= SICK);
@@ -830,24 +854,37 @@
         let slow = w.slowness.or(1.0) / all[all.len() / 2].max(0.1);
         // Ordinary differences between workers are noise here.
         let slow = if slow < 1.5 { 1.0 } else { slow };
+        slow.max(1.0 / self.warmth(w))
+    }
+
+    /// The least part that a worker can do now of what it does when warm.
+    fn warmth(&self, w: &Worker) -> f64 {
         let age = w.started.map_or(f64::MAX, |at| self.now.saturating_sub(at) as f64);
-        let part = (age / self.set.cold.max(1) as f64).min(1.0);
-        slow.max(1.0 / (self.set.cold_from + (1.0 - self.set.cold_from) * part).max(0.05))
+        let part = (age / (0.7 * self.set.cold.max(1) as f64)).min(1.0);
+        (self.set.cold_from + (1.0 - self.set.cold_from) * part).max(0.05)
     }
 
     /// The workers of a role that may be sent this request now, healthy ones first.
     fn usable(&self, role: Role, id: RequestId) -> Vec<WorkerId> {
         let request = self.requests.get(&id);
+        let turns = request.and_then(|r| self.turns(role, r));
         let mut ready: Vec<(&WorkerId, &Worker)> = (self.workers.iter())
             .filter(|(_, w)| w.role == role && w.status == Status::Ready)
             .filter(|(_, w)| request.is_none_or(|r| !r.may_have_run() || self.may_repeat_at(r, w)))
-            .filter(|(id, w)| self.cold_allows(id, w))
+            .filter(|(id, w)| {
+                !self.cold(w) || self.cold_allows(id, w) && turns.as_ref().is_none_or(|t| t.contains(id))
+            })
             .collect();
         let kind = request.map(|r| (r.class, r.ask.tenant.clone()));
         let full = |w: &Worker| kind.as_ref().is_some_and(|k| w.is_full(k, self.now));
         if ready.iter().any(|(_, w)| !full(w)) {
             ready.retain(|(_, w)| !full(w));
         }
+        // Another one than those that have just failed it, while there is any.
+        let failed = |id: &WorkerId| request.is_some_and(|r| r.failed_at(id));
+        if ready.iter().any(|(id, _)| !failed(id)) {
+            ready.retain(|(id, _)| !failed(id));
+        }
         let healthy: Vec<WorkerId> = (ready.iter())
             .filter(|(id, w)| {
                 // A trial is out, or an answer is overdue and nothing good has come since: hung, cut off.
@@ -878,8 +915,8 @@
             _ => 0,
         };
         if matches!(kind, ListKind::Failed | ListKind::Saved) && self.set.list_on_request {
-            // Drawn from a span that holds all routers' calls one by one and doubles with each failure. Guards
-            // against calls in step, which keep discovery full for good after a start of many at once.
+            // Drawn from a span that holds all routers' calls one by one and doubles with each failure.
+            // Guards against calls in step, which keep discovery full for good after a start of many at once.
             let span = (CALL * Micros::from(self.set.routers)) << self.call_failures;
             let drawn = unit(xxh3_64_with_seed(&self.now.to_le_bytes(), self.seed));
             self.call_due = Some(self.now + (span as f64 * drawn) as Micros);
@@ -933,8 +970,9 @@
             for (i, _) in
                 [Role::Writer, Role::Reader].iter().enumerate().filter(|(_, other)| **other != w.role)
             {
-                all[i] += w.weight;
-                groups(w).into_iter().for_each(|g| parts.entry(g).or_default()[i] += w.weight);
+                let can = w.weight * self.warmth(w);
+                all[i] += can;
+                groups(w).into_iter().for_each(|g| parts.entry(g).or_default()[i] += can);
             }
         }
         let part = |g| parts.get(&g).map_or(1.0, |p| p[1] * all[0] / (p[0] * all[1]).max(1e-9));
@@ -945,27 +983,62 @@
         w.started.is_some_and(|at| self.now < at.saturating_add(self.set.cold))
     }
 
-    /// The cold budget: this router's part of half the multiple (the other half is for chance) of the least
-    /// that the worker can do, in evenly spaced sends, the first after a wait that differs between routers,
-    /// or all of them would send at once. What a warm worker can do is what its peers were seen to complete,
-    /// never what they were sent: in a storm of retries most of that is turned away; or its part of what the
-    /// tenants are promised. Routers that see nothing take turns. Guards against restarts under any load and
-    /// of any number of routers; too careful when warm workers are idle.
-    fn cold_allows(&self, id: &WorkerId, w: &Worker) -> bool {
-        if !self.cold(w) {
-            return true;
+    /// The cold workers whose turn it is with this request; `None` if all are cold. One is drawn of each zone's
+    /// readers, and of each cell's writers, by what they can do at least; where that is less than in the whole
+    /// fleet, nobody's turn makes up for it. So the routers together send a cold worker its part of the flow,
+    /// however many they are and without counting it: a router that sees two requests a second can't space out
+    /// its sends. A session's turns go to one reader, which keeps their text.
+    fn turns(&self, role: Role, r: &Request) -> Option<BTreeSet<&WorkerId>> {
+        let ready = || self.workers.iter().filter(|(_, w)| w.role == role && w.status == Status::Ready);
+        if ready().all(|(_, w)| self.cold(w)) {
+            return None;
+        }
+        // Another draw for each try, or what failed at a cold worker would all come to the warm ones.
+        let own = r.ask.request.0 ^ self.seed ^ (r.attempts.len() as u64) << 32;
+        let session = r.ask.session.as_ref().map_or(own, |s| xxh3_64(s.as_bytes()));
+        let key = match &r.ask.prefix {
+            _ if role != Role::Reader || !r.attempts.is_empty() => own,
+            Some(prefix) => xxh3_64_with_seed(prefix.as_bytes(), session % HOMES),
+            None => session,
+        };
+        let can = |w: &Worker| w.weight * self.warmth(w);
+        let sum = |of: fn(&Policy, &Worker) -> f64| ready().map(|(_, w)| of(self, w)).sum::<f64>();
+        let mean = sum(|p, w| w.weight * p.warmth(w)) / sum(|_, w| w.weight).max(1e-9);
+        let mut groups = BTreeMap::<_, Vec<(&WorkerId, &Worker)>>::new();
+        for (id, w) in ready() {
+            let cell = (role != Role::Reader).then_some(w.cell);
+            groups.entry((&w.zone, cell)).or_default().push((id, w));
         }
-        let warm =
-            self.workers.values().filter(|p| p.role == w.role && p.status == Status::Ready && !self.cold(p));
+        let draw = |name: &[u8], size: f64| -unit(xxh3_64_with_seed(name, key)).ln() / size;
+        let drawn = groups.into_iter().filter_map(|((zone, cell), all)| {
+            let missing = all.iter().map(|(_, w)| mean * w.weight - can(w)).sum::<f64>();
+            let nobody = draw(format!("{zone} {cell:?}").as_bytes(), missing.max(1e-9));
+            let each = all.into_iter().map(|(id, w)| (draw(id.0.as_bytes(), can(w)), id));
+            each.min_by(|a, b| a.0.total_cmp(&b.0)).filter(|(score, _)| *score < nobody)
+        });
+        Some(drawn.map(|(_, id)| id).collect())
+    }
+
+    /// The cold budget, whoever's turn it is: this router's part of what the worker can bear, in evenly spaced
+    /// sends. What a warm worker can do is what its peers were seen to complete, never what they were sent: in
+    /// a storm of retries most of that is turned away; or its part of what the tenants are promised. Where no
+    /// peer is warm, routers take turns, the first after a wait that differs between them, or all of them would
+    /// send at once. Guards against restarts under any load and of any number of routers.
+    fn cold_allows(&self, id: &WorkerId, w: &Worker) -> bool {
+        let warm = || {
+            let peers = self.workers.values().filter(|p| p.role == w.role && p.status == Status::Ready);
+            peers.filter(|p| !self.cold(p))
+        };
         let (done, size) =
-            warm.fold((0.0, 0.0), |(d, s), p| (d + p.done.left(self.now, HALF_LIFE), s + p.weight));
+            warm().fold((0.0, 0.0), |(d, s), p| (d + p.done.left(self.now, HALF_LIFE), s + p.weight));
         let seen = done / f64::max(size, 1e-9) * w.weight * std::f64::consts::LN_2 / HALF_LIFE as f64;
         let promised = self.tenants.values().map(|t| t.0).sum::<f64>() / 1e6;
         let each = seen.max(promised / self.most[w.role as usize].max(1) as f64);
         let turn = 1.0 / (self.set.fall.max(1) as f64 * f64::from(self.set.routers.max(1)));
         let rate = (each * self.set.fall_multiple * self.set.cold_from / 2.0).max(turn);
         let wait = unit(xxh3_64_with_seed(id.0.as_bytes(), self.seed)) / rate;
-        self.now as f64 >= w.sent.map_or(w.told as f64 + wait, |at| at as f64 + 1.0 / rate)
+        let first = w.told as f64 + if size > 0.0 { 0.0 } else { wait };
+        self.now as f64 >= w.sent.map_or(first, |at| at as f64 + 1.0 / rate)
     }
 
     // ------------------------------------------------------------ release
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,6 +83,8 @@
     /// Time taken over time expected, for each kind of work.
     pub slowness: Average,
     pub failing: f64,
+    /// Its failures of late.
+    pub faults: Fading,
     pub last_good: Micros,
     /// When the latest was sent of those that it has answered.
     pub good_sent: Micros,
@@ -146,6 +148,16 @@
 }
 
 impl Request {
+    /// Whether an attempt there has failed. A read that wasn't answered in time may have left its text there.
+    pub fn failed_at(&self, worker: &WorkerId) -> bool {
+        let failed = |a: &Attempt| match a.outcome {
+            None | Some(Outcome::Read) => false,
+            Some(Outcome::NoAnswer) => a.writes,
+            Some(_) => true,
+        };
+        self.attempts.iter().any(|a| a.worker == *worker && failed(a))
+    }
+
     /// The attempts without an outcome.
     pub fn out(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.iter().filter(|a| a.outcome.is_none())
