--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,7 +6,7 @@
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 // ---------------------------------------------------------------- constants, each with its reason
 
@@ -47,8 +47,8 @@
 const MOST_PROBES: u32 = 3;
 /// What a call to discovery for the list may take there: it is one service for all routers.
 const CALL: Micros = 20_000;
-/// Homes of a shared text among cold readers: one alone would be pushed over by a text that many ask for.
-const HOMES: u64 = 4;
+/// Readers for each home of a shared text: the most asked for make up a sixth of what is read.
+const READERS_A_HOME: u64 = 6;
 const SWEEP: TimerId = TimerId(1);
 
 // ---------------------------------------------------------------- state
@@ -301,7 +301,7 @@
         }
         let reports = usable.iter().map(|w| self.reported(w));
         let (sum, trust) = reports.fold((0.0, 1e-9), |(s, t), (v, trust)| (s + v * trust, t + trust));
-        let key = hash_key(ask, self.seed);
+        let key = hash_key(ask, self.seed, self.homes());
         // What a lost answer costs, as tokens read in the time that it is waited for.
         let wait = self.aim(r) as f64 * (1.0 - STAGE_PART) / self.learned.read_pace.or(f64::MAX).max(1e-9);
         let views: Vec<View> = (usable.iter().filter(|id| !cold(id)))
@@ -359,22 +359,27 @@
     /// The reader to which a text belongs: rendezvous hashing by size, the same at every router of
     /// a zone. A zone's own readers serve it as far as their part of all readers goes.
     fn home(&self, ask: &Ask, usable: &[WorkerId]) -> Option<WorkerId> {
-        let key = hash_key(ask, self.seed);
+        let key = hash_key(ask, self.seed, self.homes());
         let zones: BTreeSet<&str> = self.workers.values().map(|w| w.zone.as_str()).collect();
-        let size = |w: &WorkerId| self.workers[w].weight;
         let here = |w: &&WorkerId| self.workers[*w].zone == self.set.zone;
         let can = |zone: &dyn Fn(&str) -> bool| -> f64 {
             self.ready(Role::Reader).filter(|(_, w)| zone(&w.zone)).map(|(_, w)| self.can(w)).sum()
         };
         let local = can(&|z| z == self.set.zone) * zones.len() as f64 / can(&|_| true).max(1e-9);
-        let score = |w: &WorkerId| -size(w) / unit(xxh3_64_with_seed(w.0.as_bytes(), key)).ln();
+        let score =
+            |w: &WorkerId| -self.can(&self.workers[w]) / unit(xxh3_64_with_seed(w.0.as_bytes(), key)).ln();
         let near = unit(key ^ 1) < local;
-        let turn = usable.iter().find(|w| near && here(w) && self.cold(&self.workers[*w]));
         let from = |near: bool| {
             let from = usable.iter().filter(move |w| !near || here(w));
             from.max_by(|a, b| score(a).total_cmp(&score(b)).then(b.cmp(a)))
         };
-        turn.or_else(|| from(near)).or_else(|| from(false)).cloned()
+        from(near).or_else(|| from(false)).cloned()
+    }
+
+    /// Homes of each shared text, among which its sessions are spread: where there are many readers, a text that
+    /// many ask for is more than one of them can take, and no router sees enough of it to know.
+    fn homes(&self) -> u64 {
+        (self.most[Role::Reader as usize] as u64 / READERS_A_HOME).max(1)
     }
 
     /// Unanswered attempts of this router at a worker.
@@ -745,7 +750,9 @@
             }
             Outcome::NoConnection => {
                 // Twice in a row: once may be a full table of connections.
-                self.workers.entry(worker.clone()).and_modify(|w| w.lost |= w.failing >= SICK);
+                self.workers.entry(worker.clone()).and_modify(|w| {
+                    (w.lost, w.unreached) = (w.lost || w.failing >= SICK, Some(now));
+                });
                 self.bad(&worker, sent);
             }
             Outcome::Served | Outcome::NoState | Outcome::Dropped | Outcome::NotSent => {}
@@ -824,10 +831,24 @@
         self.workers.iter().filter(move |(_, w)| w.role == role && w.status == Status::Ready)
     }
 
+    /// Zones of which nothing has come since several workers there could not be reached. Guards against a try at
+    /// each of them by each of many routers, before the list tells of it.
+    fn lost_zones(&self) -> BTreeSet<&str> {
+        let mut seen = BTreeMap::<&str, (u32, Micros, Micros)>::new();
+        for w in self.workers.values() {
+            let (count, last, good) = seen.entry(&w.zone).or_default();
+            let fresh = w.unreached.filter(|at| at + 2 * HALF_LIFE > self.now);
+            *count += u32::from(fresh.is_some());
+            (*last, *good) = ((*last).max(fresh.unwrap_or(0)), (*good).max(w.last_good));
+        }
+        seen.into_iter().filter(|(_, (n, last, good))| *n > 1 && good < last).map(|(zone, _)| zone).collect()
+    }
+
     /// The workers of a role that may be sent this request now, healthy ones first.
     fn usable(&self, role: Role, id: RequestId) -> Vec<WorkerId> {
         let request = self.requests.get(&id);
-        let turns = request.and_then(|r| self.turns(role, r));
+        // Readers get their part by the texts of which they are the homes.
+        let turns = request.filter(|_| role != Role::Reader).and_then(|r| self.turns(role, r));
         let mut ready: Vec<(&WorkerId, &Worker)> = (self.ready(role))
             .filter(|(_, w)| request.is_none_or(|r| !r.may_have_run() || self.may_repeat_at(r, w)))
             .filter(|(id, w)| {
@@ -840,10 +861,16 @@
         if ready.iter().any(|(_, w)| !full(w)) {
             ready.retain(|(_, w)| !full(w));
         }
-        // Another one than those that have just failed it, while there is any.
+        // Another one than those that have just failed it, and out of a zone that seems lost, while there is any.
+        let lost = self.lost_zones();
         let failed = |id: &WorkerId| request.is_some_and(|r| r.failed_at(id));
-        if ready.iter().any(|(id, _)| !failed(id)) {
-            ready.retain(|(id, _)| !failed(id));
+        for avoid in
+            [&|_: &WorkerId, w: &Worker| lost.contains(&*w.zone), &|id: &WorkerId, _: &Worker| failed(id)]
+                as [&dyn Fn(&WorkerId, &Worker) -> bool; 2]
+        {
+            if ready.iter().any(|(id, w)| !avoid(id, w)) {
+                ready.retain(|(id, w)| !avoid(id, w));
+            }
         }
         let healthy: Vec<WorkerId> = (ready.iter())
             .filter(|(id, w)| {
@@ -948,23 +975,16 @@
             return None;
         }
         // Another draw for each try, or what failed at a cold worker would all come to the warm ones.
-        let own = r.ask.request.0 ^ self.seed ^ (r.attempts.len() as u64) << 32;
-        let session = r.ask.session.as_ref().map_or(own, |s| xxh3_64(s.as_bytes()));
-        let key = match &r.ask.prefix {
-            _ if role != Role::Reader || !r.attempts.is_empty() => own,
-            Some(prefix) => xxh3_64_with_seed(prefix.as_bytes(), session % HOMES),
-            None => session,
-        };
+        let key = r.ask.request.0 ^ self.seed ^ (r.attempts.len() as u64) << 32;
         let (can, of) = self.ready(role).fold((0.0, 0.0), |(c, a), (_, w)| (c + self.can(w), a + w.weight));
         let mut groups = BTreeMap::<_, Vec<(&WorkerId, &Worker)>>::new();
         for (id, w) in self.ready(role) {
-            let cell = (role != Role::Reader).then_some(w.cell);
-            groups.entry((&w.zone, cell)).or_default().push((id, w));
+            groups.entry(w.cell).or_default().push((id, w));
         }
         let draw = |name: &[u8], size: f64| -unit(xxh3_64_with_seed(name, key)).ln() / size;
-        let drawn = groups.into_iter().filter_map(|((zone, cell), all)| {
+        let drawn = groups.into_iter().filter_map(|(cell, all)| {
             let missing = all.iter().map(|(_, w)| w.weight * can / of - self.can(w)).sum::<f64>();
-            let nobody = draw(format!("{zone} {cell:?}").as_bytes(), missing.max(1e-9));
+            let nobody = draw(&cell.to_le_bytes(), missing.max(1e-9));
             let each = all.into_iter().map(|(id, w)| (draw(id.0.as_bytes(), self.can(w)), id));
             each.min_by(|a, b| a.0.total_cmp(&b.0)).filter(|(score, _)| *score < nobody)
         });
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use crate::interface::{Ask, Micros, Outcome, Report, Role, Status};
 use crate::interface::{RequestId, WorkerId};
 use std::collections::BTreeMap;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Tokens that a reader is credited with, and since when.
 #[derive(Clone, Copy)]
@@ -101,6 +101,8 @@
     pub sick_until: Micros,
     pub doublings: u32,
     pub lost: bool,
+    /// When it was last not reached.
+    pub unreached: Option<Micros>,
     /// Attempts of each class whose answers were lost, and those whose answers came.
     pub answers: BTreeMap<usize, [Fading; 2]>,
     /// The time that streams have run there, of those that are over, and how many of them came to their end.
@@ -217,11 +219,16 @@
     ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
 }
 
-/// What all routers hash alike: the shared text, else the session; else something of this router's own.
-pub(crate) fn hash_key(ask: &Ask, own: u64) -> u64 {
-    let name = ask.prefix.as_ref().or(ask.session.as_ref());
+/// What all routers hash alike: the shared text and which of its `homes` the session has, else the session; else
+/// something of this router's own.
+pub(crate) fn hash_key(ask: &Ask, own: u64, homes: u64) -> u64 {
     let RequestId(id) = ask.request;
-    name.map_or(id ^ own, |k| xxh3_64(k.as_bytes()))
+    let session = ask.session.as_ref().map_or(id ^ own, |s| xxh3_64(s.as_bytes()));
+    match &ask.prefix {
+        Some(prefix) if homes > 1 => xxh3_64_with_seed(prefix.as_bytes(), session % homes),
+        Some(prefix) => xxh3_64(prefix.as_bytes()),
+        None => session,
+    }
 }
 
 #[cfg(test)]
