--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,7 +48,7 @@
 /// What a call to discovery for the list may take there: it is one service for all routers.
 const CALL: Micros = 20_000;
 /// Readers for each home of a shared text: the most asked for make up a sixth of what is read.
-const READERS_A_HOME: u64 = 6;
+const READERS_A_HOME: u64 = 8;
 const SWEEP: TimerId = TimerId(1);
 
 // ---------------------------------------------------------------- state
@@ -552,6 +552,7 @@
         let due = self.set.connect_timeout.saturating_add(whole.max((OVERDUE * expected as f64) as Micros));
         let part = if writes || !self.set.load_unknown() { STAGE_PART } else { 1.0 - STAGE_PART };
         let due = due.max((self.aim(r) as f64 * part) as Micros);
+        let due = if !writes && self.set.routers > 16 { due.max(2 * self.aim(r)) } else { due };
         let due = if left / 2 > expected { due.min(left - expected) } else { left };
         let timeout = (!last).then_some(due);
         if !writes {
