--- a/src/policy.rs
+++ b/src/policy.rs
@@ -551,8 +551,11 @@
         let whole = (IMBALANCE * takes(work + prompt - unread.unwrap_or(prompt))) as Micros;
         let due = self.set.connect_timeout.saturating_add(whole.max((OVERDUE * expected as f64) as Micros));
         let part = if writes || !self.set.load_unknown() { STAGE_PART } else { 1.0 - STAGE_PART };
+        // With much of the role cold, no other is better off, and a repeat reads the whole prompt anew: guards
+        // against a jam that feeds itself.
+        let (can, of) = self.ready(w.role).fold((0.0, 1e-9), |(c, a), (_, w)| (c + self.can(w), a + w.weight));
+        let part = if writes { part } else { part * (of / can).powi(2).min(4.0) };
         let due = due.max((self.aim(r) as f64 * part) as Micros);
-        let due = if !writes && self.set.routers > 16 { due.max(2 * self.aim(r)) } else { due };
         let due = if left / 2 > expected { due.min(left - expected) } else { left };
         let timeout = (!last).then_some(due);
         if !writes {
