--- a/src/interface.rs
+++ b/src/interface.rs
@@ -173,9 +173,10 @@
 }
 
 impl Settings {
-    /// Whether nothing tells this router of the load that the others make.
+    /// Whether nothing tells this router of the load that the others make: it asks nobody, since of many routers
+    /// each would.
     pub fn load_unknown(&self) -> bool {
-        self.reports == Reports::None
+        self.reports != Reports::Answers
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,8 +43,6 @@
 const SLOW_STREAMS: f64 = 2.0;
 /// Less drag than this is taken for chance: on calm days it would only send states further.
 const SLIGHT_DRAG: f64 = 0.3;
-/// Workers that one request may ask for their load: a home, and two that may stand in.
-const MOST_PROBES: u32 = 3;
 /// What a call to discovery for the list may take there: it is one service for all routers.
 const CALL: Micros = 20_000;
 /// Readers for each home of a shared text: the most asked for make up a sixth of what is read.
@@ -232,10 +230,6 @@
             self.pick_reader(r, &readers).filter(|_| writers > 0)
         };
         let Some((target, unread)) = target else { return };
-        if !direct && self.ask_load(&target, id, out) {
-            return;
-        }
-        let Some(r) = self.requests.get(&id) else { return };
         let ahead = self.ahead(&target, 0.0);
         let takes = |work: f64| {
             self.learned.read_pace.or(0.0) * (work + self.learned.unread.or(0.0)) * self.slowness(&target)
@@ -251,14 +245,11 @@
         let crowd = coming.iter().sum::<f64>() / writers.max(1) as f64;
         let writes = coming.len() < writers || first(crowd + prompt) <= aim * STAGE_PART;
         // Can't begin before its client leaves, or in time after a read that wasn't answered: another one
-        // would only feed the jam. Guards against short deadlines, and jams that grow by repeats of what is
-        // late.
+        // would feed the jam. Guards against short deadlines, and jams that grow by repeats of what is late.
         let left = r.ask.deadline.saturating_sub(self.now) as f64;
         let doomed = !coming.is_empty() && takes(ahead + unread) + first(prompt) > left;
         let late = waited + takes(unread) + first(prompt) > aim;
-        let doomed = doomed
-            || r.attempts.iter().any(|a| a.outcome == Some(Outcome::NoAnswer))
-                && waited + takes(unread) > aim;
+        let doomed = doomed || r.unanswered() && waited + takes(unread) > aim;
         if reads && writes && !doomed {
             self.send(id, &target, (!direct).then_some(unread), out);
         } else if doomed || late || r.over_share {
@@ -266,26 +257,6 @@
         }
     }
 
-    /// Where probes bring reports, asks the chosen reader's load before a read, if not known of late; whether
-    /// to wait for the answer. Guards against queues that no router sees; harms where probes cost much.
-    fn ask_load(&mut self, worker: &WorkerId, id: RequestId, out: &mut Vec<Action>) -> bool {
-        let since = self.now.saturating_sub(self.set.connect_timeout);
-        let asks = self.set.may_probe && self.set.reports != Reports::None;
-        let Some(w) = self.workers.get_mut(worker).filter(|_| asks) else { return false };
-        let heard = w.report.map(|(at, _)| at);
-        if heard.is_some_and(|at| at >= since) {
-            return false;
-        }
-        if let Some(asked) = w.probed.filter(|at| Some(*at) > heard && at + HALF_LIFE >= self.now) {
-            return asked >= since;
-        }
-        let Some(r) = self.requests.get_mut(&id).filter(|r| r.probes < MOST_PROBES) else { return false };
-        r.probes += 1;
-        w.probed = Some(self.now);
-        out.push(Action::Probe { worker: worker.clone() });
-        true
-    }
-
     // ------------------------------------------------------------ reader choice (E2)
 
     /// The reader, and how much of the prompt it would have to read.
@@ -376,8 +347,8 @@
         from(near).or_else(|| from(false)).cloned()
     }
 
-    /// Homes of each shared text, among which its sessions are spread: where there are many readers, a text that
-    /// many ask for is more than one of them can take, and no router sees enough of it to know.
+    /// Homes of each shared text, among which its sessions are spread: where there are many readers, a text
+    /// that many ask for is more than one of them can take, and no router sees enough of it to know.
     fn homes(&self) -> u64 {
         (self.most[Role::Reader as usize] as u64 / READERS_A_HOME).max(1)
     }
@@ -551,10 +522,11 @@
         let whole = (IMBALANCE * takes(work + prompt - unread.unwrap_or(prompt))) as Micros;
         let due = self.set.connect_timeout.saturating_add(whole.max((OVERDUE * expected as f64) as Micros));
         let part = if writes || !self.set.load_unknown() { STAGE_PART } else { 1.0 - STAGE_PART };
-        // With much of the role cold, no other is better off, and a repeat reads the whole prompt anew: guards
-        // against a jam that feeds itself.
-        let (can, of) = self.ready(w.role).fold((0.0, 1e-9), |(c, a), (_, w)| (c + self.can(w), a + w.weight));
-        let part = if writes { part } else { part * (of / can).powi(2).min(4.0) };
+        // With much of the role cold, no other is better off, and a repeat reads the whole prompt anew:
+        // guards against a jam that feeds itself.
+        let (can, of) =
+            self.ready(w.role).fold((0.0, 1e-9), |(c, a), (_, w)| (c + self.can(w), a + w.weight));
+        let part = if writes { part } else { part * (of / can).powi(3).min(4.0) };
         let due = due.max((self.aim(r) as f64 * part) as Micros);
         let due = if left / 2 > expected { due.min(left - expected) } else { left };
         let timeout = (!last).then_some(due);
@@ -835,8 +807,8 @@
         self.workers.iter().filter(move |(_, w)| w.role == role && w.status == Status::Ready)
     }
 
-    /// Zones of which nothing has come since several workers there could not be reached. Guards against a try at
-    /// each of them by each of many routers, before the list tells of it.
+    /// Zones of which nothing has come since several workers there could not be reached. Guards against a try
+    /// at each of them by each of many routers, before the list tells of it.
     fn lost_zones(&self) -> BTreeSet<&str> {
         let mut seen = BTreeMap::<&str, (u32, Micros, Micros)>::new();
         for w in self.workers.values() {
@@ -865,7 +837,8 @@
         if ready.iter().any(|(_, w)| !full(w)) {
             ready.retain(|(_, w)| !full(w));
         }
-        // Another one than those that have just failed it, and out of a zone that seems lost, while there is any.
+        // Another one than those that have just failed it, and out of a zone that seems lost, while there is
+        // any.
         let lost = self.lost_zones();
         let failed = |id: &WorkerId| request.is_some_and(|r| r.failed_at(id));
         for avoid in
--- a/src/state.rs
+++ b/src/state.rs
@@ -85,7 +85,6 @@
     /// Work that it was seen to complete.
     pub done: Fading,
     pub report: Option<(Micros, Report)>,
-    pub probed: Option<Micros>,
     /// Writers' part over readers' part, in its cell and in its zone.
     pub keep: [f64; 2],
     /// Tokens that unanswered reads tell of.
@@ -153,8 +152,6 @@
     pub attempts: Vec<Attempt>,
     /// The reader where a state may wait.
     pub state: Option<WorkerId>,
-    /// Probes sent for it.
-    pub probes: u32,
     /// The last outcome: the release limit counts from here.
     pub quiet_since: Micros,
 }
@@ -168,6 +165,11 @@
         })
     }
 
+    /// Whether an attempt got no answer in time.
+    pub fn unanswered(&self) -> bool {
+        self.attempts.iter().any(|a| a.outcome == Some(Outcome::NoAnswer))
+    }
+
     /// Whether an attempt there has failed. A read that wasn't answered in time may have left its text there.
     pub fn failed_at(&self, worker: &WorkerId) -> bool {
         let failed = |a: &Attempt| match a.outcome {
@@ -181,7 +183,7 @@
     pub fn new(ask: Ask, class: usize, now: Micros, over_share: bool) -> Self {
         let (arrived, quiet_since, phase) = (now, now, Phase::Waiting);
         let (attempts, state) = (Vec::new(), None);
-        Request { ask, class, arrived, over_share, phase, attempts, state, quiet_since, probes: 0 }
+        Request { ask, class, arrived, over_share, phase, attempts, state, quiet_since }
     }
 
     /// The attempts without an outcome.
