--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,6 +45,11 @@
 const SLIGHT_DRAG: f64 = 0.3;
 /// What a call to discovery for the list may take there: it is one service for all routers.
 const CALL: Micros = 20_000;
+/// Microseconds in which a slow reader reads a token, and the part of the aim that a cold one may read for.
+const READ_TOKEN: f64 = 70.0;
+const COLD_PART: f64 = 0.75;
+/// More routers than this see so little each that no rate of theirs tells anything.
+const MANY_ROUTERS: u32 = 16;
 /// Readers for each home of a shared text: the most asked for make up a sixth of what is read.
 const READERS_A_HOME: u64 = 8;
 const SWEEP: TimerId = TimerId(1);
@@ -267,6 +272,10 @@
         // Other routers send the same text there, too: it is taken to be kept there.
         let presumed = (ask.prefix_tokens as f64).min(prompt);
         let cold = |id: &WorkerId| self.workers.get(id).is_some_and(|w| self.cold(w));
+        // A cold reader would have it for too long: text is kept elsewhere, and others would wait behind it.
+        let slow = prompt * READ_TOKEN * self.slowness(&home) > self.aim(r) as f64 * COLD_PART;
+        let warm: Vec<WorkerId> = usable.iter().filter(|id| !cold(id)).cloned().collect();
+        let home = if cold(&home) && slow { self.home(ask, &warm).unwrap_or(home) } else { home };
         if cold(&home) {
             return Some((home, prompt));
         }
@@ -834,21 +843,11 @@
         let reached = ready.iter().filter(|(_, w)| !w.lost).count();
         let kind = request.map(|r| (r.class, r.ask.tenant.clone()));
         let full = |w: &Worker| kind.as_ref().is_some_and(|k| w.is_full(k, self.now));
-        if ready.iter().any(|(_, w)| !full(w)) {
-            ready.retain(|(_, w)| !full(w));
-        }
-        // Another one than those that have just failed it, and out of a zone that seems lost, while there is
-        // any.
+        prefer(&mut ready, |(_, w)| !full(w));
+        // Another one than those that have just failed it, and out of zones that seem lost.
         let lost = self.lost_zones();
-        let failed = |id: &WorkerId| request.is_some_and(|r| r.failed_at(id));
-        for avoid in
-            [&|_: &WorkerId, w: &Worker| lost.contains(&*w.zone), &|id: &WorkerId, _: &Worker| failed(id)]
-                as [&dyn Fn(&WorkerId, &Worker) -> bool; 2]
-        {
-            if ready.iter().any(|(id, w)| !avoid(id, w)) {
-                ready.retain(|(id, w)| !avoid(id, w));
-            }
-        }
+        prefer(&mut ready, |(_, w)| !lost.contains(&*w.zone));
+        prefer(&mut ready, |(id, _)| request.is_none_or(|r| !r.failed_at(id)));
         let healthy: Vec<WorkerId> = (ready.iter())
             .filter(|(id, w)| {
                 // A trial is out, or an answer is overdue and nothing good has come since: hung, cut off.
@@ -982,6 +981,10 @@
         let turn = 1.0 / (self.set.fall.max(1) as f64 * f64::from(self.set.routers.max(1)));
         let rate = (each * self.set.fall_multiple * self.set.cold_from / 2.0).max(turn);
         let wait = unit(xxh3_64_with_seed(id.0.as_bytes(), self.seed)) / rate;
+        // One of many routers sends too seldom to space anything: the draws alone decide.
+        if size > 0.0 && self.set.routers > MANY_ROUTERS {
+            return true;
+        }
         let first = w.told as f64 + if size > 0.0 { 0.0 } else { wait };
         self.now as f64 >= w.sent.map_or(first, |at| at as f64 + 1.0 / rate)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -216,6 +216,13 @@
     pub rank: u64,
 }
 
+/// Keeps those that are liked, if there are any.
+pub(crate) fn prefer<T>(all: &mut Vec<T>, like: impl Fn(&T) -> bool) {
+    if all.iter().any(&like) {
+        all.retain(like);
+    }
+}
+
 /// A hash as a number between 0 and 1, neither of them.
 pub(crate) fn unit(hash: u64) -> f64 {
     ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -685,6 +685,23 @@
     assert!((10..30).any(|id| sends(&rig.ask(id, "safe")).iter().any(|w| *w != "r6")), "tried again in time");
 }
 
+/// Guards against cold readers that are kept busy for seconds by one long prompt, which its aim doesn't allow.
+#[test]
+fn long_prompts_are_not_read_by_cold_readers_while_any_is_warm() {
+    let (mut long, mut short) = (Vec::new(), Vec::new());
+    for seed in 0..50 {
+        for (prompt_tokens, to) in [(16_000, &mut long), (300, &mut short)] {
+            let mut rig = renewed(seed);
+            let session = Some(Arc::from(format!("s{seed}")));
+            let asked =
+                Ask { session, prompt_tokens, deadline: rig.now + 20 * SECOND, ..ask(rig.now, "safe") };
+            to.push(sends(&rig.ask_with(asked))[0].to_owned());
+        }
+    }
+    assert!(long.iter().all(|r| r == "r1" || r == "r2"), "{long:?}");
+    assert!(short.iter().any(|r| r != "r1" && r != "r2"), "{short:?}");
+}
+
 /// Guards against a jam that feeds itself: with most readers cold, reads were given up that were well on their way,
 /// and every repeat read the whole prompt anew.
 #[test]
