Weigh a writer's failures against its good answers, and test the waits for discovery

Now it counts against the good answers of that time. A story over sockets guards the waits for a discovery that has to be asked.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -472,9 +472,9 @@
     /// it can be.
     fn risk(&self, worker: &WorkerId, r: &Request) -> f64 {
         let Some(w) = self.workers.get(worker) else { return 0.0 };
-        let faults = w.faults.left(self.now, PREFIX_TTL).min(1.0);
+        let [faults, came] = w.faults.map(|f| f.left(self.now, PREFIX_TTL));
         let unknown = self.set.classes[r.class].effect == Effect::Unsafe && w.last_good == 0;
-        faults + if unknown { CLEARLY_FULLER / 2.0 } else { 0.0 }
+        faults / (faults + came + 1.0) + if unknown { CLEARLY_FULLER / 2.0 } else { 0.0 }
     }
 
     /// How much longer each writer's streams last than is usual, from 0 for those within bounds to 1. Guards
@@ -730,7 +730,7 @@
                 }
             }
             Outcome::Error | Outcome::ConnectionLost => {
-                self.workers.entry(worker.clone()).and_modify(|w| w.faults.add(now, PREFIX_TTL, 1.0));
+                self.workers.entry(worker.clone()).and_modify(|w| w.faults[0].add(now, PREFIX_TTL, 1.0));
                 self.bad(&worker, sent);
             }
             Outcome::NoConnection => {
@@ -767,6 +767,7 @@
         if let Some(w) = self.workers.get_mut(worker) {
             w.answers.entry(class).or_default()[1].add(self.now, HALF_LIFE, 1.0);
             w.last_good = self.now;
+            w.faults[1].add(self.now, PREFIX_TTL, 1.0);
             w.good_sent = w.good_sent.max(sent);
             w.lost = false;
             w.done.add(self.now, HALF_LIFE, 1.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -92,8 +92,8 @@
     /// Time taken over time expected, for each kind of work.
     pub slowness: Average,
     pub failing: f64,
-    /// Its failures of late.
-    pub faults: Fading,
+    /// Its failures of late, and its good answers.
+    pub faults: [Fading; 2],
     pub last_good: Micros,
     /// When the latest was sent of those that it has answered.
     pub good_sent: Micros,
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -467,6 +467,36 @@
     assert_eq!(old.1.try_iter().filter(|l| l.starts_with("POST")).count(), 0);
 }
 
+/// Guards against discovery kept overbooked: where it has to be asked, a call that waits its turn is not cut off and
+/// begun again (that was done after 1 s), and one that is turned away is repeated when the module says so, not before
+/// that by the network side (that was done every 0.2 s).
+#[test]
+fn discovery_that_has_to_be_asked_is_asked_by_the_modules_word_and_waited_for() {
+    let (old, new, reader) = (noting(|_, _| false), writer(), Peer::reader());
+    let (asked, asks) = news();
+    let address = new.address;
+    let calls = AtomicU32::new(0);
+    let discovery = Peer::start(move |message, conn| {
+        asked(message.line.clone());
+        if calls.fetch_add(1, Ordering::SeqCst) == 0 {
+            conn.answer("503 Service Unavailable", "", "");
+            return false;
+        }
+        // Its turn comes after longer than an agent on the same machine is waited for.
+        std::thread::sleep(std::time::Duration::from_millis(1_500));
+        conn.begin_stream();
+        conn.chunk(&format!("{{\"seq\":7,\"hosts\":[{{\"host\":\"answer-0\",\"health\":\"gone\",\"class\":\"answer\",\"site\":\"here\"}},{{\"host\":\"answer-9\",\"dial\":\"{address}\",\"health\":\"ready\",\"class\":\"answer\",\"site\":\"here\"}}]}}\n"));
+        conn.is_closed();
+        false
+    });
+    let more = format!("discovery = \"{}\"", discovery.address);
+    let file = operator_file(&[reader.address], &[old.0.address], &more);
+    let conductor = Conductor::start(&file.replace("\"pushed\"", "\"on_request\""));
+    conductor.wait_for("answer-9");
+    assert_eq!(conductor.ask("id-1", "send").status(), 200);
+    assert_eq!(asks.try_iter().count(), 2, "one turned away, one waited for");
+}
+
 /// Guards against a SIGHUP that ends the process, a watch that stays with the old agent for as long as that one
 /// lives, and a new agent asked for changes since a version that it never had.
 #[test]
