Ask the hosts just reached first with a release, so cut-off zones pin no state

The module's part was in time: ruled out. At fault: Hosts::release_now (src/net/client.rs) asked hosts in the list's order (a HashMap's order), one every 60 ms for 350 ms; silent hosts each hang for the connect time-out, so six of them spend the limit, though the reader that had just answered was reachable.

Change: the pool records, per host, when a connection last came up (or an answer came whole) and when one last failed to (src/net/reach.rs, pure, forgotten after 30 s, bounded by the hosts tried); a release asks hosts in that order: just reached first, unknown next, just failed last.

Unit tests of the order.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -289,8 +289,9 @@
                 return;
             }
             if hosts.is_empty() {
-                // All have been asked in vain, or none has yet: the list may have changed meanwhile.
-                hosts = self.directory.running();
+                // All have been asked in vain, or none has yet: the list may have changed meanwhile. Hosts just
+                // heard from first: a cut-off zone's hosts cost a connect time-out each and would spend the limit.
+                hosts = self.pool.by_reach(self.directory.running());
                 hosts.reverse();
             }
             let Some(worker) = hosts.pop() else {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod events;
 pub mod framing;
 pub mod pool;
+pub mod reach;
 pub mod server;
 
 use std::pin::Pin;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -4,6 +4,7 @@
 //! written: whether an attempt may have run hangs on that, and hyper doesn't tell.
 
 use super::Local;
+use super::reach::Reach;
 use crate::counters::Counters;
 use crate::interface::WorkerId;
 use bytes::Bytes;
@@ -290,6 +291,8 @@
     keep: Duration,
     /// Until when kept connections are not to be trusted.
     distrust: Rc<Cell<Option<Instant>>>,
+    /// Which hosts connections last came up to, and which failed to.
+    reach: Rc<RefCell<Reach>>,
     counters: Rc<Counters>,
 }
 
@@ -297,7 +300,8 @@
     /// A pool of at most `sockets` connections, idle ones kept for `keep`.
     pub fn new(sockets: usize, connect_timeout: Duration, keep: Duration, counters: Rc<Counters>) -> Self {
         let sockets = std::sync::Arc::new(Semaphore::new(sockets));
-        Pool { idle: Rc::default(), sockets, connect_timeout, keep, distrust: Rc::default(), counters }
+        let (idle, distrust, reach) = (Rc::default(), Rc::default(), Rc::default());
+        Pool { idle, sockets, connect_timeout, keep, distrust, reach, counters }
     }
 
     /// A connection has broken off before its answer. One that was kept and is reset as soon as a request is written
@@ -325,6 +329,7 @@
 
     /// Takes a connection back whose last answer was read to its end.
     pub fn put_back(&self, target: &Target, connection: Connection) {
+        self.reach.borrow_mut().reached(&target.worker, Instant::now());
         if self.distrusts() {
             return;
         }
@@ -340,8 +345,15 @@
         self.idle.borrow_mut().remove(worker);
     }
 
-    /// Closes connections that have idled for long or were closed from afar.
+    /// Puts hosts in the order in which a call that any of them may take should try them: those that connections
+    /// came up to lately first, those that failed to come up last (see [`Reach::order`]).
+    pub fn by_reach(&self, candidates: Vec<WorkerId>) -> Vec<WorkerId> {
+        self.reach.borrow().order(candidates, Instant::now())
+    }
+
+    /// Closes connections that have idled for long or were closed from afar, and forgets old news of hosts.
     pub fn retire(&self) {
+        self.reach.borrow_mut().forget_old(Instant::now());
         self.idle.borrow_mut().retain(|_, idle| {
             idle.retain(|i| i.since.elapsed() < self.keep && !i.connection.sender.is_closed());
             !idle.is_empty()
@@ -382,7 +394,12 @@
         };
         self.counters.connections_out.up();
         let connecting = tokio::time::timeout(self.connect_timeout, TcpStream::connect(target.address));
-        let stream = connecting.await.map_err(|_| ConnectError::TimedOut)??;
+        let connected = connecting.await.map_err(|_| ConnectError::TimedOut).and_then(|c| Ok(c?));
+        match &connected {
+            Ok(_) => self.reach.borrow_mut().reached(&target.worker, Instant::now()),
+            Err(_) => self.reach.borrow_mut().unreached(&target.worker, Instant::now()),
+        }
+        let stream = connected?;
         stream.set_nodelay(true)?;
         let (stream, meter) = (Rc::new(stream), Rc::new(Meter::default()));
         let io = TokioIo::new(Metered { stream: stream.clone(), meter: meter.clone() });
--- /dev/null
+++ b/src/net/reach.rs
@@ -0,0 +1,130 @@
+//! Which model hosts were last seen reachable: decides, without I/O, whom a call that any host may take goes to
+//! first.
+//!
+//! A release (`DELETE /internal/reservations/ID`) may go to any model host, and it has to reach a running one within
+//! the release limit. When a zone is cut off, or hosts fall silent, a connection to one of those never comes up and
+//! costs the whole connect time-out. Asking hosts in the list's order then spends the limit on silent hosts. This
+//! table keeps, per host, when a connection to it last came up (or an answer came whole) and when one last failed
+//! to, so that hosts just heard from are asked first and those that just failed last.
+
+use crate::interface::WorkerId;
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// What is older than this says nothing of a host any more, and is forgotten.
+pub const REMEMBER: Duration = Duration::from_secs(30);
+
+/// When a host was last reached and last found unreachable.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    reached: Option<Instant>,
+    unreached: Option<Instant>,
+}
+
+/// The table of reachability, one entry a host heard of within [`REMEMBER`].
+///
+/// Bounded: an entry is only made for a host that a connection was tried to, and entries older than [`REMEMBER`]
+/// are dropped by [`Reach::forget_old`], so it holds at most the hosts tried within that time.
+#[derive(Debug, Default)]
+pub struct Reach {
+    seen: HashMap<WorkerId, Seen>,
+}
+
+/// How a host ranks for a call that any host may take: lower first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// Reached, and not failed since: the time since then breaks ties, newest first.
+    Reached(Duration),
+    /// Nothing known.
+    Unknown,
+    /// Failed to come up since it was last reached.
+    Unreached,
+}
+
+impl Reach {
+    /// A connection to `worker` came up, or an answer of it came whole, at `now`.
+    pub fn reached(&mut self, worker: &WorkerId, now: Instant) {
+        self.seen.entry(worker.clone()).or_default().reached = Some(now);
+    }
+
+    /// A connection to `worker` was refused or did not come up in time, at `now`.
+    pub fn unreached(&mut self, worker: &WorkerId, now: Instant) {
+        self.seen.entry(worker.clone()).or_default().unreached = Some(now);
+    }
+
+    /// Drops what is older than [`REMEMBER`] at `now`.
+    pub fn forget_old(&mut self, now: Instant) {
+        let fresh = |at: Option<Instant>| at.filter(|at| now.saturating_duration_since(*at) < REMEMBER);
+        self.seen.retain(|_, seen| {
+            *seen = Seen { reached: fresh(seen.reached), unreached: fresh(seen.unreached) };
+            seen.reached.is_some() || seen.unreached.is_some()
+        });
+    }
+
+    /// Hosts in the table, for bounds and tests.
+    pub fn len(&self) -> usize {
+        self.seen.len()
+    }
+
+    /// Whether the table is empty.
+    pub fn is_empty(&self) -> bool {
+        self.seen.is_empty()
+    }
+
+    fn rank(&self, worker: &WorkerId, now: Instant) -> Rank {
+        let Some(seen) = self.seen.get(worker) else { return Rank::Unknown };
+        let fresh = |at: Option<Instant>| at.filter(|at| now.saturating_duration_since(*at) < REMEMBER);
+        match (fresh(seen.reached), fresh(seen.unreached)) {
+            (Some(reached), Some(unreached)) if unreached > reached => Rank::Unreached,
+            (Some(reached), _) => Rank::Reached(now.saturating_duration_since(reached)),
+            (None, Some(_)) => Rank::Unreached,
+            (None, None) => Rank::Unknown,
+        }
+    }
+
+    /// Puts `candidates` (as the list gives them) in the order in which a call that any host may take should try
+    /// them at `now`: hosts reached most lately first, then those of which nothing is known, in the order given,
+    /// then those that failed to come up since they were last reached.
+    pub fn order(&self, mut candidates: Vec<WorkerId>, now: Instant) -> Vec<WorkerId> {
+        // Stable: within a rank, the list's order stands.
+        candidates.sort_by_cached_key(|w| self.rank(w, now));
+        candidates
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn w(name: &str) -> WorkerId {
+        WorkerId(name.into())
+    }
+
+    #[test]
+    fn hosts_just_heard_from_go_first_and_silent_ones_last() {
+        let start = Instant::now();
+        let mut reach = Reach::default();
+        reach.unreached(&w("cut-1"), start);
+        reach.reached(&w("old"), start);
+        reach.reached(&w("holder"), start + Duration::from_millis(400));
+        reach.reached(&w("cut-2"), start);
+        reach.unreached(&w("cut-2"), start + Duration::from_millis(300));
+        let now = start + Duration::from_millis(500);
+        let given = ["cut-1", "cut-2", "unknown-1", "old", "unknown-2", "holder"].map(w).to_vec();
+        let order = reach.order(given, now);
+        assert_eq!(order, ["holder", "old", "unknown-1", "unknown-2", "cut-1", "cut-2"].map(w));
+    }
+
+    #[test]
+    fn a_host_that_comes_up_again_is_trusted_again_and_old_news_is_forgotten() {
+        let start = Instant::now();
+        let mut reach = Reach::default();
+        reach.unreached(&w("a"), start);
+        reach.reached(&w("a"), start + Duration::from_secs(1));
+        assert_eq!(reach.order(vec![w("b"), w("a")], start + Duration::from_secs(2)), [w("a"), w("b")]);
+        reach.forget_old(start + REMEMBER + Duration::from_secs(2));
+        assert!(reach.is_empty());
+        assert_eq!(reach.order(vec![w("b"), w("a")], start + REMEMBER * 2), [w("b"), w("a")]);
+    }
+}
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -308,6 +308,24 @@
     assert!(lines.len() == 3 && lines.iter().zip(wanted).all(|(l, w)| l.starts_with(w)), "{lines:?}");
 }
 
+/// Guards against a state left held when a zone is cut off: the release went to hosts in the list's order, and
+/// connections to silent ones each took the connect time-out, so the limit passed before a live one was asked.
+#[test]
+fn a_release_goes_first_to_the_host_just_heard_from_though_most_are_silent() {
+    let (reader, told) = noting(|_, conn| {
+        conn.answer("202 Accepted", "", r#"{"cached_tokens":0}"#);
+        true
+    });
+    let silent: Vec<Silent> = (0..40).map(|_| Silent::start()).collect();
+    let writers: Vec<_> = silent.iter().map(|s| s.address).collect();
+    let conductor = Conductor::start(&operator_file(&[reader.address], &writers, ""));
+    assert_ne!(conductor.ask("id-1", "send").status(), 200);
+    assert!(told.recv_timeout(STUCK).unwrap().starts_with("POST /v1/chat"));
+    let next = told.recv_timeout(STUCK).expect("the reader was never asked to let the state go");
+    assert!(next.starts_with("DELETE /internal/reservations/id-1"), "{next}");
+    drop(silent);
+}
+
 /// Guards against a second copy sent under the id of a request whose stream still runs: other clients may name it.
 #[test]
 fn an_id_is_in_hand_until_its_stream_has_ended() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Nothing here takes this long; a story that waits for it has failed.
-const STUCK: Duration = Duration::from_secs(20);
+pub const STUCK: Duration = Duration::from_secs(20);
 
 /// A message as a peer reads it.
 #[derive(Debug, Default, Clone)]
@@ -186,6 +186,26 @@
     }
 }
 
+/// An address at which connections never come up, as at a machine cut off: a listener that takes nothing and
+/// whose queue is full, so that further handshakes go unanswered. Silent while the value lives.
+pub struct Silent {
+    pub address: SocketAddr,
+    _listener: TcpListener,
+    _queued: Vec<TcpStream>,
+}
+
+impl Silent {
+    pub fn start() -> Silent {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        socket2::SockRef::from(&listener).listen(0).unwrap();
+        // One handshake fills a queue of none; should the system allow more, the next ones fill it.
+        let fill = |_| TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
+        let queued = (0..3).map_while(fill).collect();
+        Silent { address, _listener: listener, _queued: queued }
+    }
+}
+
 /// An operator's file: readers, writers, and whatever follows.
 pub fn operator_file(readers: &[SocketAddr], writers: &[SocketAddr], more: &str) -> String {
     let mut text =
