--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, faults, a checker of histories and experiments for fleets of conductors.
--- /dev/null
+++ b/src/fleet/config.rs
@@ -0,0 +1,1 @@
+//! The operator's tables for a fleet.
--- /dev/null
+++ b/src/fleet/group.rs
@@ -0,0 +1,1 @@
+//! The group: one replicated log among the voters.
--- /dev/null
+++ b/src/fleet/lease.rs
@@ -0,0 +1,1 @@
+//! Leases: rights that end by themselves, with rising tokens.
--- /dev/null
+++ b/src/fleet/message.rs
@@ -0,0 +1,1 @@
+//! What members say to each other.
--- /dev/null
+++ b/src/fleet/net/mod.rs
@@ -0,0 +1,1 @@
+//! Carries the messages of a member: sockets, keys, disk.
--- /dev/null
+++ b/src/fleet/policy_epoch.rs
@@ -0,0 +1,1 @@
+//! Policy epochs: a change of policy that takes hold everywhere or nowhere.
--- /dev/null
+++ b/src/fleet/sites/mod.rs
@@ -0,0 +1,1 @@
+//! The plan for the loss of a whole site.
--- /dev/null
+++ b/src/fleet/view.rs
@@ -0,0 +1,1 @@
+//! The view: what this member believes of all others (SWIM with suspicion).
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,12 +57,14 @@
 pub mod core;
 pub mod counters;
 pub mod exchange;
+pub mod fleet;
 pub mod front;
 pub mod haproxy;
 pub mod interface;
 pub mod net;
 pub mod policy;
 mod state;
+pub mod store;
 pub mod wire;
 
 pub use policy::Policy;
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,1 @@
+//! The store on disk: a log with checksums, and snapshots.
