--- /dev/null
+++ b/src/fleet/hands.rs
@@ -0,0 +1,414 @@
+//! A conductor's side of work in hand: what may go out now, what has to wait, and what is given up.
+//!
+//! The front and the client side ask before they act; this machine puts the question to the group
+//! ([`super::takeover`]), waits where waiting helps (a request whose owner may be dying, a call whose outcome is on its
+//! way), and gives one [`Verdict`] for each question, by a given time at the latest. What comes after that time
+//! frees what nobody will act on any more. Without a valid life lease no verdict lets anything out.
+
+use super::Who;
+use super::takeover::{CallStage, Command, Final, Named, Notice, Refusal, Reply};
+use crate::interface::Micros;
+use std::collections::BTreeMap;
+
+/// Names a question; the asker's own, never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// What happens to the machine.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// Something wants to act. Answered by one [`Action::Verdict`], by `until` at the latest.
+    Ask {
+        /// Names the question.
+        ticket: Ticket,
+        /// What is to be written down first.
+        command: Command,
+        /// When the answer is of no use any more.
+        until: Micros,
+    },
+    /// Something has happened that the group has to know, and nobody waits for it: it is told until it is written.
+    Tell {
+        /// Names the message.
+        ticket: Ticket,
+        /// What is to be written down.
+        command: Command,
+    },
+    /// The group has answered.
+    Reply {
+        /// The question's name.
+        ticket: Ticket,
+        /// The answer; `None`: it is not known whether the command was or will be written down.
+        reply: Option<Reply>,
+    },
+    /// Something was written down, by whomever.
+    Notice(Notice),
+    /// Whether the life lease can be counted on.
+    MayAct(bool),
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Action {
+    /// Put this to the group; answered by [`Event::Reply`] with the ticket.
+    Propose {
+        /// The question's name.
+        ticket: Ticket,
+        /// The command.
+        command: Command,
+    },
+    /// The answer to a question.
+    Verdict {
+        /// The question's name.
+        ticket: Ticket,
+        /// The answer.
+        verdict: Verdict,
+    },
+    /// Another conductor has taken over this request, asked by its client: end it here.
+    Moved {
+        /// The request's name.
+        name: String,
+    },
+}
+
+/// Whether something may go out.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// The request is in hand here now; what is in the record came before.
+    Claimed(Box<Named>),
+    /// The request has this final answer already.
+    Ended(Final),
+    /// Another life has the request, and has not let go of it in time.
+    InHand(Who),
+    /// It is written down and may go out now.
+    Go,
+    /// The call was made before: its outcome, or that it is unknown for good.
+    Known(CallStage),
+    /// It must not go out.
+    Refused(Refusal),
+    /// The group has not answered in time; it must not go out.
+    Late,
+    /// This conductor may not act.
+    Cut,
+}
+
+/// What a question waits for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Wait {
+    /// The group's answer.
+    Reply,
+    /// Whoever has the request lets go of it, or its life ends.
+    Open(Who),
+    /// The outcome of a call that is out.
+    Outcome,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Question {
+    command: Command,
+    until: Option<Micros>,
+    wait: Wait,
+}
+
+/// The machine.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Hands {
+    me: Who,
+    may_act: bool,
+    most: usize,
+    open: BTreeMap<Ticket, Question>,
+    /// Questions given up whose answer may still come.
+    late: BTreeMap<Ticket, Command>,
+    next_own: u64,
+}
+
+/// Tickets of the machine's own have this bit; askers' have not.
+const OWN: u64 = 1 << 63;
+
+impl Hands {
+    /// A machine for one life of a member, with at most `most` questions open and as many given up.
+    pub fn new(me: Who, most: usize) -> Self {
+        Hands { me, may_act: false, most, open: BTreeMap::new(), late: BTreeMap::new(), next_own: OWN }
+    }
+
+    /// Questions that have no verdict yet.
+    pub fn waiting(&self) -> usize {
+        self.open.len()
+    }
+
+    /// When to call [`Hands::handle`] with [`Event::Tick`].
+    pub fn timeout(&self) -> Option<Micros> {
+        self.open.values().filter_map(|q| q.until).min()
+    }
+
+    /// Takes one event in and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        // First of all: what waited past its time must not be let out by what comes late.
+        self.give_up(now, out);
+        match event {
+            Event::Tick => {}
+            Event::Ask { ticket, command, until } => {
+                let verdict = if !self.may_act {
+                    Some(Verdict::Cut)
+                } else if now >= until {
+                    Some(Verdict::Late)
+                } else if self.open.len() >= self.most {
+                    Some(Verdict::Refused(Refusal::Full))
+                } else {
+                    None
+                };
+                if let Some(verdict) = verdict {
+                    return out.push(Action::Verdict { ticket, verdict });
+                }
+                self.put(ticket, command, Some(until), out);
+            }
+            Event::Tell { ticket, command } => self.put(ticket, command, None, out),
+            Event::Reply { ticket, reply } => self.reply(ticket, reply, out),
+            Event::Notice(notice) => self.notice(notice, out),
+            Event::MayAct(may) => {
+                self.may_act = may;
+                if !may {
+                    let asked: Vec<Ticket> =
+                        self.open.iter().filter(|(_, q)| q.until.is_some()).map(|(t, _)| *t).collect();
+                    asked.into_iter().for_each(|t| self.end(t, Verdict::Cut, out));
+                }
+            }
+        }
+    }
+
+    fn put(&mut self, ticket: Ticket, command: Command, until: Option<Micros>, out: &mut Vec<Action>) {
+        out.push(Action::Propose { ticket, command: command.clone() });
+        self.open.insert(ticket, Question { command, until, wait: Wait::Reply });
+    }
+
+    /// Gives a verdict; if the group's answer may still come, what it then grants is given back.
+    fn end(&mut self, ticket: Ticket, verdict: Verdict, out: &mut Vec<Action>) {
+        let Some(question) = self.open.remove(&ticket) else { return };
+        if question.wait == Wait::Reply && matches!(verdict, Verdict::Late | Verdict::Cut) {
+            if self.late.len() >= self.most {
+                self.late.pop_first();
+            }
+            self.late.insert(ticket, question.command);
+        }
+        out.push(Action::Verdict { ticket, verdict });
+    }
+
+    fn give_up(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let over: Vec<Ticket> =
+            self.open.iter().filter(|(_, q)| q.until.is_some_and(|u| u <= now)).map(|(t, _)| *t).collect();
+        for ticket in over {
+            let verdict = match self.open.get(&ticket).map(|q| &q.wait) {
+                Some(Wait::Open(owner)) => Verdict::InHand(owner.clone()),
+                Some(Wait::Outcome) => Verdict::Known(CallStage::Out),
+                _ => Verdict::Late,
+            };
+            self.end(ticket, verdict, out);
+        }
+    }
+
+    fn reply(&mut self, ticket: Ticket, reply: Option<Reply>, out: &mut Vec<Action>) {
+        if let Some(command) = self.late.remove(&ticket) {
+            return self.came_late(command, reply, out);
+        }
+        let Some(question) = self.open.get_mut(&ticket) else { return };
+        if question.wait != Wait::Reply {
+            return;
+        }
+        if question.until.is_none() {
+            // Told, not asked: over when it is written down, or of no use any more.
+            if reply.is_some() {
+                self.open.remove(&ticket);
+            } else {
+                out.push(Action::Propose { ticket, command: question.command.clone() });
+            }
+            return;
+        }
+        let verdict = match reply {
+            Some(Reply::Claimed(record)) => Verdict::Claimed(record),
+            Some(Reply::Ended(answer)) => Verdict::Ended(answer),
+            Some(Reply::Done | Reply::Go | Reply::Adopted(_)) => Verdict::Go,
+            Some(Reply::Known(CallStage::Out)) => {
+                question.wait = Wait::Outcome;
+                return;
+            }
+            Some(Reply::Known(stage)) => Verdict::Known(stage),
+            Some(Reply::Refused(Refusal::InHand(owner))) => {
+                question.wait = Wait::Open(owner);
+                return;
+            }
+            Some(Reply::Refused(refusal)) => Verdict::Refused(refusal),
+            None => Verdict::Late,
+        };
+        self.end(ticket, verdict, out);
+    }
+
+    /// The group has granted what nobody waits for any more.
+    fn came_late(&mut self, command: Command, reply: Option<Reply>, out: &mut Vec<Action>) {
+        let back = match (command, reply) {
+            (Command::Claim { name, .. }, Some(Reply::Claimed(record))) => {
+                Command::LetGo { name, generation: record.generation }
+            }
+            // It was let out and never went: whoever asks for it next may make it.
+            (Command::Call { name, ordinal, .. }, Some(Reply::Go)) => {
+                Command::CallEnded { name, ordinal, outcome: None }
+            }
+            _ => return,
+        };
+        self.next_own += 1;
+        self.put(Ticket(self.next_own), back, None, out);
+    }
+
+    fn notice(&mut self, notice: Notice, out: &mut Vec<Action>) {
+        let woken: Vec<Ticket> = (self.open.iter())
+            .filter(|(_, q)| match (&q.wait, &q.command, &notice) {
+                (
+                    Wait::Open(_),
+                    Command::Claim { name, .. },
+                    Notice::Open { name: n } | Notice::Ended { name: n } | Notice::Moved { name: n, .. },
+                ) => name == n,
+                (
+                    Wait::Outcome,
+                    Command::Call { name, ordinal, .. },
+                    Notice::CallEnded { name: n, ordinal: o },
+                ) => name == n && ordinal == o,
+                _ => false,
+            })
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        // Asked anew: what has changed is on record, and another waiter may have been first.
+        for ticket in woken {
+            if let Some(question) = self.open.get_mut(&ticket) {
+                question.wait = Wait::Reply;
+                out.push(Action::Propose { ticket, command: question.command.clone() });
+            }
+        }
+        if let Notice::Moved { name, from, .. } = notice
+            && from == self.me
+        {
+            out.push(Action::Moved { name });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::takeover::Bounds;
+    use super::*;
+    use crate::fleet::{Incarnation, MemberName};
+    use rstest::rstest;
+
+    const NO_BOUNDS: Bounds = Bounds { records: u64::MAX, bytes: u64::MAX };
+
+    fn who(name: &str) -> Who {
+        Who { name: MemberName::try_from(name).unwrap(), incarnation: Incarnation(1) }
+    }
+
+    fn claim() -> Command {
+        Command::Claim { name: "r".into(), once: true, resumes: true, bounds: NO_BOUNDS }
+    }
+
+    fn call() -> Command {
+        Command::Call { name: "r".into(), generation: 1, ordinal: 0, arguments: 7, bounds: NO_BOUNDS }
+    }
+
+    struct Side(Hands, Vec<Action>);
+
+    impl Side {
+        fn start() -> Side {
+            let mut side = Side(Hands::new(who("c1"), 4), Vec::new());
+            side.tell(0, Event::MayAct(true));
+            side
+        }
+
+        fn tell(&mut self, now: Micros, event: Event) -> Vec<Action> {
+            self.0.handle(now, event, &mut self.1);
+            std::mem::take(&mut self.1)
+        }
+
+        fn ask(&mut self, ticket: u64, command: Command, until: Micros) -> Vec<Action> {
+            self.tell(0, Event::Ask { ticket: Ticket(ticket), command, until })
+        }
+
+        fn reply(&mut self, now: Micros, ticket: u64, reply: Reply) -> Vec<Action> {
+            self.tell(now, Event::Reply { ticket: Ticket(ticket), reply: Some(reply) })
+        }
+    }
+
+    fn verdict(ticket: u64, verdict: Verdict) -> Action {
+        Action::Verdict { ticket: Ticket(ticket), verdict }
+    }
+
+    #[test]
+    fn a_call_in_flight_elsewhere_is_waited_for_and_asked_for_anew() {
+        let mut side = Side::start();
+        assert_eq!(side.ask(1, call(), 100), [Action::Propose { ticket: Ticket(1), command: call() }]);
+        assert!(side.reply(1, 1, Reply::Known(CallStage::Out)).is_empty());
+        let other = Notice::CallEnded { name: "r".into(), ordinal: 1 };
+        assert!(side.tell(2, Event::Notice(other)).is_empty());
+        let ended = Notice::CallEnded { name: "r".into(), ordinal: 0 };
+        let again = side.tell(2, Event::Notice(ended));
+        assert_eq!(again, [Action::Propose { ticket: Ticket(1), command: call() }]);
+        let known = side.reply(3, 1, Reply::Known(CallStage::Unknown));
+        assert_eq!(known, [verdict(1, Verdict::Known(CallStage::Unknown))]);
+    }
+
+    #[rstest]
+    #[case::in_time(50, true)]
+    #[case::too_late(100, false)]
+    fn a_request_in_other_hands_is_waited_for_until_its_time(#[case] at: Micros, #[case] asked_again: bool) {
+        let mut side = Side::start();
+        side.ask(1, claim(), 100);
+        assert!(side.reply(1, 1, Reply::Refused(Refusal::InHand(who("c2")))).is_empty());
+        let actions = side.tell(at, Event::Notice(Notice::Open { name: "r".into() }));
+        let wanted = if asked_again {
+            Action::Propose { ticket: Ticket(1), command: claim() }
+        } else {
+            verdict(1, Verdict::InHand(who("c2")))
+        };
+        assert_eq!(actions, [wanted]);
+    }
+
+    /// Guards against a call that goes out when nobody waits for it, and against one that then nobody may make.
+    #[test]
+    fn what_is_granted_too_late_goes_out_nowhere_and_is_given_back() {
+        let mut side = Side::start();
+        side.ask(1, call(), 100);
+        assert_eq!(side.tell(100, Event::Tick), [verdict(1, Verdict::Late)]);
+        let actions = side.reply(101, 1, Reply::Go);
+        let back = Command::CallEnded { name: "r".into(), ordinal: 0, outcome: None };
+        assert!(matches!(&actions[..], [Action::Propose { command, .. }] if *command == back), "{actions:?}");
+    }
+
+    #[test]
+    fn without_a_life_lease_nothing_goes_out() {
+        let mut side = Side::start();
+        side.ask(1, call(), 100);
+        assert_eq!(side.tell(1, Event::MayAct(false)), [verdict(1, Verdict::Cut)]);
+        assert_eq!(side.ask(2, call(), 100), [verdict(2, Verdict::Cut)]);
+        assert!(side.reply(2, 1, Reply::Go).iter().all(|a| !matches!(a, Action::Verdict { .. })));
+    }
+
+    #[test]
+    fn a_process_that_was_stopped_past_the_time_is_not_let_out_by_an_old_answer() {
+        let mut side = Side::start();
+        side.ask(1, call(), 100);
+        let actions = side.reply(5_000, 1, Reply::Go);
+        assert_eq!(actions[0], verdict(1, Verdict::Late));
+    }
+
+    #[test]
+    fn questions_are_bounded_and_what_is_told_is_told_until_it_is_written() {
+        let mut side = Side::start();
+        for ticket in 0..4 {
+            side.ask(ticket, call(), 100);
+        }
+        assert_eq!(side.ask(9, call(), 100), [verdict(9, Verdict::Refused(Refusal::Full))]);
+        let tell = Event::Tell { ticket: Ticket(10), command: claim() };
+        assert_eq!(side.tell(0, tell), [Action::Propose { ticket: Ticket(10), command: claim() }]);
+        let again = side.tell(1, Event::Reply { ticket: Ticket(10), reply: None });
+        assert_eq!(again, [Action::Propose { ticket: Ticket(10), command: claim() }]);
+        assert!(side.reply(2, 10, Reply::Done).is_empty());
+        assert_eq!(side.0.waiting(), 4);
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod config;
 pub mod group;
+pub mod hands;
 pub mod lease;
 pub mod message;
 pub mod net;
--- a/src/fleet/takeover.rs
+++ b/src/fleet/takeover.rs
@@ -1,1 +1,907 @@
 //! Work in hand: records, and how another conductor takes them over.
+//!
+//! A [`Table`] is applied by every member from the group's log, in the log's order, so all come to the same decisions
+//! and no two can both act. It holds two kinds of record:
+//!
+//! - a [`Named`] request: one that its client may ask for again under a lasting name. Who has it, how far it has come,
+//!   each of its tool calls with its outcome, its final answer;
+//! - a [`Sent`] request: one that went to model hosts, under the id that they know it by. A state may be held there for
+//!   it until its conductor says that nothing is.
+//!
+//! What may not be repeated is proposed here and *committed before* it goes out (a tool call, a send of an unsafe
+//! class); an owner that died with a record of something gone out, and none of how it ended, can't tell whether it
+//! ran, so nobody runs it again. Every write of an owner carries the record's generation, which rises each time the
+//! record changes hands: late writes of an owner that was only stopped are refused.
+//!
+//! When a life of a member ends (its life lease has run out, see [`super::lease`]), [`Table::life_ended`] settles its
+//! named requests by effect and stage, at once and alike everywhere. What it left at model hosts is adopted by one
+//! member, [`Command::Adopt`], which releases it; should the adopter die, what is left is adopted again.
+
+use super::{Index, Who};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The longest name of a request or id of a send, in bytes.
+pub const MOST_KEY: usize = 64;
+/// What a record takes beside its texts, in bytes.
+const RECORD: u64 = 192;
+/// Most ids in one [`Command::Over`].
+pub const MOST_OVER: usize = 256;
+
+/// Bounds under which a proposer asks for room. They travel with the command, so that all members decide alike
+/// whatever their files say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Bounds {
+    /// Most records of both kinds.
+    pub records: u64,
+    /// Most bytes of all records.
+    pub bytes: u64,
+}
+
+/// What a member asks the group to write down.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Command {
+    /// Takes a named request in hand: a new one, one that nobody has, or (if its client asks for the rest of an
+    /// answer that has begun) one that another member has.
+    Claim {
+        /// The request's lasting name.
+        name: String,
+        /// Whether its class must not run twice.
+        once: bool,
+        /// Whether the client asks for the rest of an answer.
+        resumes: bool,
+        /// Room.
+        bounds: Bounds,
+    },
+    /// A request is about to go to a model host.
+    Send {
+        /// The id that model hosts know it by.
+        id: String,
+        /// The host, for the log of whoever adopts it.
+        worker: String,
+        /// The named request and the generation of its claim, if it has a name.
+        name: Option<(String, u64)>,
+        /// Whether the host only reads: then nothing has run.
+        reads: bool,
+        /// Most sends of one request.
+        most_attempts: u32,
+        /// Room.
+        bounds: Bounds,
+    },
+    /// Its answer has begun.
+    Began {
+        /// The request's name.
+        name: String,
+        /// The generation of the claim.
+        generation: u64,
+    },
+    /// A tool call is about to go out.
+    Call {
+        /// The request's name.
+        name: String,
+        /// The generation of the claim.
+        generation: u64,
+        /// The call's place in the answer.
+        ordinal: u32,
+        /// A digest of its method and arguments.
+        arguments: u128,
+        /// Room.
+        bounds: Bounds,
+    },
+    /// A tool call has ended. Taken from the life that made the call, also when the request has changed hands.
+    CallEnded {
+        /// The request's name.
+        name: String,
+        /// The call's place in the answer.
+        ordinal: u32,
+        /// Its outcome; `None`: it never reached the tool, and may be tried again.
+        outcome: Option<Vec<u8>>,
+    },
+    /// The final answer.
+    Answer {
+        /// The request's name.
+        name: String,
+        /// The generation of the claim.
+        generation: u64,
+        /// The answer.
+        answer: Final,
+    },
+    /// The owner ends without a final answer: its client left, or the stream broke. Whoever is asked may go on.
+    LetGo {
+        /// The request's name.
+        name: String,
+        /// The generation of the claim.
+        generation: u64,
+    },
+    /// Nothing is held any more for these sends.
+    Over {
+        /// Their ids, at most [`MOST_OVER`].
+        ids: Vec<String>,
+    },
+    /// Takes over what an ended life left at model hosts.
+    Adopt {
+        /// The ended life.
+        dead: Who,
+    },
+    /// Forgets a record that has not changed since.
+    Forget {
+        /// The request's name.
+        name: String,
+        /// When it last changed.
+        changed: Index,
+    },
+}
+
+/// A request's one final answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Final {
+    /// It may have run, and nobody knows whether.
+    Failed,
+    /// Its client took it back.
+    Cancelled,
+    /// It came to its end: the text in full (`None` if it was over its bound) and the last line's content.
+    Done {
+        /// The answer's text.
+        text: Option<String>,
+        /// What the last line says, as the front wrote it.
+        last: Vec<u8>,
+    },
+}
+
+impl Final {
+    fn bytes(&self) -> u64 {
+        match self {
+            Final::Failed | Final::Cancelled => 0,
+            Final::Done { text, last } => (text.as_ref().map_or(0, String::len) + last.len()) as u64,
+        }
+    }
+}
+
+/// How far a named request has come.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Stage {
+    /// Taken; nothing is out, or only reads are: nothing can have run.
+    Taken,
+    /// Sent to a host that writes; no event has come.
+    Sent,
+    /// Its answer has begun. The client comes for the rest.
+    Began,
+    /// It has its final answer.
+    Ended(Final),
+}
+
+/// How far a tool call has come.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum CallStage {
+    /// It may be out.
+    Out,
+    /// Its outcome.
+    Ended(Vec<u8>),
+    /// Its conductor's life ended without a record of the outcome: it may have run.
+    Unknown,
+}
+
+/// A tool call of a named request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Call {
+    /// The life that made it.
+    pub by: Who,
+    /// A digest of its method and arguments.
+    pub arguments: u128,
+    /// How far it has come.
+    pub stage: CallStage,
+}
+
+/// A request under a lasting name.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Named {
+    /// The life that has it, if any.
+    pub owner: Option<Who>,
+    /// Rises each time it changes hands.
+    pub generation: u64,
+    /// Whether its class must not run twice.
+    pub once: bool,
+    /// How far it has come.
+    pub stage: Stage,
+    /// Sends since it was taken, or since its answer last began.
+    pub attempts: u32,
+    /// Its tool calls, by their place in the answer.
+    pub calls: BTreeMap<u32, Call>,
+    /// The entry that last changed it.
+    pub changed: Index,
+}
+
+impl Named {
+    fn bytes(&self, name: &str) -> u64 {
+        let outcome = |c: &Call| match &c.stage {
+            CallStage::Ended(outcome) => outcome.len() as u64,
+            CallStage::Out | CallStage::Unknown => 0,
+        };
+        let answer = if let Stage::Ended(answer) = &self.stage { answer.bytes() } else { 0 };
+        RECORD + name.len() as u64 + answer + self.calls.values().map(|c| RECORD + outcome(c)).sum::<u64>()
+    }
+}
+
+/// A request that went to model hosts and may hold something there.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Sent {
+    /// The life that has to release it: the sender, or who adopted it.
+    pub owner: Who,
+    /// The host it went to last.
+    pub worker: String,
+    /// Whether it was adopted: its owner releases it and does nothing else with it.
+    pub adopted: bool,
+}
+
+/// What the group answers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Reply {
+    /// Written down.
+    Done,
+    /// The request is the asker's now, as this record says; what is in it came before.
+    Claimed(Box<Named>),
+    /// The request has ended, with this answer.
+    Ended(Final),
+    /// The tool call may go out now.
+    Go,
+    /// The tool call is on record already, and must not go out again.
+    Known(CallStage),
+    /// Adopted: ids to be released, and the hosts they went to last.
+    Adopted(Vec<(String, String)>),
+    /// Not written down.
+    Refused(Refusal),
+}
+
+/// Why something was not written down.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The asker's life has ended.
+    LifeEnded,
+    /// Another life has the request.
+    InHand(Who),
+    /// The request has changed hands, or is not known any more.
+    Superseded,
+    /// No room; nothing that is recorded is dropped to make some.
+    Full,
+    /// The call was made before with other arguments.
+    OtherArguments,
+    /// All sends of the request have been made.
+    Spent,
+    /// Its answer has begun and it must not run twice: its client may ask for the rest only.
+    Begun,
+    /// A name that is empty or too long, or too many ids.
+    Malformed,
+    /// Nothing to adopt, or somebody else has.
+    Nothing,
+}
+
+/// What all members hear of what was written down.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Notice {
+    /// A request has changed hands while its owner lives: that one ends its client's connection.
+    Moved {
+        /// The request's name.
+        name: String,
+        /// Who had it.
+        from: Who,
+        /// Who has it.
+        to: Who,
+    },
+    /// A tool call's outcome is there, or known to be unknown.
+    CallEnded {
+        /// The request's name.
+        name: String,
+        /// The call's place in the answer.
+        ordinal: u32,
+    },
+    /// Nobody has the request any more.
+    Open {
+        /// The request's name.
+        name: String,
+    },
+    /// The request has its final answer.
+    Ended {
+        /// The request's name.
+        name: String,
+    },
+    /// An ended life has left things at model hosts, and nobody has adopted them yet.
+    Orphaned {
+        /// The ended life.
+        dead: Who,
+        /// How many.
+        sends: u64,
+    },
+    /// They were adopted.
+    Adopted {
+        /// The ended life.
+        dead: Who,
+        /// Who releases them.
+        adopter: Who,
+    },
+}
+
+/// All records, as the group's log makes them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Table {
+    named: BTreeMap<String, Named>,
+    sent: BTreeMap<String, Sent>,
+    orphans: BTreeMap<Who, u64>,
+    bytes: u64,
+}
+
+impl Table {
+    /// The record of a named request.
+    pub fn named(&self, name: &str) -> Option<&Named> {
+        self.named.get(name)
+    }
+
+    /// All named requests.
+    pub fn all_named(&self) -> impl Iterator<Item = (&str, &Named)> {
+        self.named.iter().map(|(name, r)| (name.as_str(), r))
+    }
+
+    /// The record of a send.
+    pub fn sent(&self, id: &str) -> Option<&Sent> {
+        self.sent.get(id)
+    }
+
+    /// What a life has to release, adopted things included, with the hosts they went to last.
+    pub fn held_by<'a>(&'a self, owner: &'a Who) -> impl Iterator<Item = (&'a str, &'a Sent)> {
+        self.sent.iter().filter(move |(_, s)| s.owner == *owner).map(|(id, s)| (id.as_str(), s))
+    }
+
+    /// Ended lives whose things nobody has adopted yet.
+    pub fn orphaned(&self) -> impl Iterator<Item = &Who> {
+        self.orphans.keys()
+    }
+
+    /// Records of both kinds.
+    pub fn len(&self) -> usize {
+        self.named.len() + self.sent.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.named.is_empty() && self.sent.is_empty()
+    }
+
+    /// Bytes that all records take.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Applies a command of a member at a place in the log; `alive` says whether its life lease is in force there.
+    pub fn apply(
+        &mut self,
+        at: Index,
+        who: &Who,
+        alive: bool,
+        command: Command,
+        out: &mut Vec<Notice>,
+    ) -> Reply {
+        if !alive {
+            return Reply::Refused(Refusal::LifeEnded);
+        }
+        let result = match command {
+            Command::Claim { name, once, resumes, bounds } => {
+                self.claim(at, who, name, once, resumes, bounds, out)
+            }
+            Command::Send { id, worker, name, reads, most_attempts, bounds } => {
+                self.send(at, who, id, worker, name, reads, most_attempts, bounds)
+            }
+            Command::Began { name, generation } => self.change(&name, who, generation, |r| {
+                (r.stage, r.attempts, r.changed) = (Stage::Began, 0, at);
+                Ok(Reply::Done)
+            }),
+            Command::Call { name, generation, ordinal, arguments, bounds } => {
+                self.call(at, who, &name, generation, ordinal, arguments, bounds)
+            }
+            Command::CallEnded { name, ordinal, outcome } => {
+                self.call_ended(at, who, name, ordinal, outcome, out)
+            }
+            Command::Answer { name, generation, answer } => {
+                let reply = self.change(&name, who, generation, |r| {
+                    (r.stage, r.owner, r.changed) = (Stage::Ended(answer), None, at);
+                    Ok(Reply::Done)
+                });
+                if reply.is_ok() {
+                    out.push(Notice::Ended { name });
+                }
+                reply
+            }
+            Command::LetGo { name, generation } => {
+                let reply = self.change(&name, who, generation, |r| {
+                    (r.owner, r.changed) = (None, at);
+                    // What must not run twice and may have run has had its chance: see `life_ended`.
+                    r.settle();
+                    Ok(Reply::Done)
+                });
+                if reply.is_ok() {
+                    out.push(Notice::Open { name });
+                }
+                reply
+            }
+            Command::Over { ids } if ids.len() > MOST_OVER => Err(Refusal::Malformed),
+            Command::Over { ids } => {
+                for id in ids {
+                    if self.sent.get(&id).is_some_and(|s| s.owner == *who) {
+                        self.sent.remove(&id);
+                        self.bytes -= RECORD + id.len() as u64;
+                    }
+                }
+                Ok(Reply::Done)
+            }
+            Command::Adopt { dead } => self.adopt(who, dead, out),
+            Command::Forget { name, changed } => {
+                match self.named.get(&name) {
+                    // Not while somebody has it, and not while a call's outcome may still come.
+                    Some(r) if r.changed == changed && r.owner.is_none() => {
+                        self.bytes -= r.bytes(&name);
+                        self.named.remove(&name);
+                        Ok(Reply::Done)
+                    }
+                    _ => Err(Refusal::Superseded),
+                }
+            }
+        };
+        result.unwrap_or_else(Reply::Refused)
+    }
+
+    /// A life has ended, by the log: its named requests are settled by effect and stage, its calls without an outcome
+    /// are unknown for good, and what it left at model hosts waits to be adopted.
+    pub fn life_ended(&mut self, at: Index, dead: &Who, out: &mut Vec<Notice>) {
+        for (name, r) in &mut self.named {
+            let mut changed = false;
+            for (ordinal, call) in r.calls.iter_mut().filter(|(_, c)| c.by == *dead) {
+                if call.stage == CallStage::Out {
+                    (call.stage, changed) = (CallStage::Unknown, true);
+                    out.push(Notice::CallEnded { name: name.clone(), ordinal: *ordinal });
+                }
+            }
+            if r.owner.as_ref() == Some(dead) {
+                (r.owner, changed) = (None, true);
+                r.settle();
+                let name = name.clone();
+                out.push(if matches!(r.stage, Stage::Ended(_)) {
+                    Notice::Ended { name }
+                } else {
+                    Notice::Open { name }
+                });
+            }
+            if changed {
+                r.changed = at;
+            }
+        }
+        let sends = self.sent.values().filter(|s| s.owner == *dead).count() as u64;
+        if sends > 0 {
+            self.orphans.insert(dead.clone(), sends);
+            out.push(Notice::Orphaned { dead: dead.clone(), sends });
+        }
+    }
+
+    fn room(&self, records: u64, bytes: u64, bounds: Bounds) -> Result<(), Refusal> {
+        let fits = self.len() as u64 + records <= bounds.records && self.bytes + bytes <= bounds.bytes;
+        if fits { Ok(()) } else { Err(Refusal::Full) }
+    }
+
+    /// Changes a record on behalf of its owner, and counts its bytes anew.
+    fn change(
+        &mut self,
+        name: &str,
+        who: &Who,
+        generation: u64,
+        change: impl FnOnce(&mut Named) -> Result<Reply, Refusal>,
+    ) -> Result<Reply, Refusal> {
+        let record = self.named.get_mut(name).ok_or(Refusal::Superseded)?;
+        if let Stage::Ended(answer) = &record.stage {
+            return Ok(Reply::Ended(answer.clone()));
+        }
+        if record.owner.as_ref() != Some(who) || record.generation != generation {
+            return Err(Refusal::Superseded);
+        }
+        let before = record.bytes(name);
+        let reply = change(record);
+        self.bytes = self.bytes - before + record.bytes(name);
+        reply
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn claim(
+        &mut self,
+        at: Index,
+        who: &Who,
+        name: String,
+        once: bool,
+        resumes: bool,
+        bounds: Bounds,
+        out: &mut Vec<Notice>,
+    ) -> Result<Reply, Refusal> {
+        if name.is_empty() || name.len() > MOST_KEY {
+            return Err(Refusal::Malformed);
+        }
+        let Some(record) = self.named.get_mut(&name) else {
+            let owner = Some(who.clone());
+            let (generation, stage, calls) = (1, Stage::Taken, BTreeMap::new());
+            let record = Named { owner, generation, once, stage, attempts: 0, calls, changed: at };
+            let bytes = record.bytes(&name);
+            self.room(1, bytes, bounds)?;
+            self.bytes += bytes;
+            self.named.insert(name, record.clone());
+            return Ok(Reply::Claimed(Box::new(record)));
+        };
+        if let Stage::Ended(answer) = &record.stage {
+            return Ok(Reply::Ended(answer.clone()));
+        }
+        if let Some(owner) = record.owner.as_ref().filter(|o| *o != who) {
+            // Asking for the rest moves an answer that has begun. What hasn't begun has no rest: a second try beside
+            // it could run twice what must not.
+            if !resumes || record.stage != Stage::Began {
+                return Err(Refusal::InHand(owner.clone()));
+            }
+            out.push(Notice::Moved { name, from: owner.clone(), to: who.clone() });
+        } else if record.once && !resumes && record.stage == Stage::Began {
+            return Err(Refusal::Begun);
+        }
+        record.owner = Some(who.clone());
+        record.generation += 1;
+        record.changed = at;
+        Ok(Reply::Claimed(Box::new(record.clone())))
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn send(
+        &mut self,
+        at: Index,
+        who: &Who,
+        id: String,
+        worker: String,
+        name: Option<(String, u64)>,
+        reads: bool,
+        most_attempts: u32,
+        bounds: Bounds,
+    ) -> Result<Reply, Refusal> {
+        if id.is_empty() || id.len() > MOST_KEY || worker.len() > 4 * MOST_KEY {
+            return Err(Refusal::Malformed);
+        }
+        let known = self.sent.get(&id);
+        if known.is_some_and(|s| s.owner != *who || s.adopted) {
+            // Two requests under one id would share what is held; what was adopted is only released.
+            return Err(Refusal::Superseded);
+        }
+        let fresh = known.is_none();
+        if fresh {
+            self.room(1, RECORD + id.len() as u64, bounds)?;
+        }
+        if let Some((name, generation)) = name {
+            let reply = self.change(&name, who, generation, |r| {
+                if r.attempts >= most_attempts {
+                    return Err(Refusal::Spent);
+                }
+                (r.attempts, r.changed) = (r.attempts + 1, at);
+                if r.stage != Stage::Began {
+                    r.stage = if reads { Stage::Taken } else { Stage::Sent };
+                }
+                Ok(Reply::Done)
+            })?;
+            if let Reply::Ended(_) = reply {
+                return Ok(reply);
+            }
+        }
+        if fresh {
+            self.bytes += RECORD + id.len() as u64;
+        }
+        self.sent.insert(id, Sent { owner: who.clone(), worker, adopted: false });
+        Ok(Reply::Done)
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn call(
+        &mut self,
+        at: Index,
+        who: &Who,
+        name: &str,
+        generation: u64,
+        ordinal: u32,
+        arguments: u128,
+        bounds: Bounds,
+    ) -> Result<Reply, Refusal> {
+        let room = self.room(0, RECORD, bounds);
+        self.change(name, who, generation, |r| {
+            if let Some(call) = r.calls.get(&ordinal) {
+                if call.arguments != arguments {
+                    return Err(Refusal::OtherArguments);
+                }
+                return Ok(Reply::Known(call.stage.clone()));
+            }
+            room?;
+            r.calls.insert(ordinal, Call { by: who.clone(), arguments, stage: CallStage::Out });
+            r.changed = at;
+            Ok(Reply::Go)
+        })
+    }
+
+    fn call_ended(
+        &mut self,
+        at: Index,
+        who: &Who,
+        name: String,
+        ordinal: u32,
+        outcome: Option<Vec<u8>>,
+        out: &mut Vec<Notice>,
+    ) -> Result<Reply, Refusal> {
+        let record = self.named.get_mut(&name).ok_or(Refusal::Superseded)?;
+        let before = record.bytes(&name);
+        let call = record.calls.get_mut(&ordinal).ok_or(Refusal::Superseded)?;
+        if call.by != *who || call.stage != CallStage::Out {
+            return Err(Refusal::Superseded);
+        }
+        // Room was asked for when the call was let out; an outcome is always taken, or the call would be lost.
+        match outcome {
+            Some(outcome) => call.stage = CallStage::Ended(outcome),
+            None => _ = record.calls.remove(&ordinal),
+        }
+        record.changed = at;
+        self.bytes = self.bytes - before + record.bytes(&name);
+        out.push(Notice::CallEnded { name, ordinal });
+        Ok(Reply::Done)
+    }
+
+    fn adopt(&mut self, who: &Who, dead: Who, out: &mut Vec<Notice>) -> Result<Reply, Refusal> {
+        self.orphans.remove(&dead).ok_or(Refusal::Nothing)?;
+        let mut adopted = Vec::new();
+        for (id, sent) in self.sent.iter_mut().filter(|(_, s)| s.owner == dead) {
+            (sent.owner, sent.adopted) = (who.clone(), true);
+            adopted.push((id.clone(), sent.worker.clone()));
+        }
+        out.push(Notice::Adopted { dead, adopter: who.clone() });
+        Ok(Reply::Adopted(adopted))
+    }
+}
+
+impl Named {
+    /// Nobody has it any more: what must not run twice and may have run is failed for good. All else stays open for
+    /// whoever its client asks next.
+    fn settle(&mut self) {
+        if self.once && self.stage == Stage::Sent {
+            self.stage = Stage::Ended(Final::Failed);
+        }
+    }
+}
+
+/// When records are forgotten: the leader's part, by its own clock. A new leader counts anew, so a record may be
+/// remembered for longer than the time set and never for less.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Keeper {
+    seen: BTreeMap<String, (Index, u64)>,
+}
+
+impl Keeper {
+    /// What may be forgotten at `now`, at most `most` at once; `remember` in microseconds.
+    pub fn due(&mut self, now: u64, remember: u64, most: usize, table: &Table) -> Vec<Command> {
+        let at_rest = |name: &String| table.named(name).is_some_and(|r| r.owner.is_none());
+        self.seen.retain(|name, _| at_rest(name));
+        let mut due = Vec::new();
+        for (name, record) in table.all_named().filter(|(_, r)| r.owner.is_none()) {
+            let seen = self.seen.entry(name.to_owned()).or_insert((record.changed, now));
+            if seen.0 != record.changed {
+                *seen = (record.changed, now);
+            }
+            if now.saturating_sub(seen.1) >= remember && due.len() < most {
+                due.push(Command::Forget { name: name.to_owned(), changed: record.changed });
+            }
+        }
+        due
+    }
+
+    /// Leadership is gone: what was seen counts no more.
+    pub fn clear(&mut self) {
+        self.seen.clear();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::fleet::{Incarnation, MemberName};
+    use rstest::rstest;
+
+    const ROOM: Bounds = Bounds { records: 100, bytes: 100_000 };
+
+    fn who(name: &str) -> Who {
+        Who { name: MemberName::try_from(name).unwrap(), incarnation: Incarnation(1) }
+    }
+
+    /// A table driven by a log of its own.
+    #[derive(Default)]
+    struct Log {
+        table: Table,
+        index: u64,
+        notices: Vec<Notice>,
+        ended: Vec<Who>,
+    }
+
+    impl Log {
+        fn put(&mut self, by: &str, command: Command) -> Reply {
+            self.index += 1;
+            let alive = !self.ended.contains(&who(by));
+            let reply = self.table.apply(Index(self.index), &who(by), alive, command, &mut self.notices);
+            assert_eq!(self.table.bytes(), self.counted());
+            reply
+        }
+
+        fn end(&mut self, life: &str) {
+            self.index += 1;
+            self.ended.push(who(life));
+            self.table.life_ended(Index(self.index), &who(life), &mut self.notices);
+        }
+
+        fn counted(&self) -> u64 {
+            let sent: u64 = self.table.sent.keys().map(|id| RECORD + id.len() as u64).sum();
+            sent + self.table.named.iter().map(|(n, r)| r.bytes(n)).sum::<u64>()
+        }
+
+        fn claim(&mut self, by: &str, resumes: bool) -> Reply {
+            self.put(by, Command::Claim { name: "r".into(), once: true, resumes, bounds: ROOM })
+        }
+
+        fn send(&mut self, by: &str, generation: u64, reads: bool) -> Reply {
+            let name = Some(("r".to_owned(), generation));
+            let (id, worker) = (format!("id-{by}"), "w".to_owned());
+            self.put(by, Command::Send { id, worker, name, reads, most_attempts: 3, bounds: ROOM })
+        }
+
+        fn call(&mut self, by: &str, generation: u64, arguments: u128) -> Reply {
+            let name = "r".to_owned();
+            self.put(by, Command::Call { name, generation, ordinal: 0, arguments, bounds: ROOM })
+        }
+
+        fn call_ended(&mut self, by: &str, outcome: Option<&[u8]>) -> Reply {
+            let outcome = outcome.map(<[u8]>::to_vec);
+            self.put(by, Command::CallEnded { name: "r".into(), ordinal: 0, outcome })
+        }
+    }
+
+    fn generation(reply: Reply) -> u64 {
+        match reply {
+            Reply::Claimed(record) => record.generation,
+            other => panic!("not claimed: {other:?}"),
+        }
+    }
+
+    #[rstest]
+    #[case::nothing_went_out(None, false)]
+    #[case::only_a_read(Some(true), false)]
+    #[case::a_write_that_may_have_run(Some(false), true)]
+    fn a_dead_owner_s_request_is_settled_by_how_far_it_came(
+        #[case] sent: Option<bool>,
+        #[case] failed: bool,
+    ) {
+        let mut log = Log::default();
+        let g = generation(log.claim("c1", false));
+        if let Some(reads) = sent {
+            assert_eq!(log.send("c1", g, reads), Reply::Done);
+        }
+        assert_eq!(log.claim("c2", false), Reply::Refused(Refusal::InHand(who("c1"))));
+        log.end("c1");
+        let reply = log.claim("c2", false);
+        if failed {
+            // The same at whichever conductor its client asks, however often.
+            assert_eq!(reply, Reply::Ended(Final::Failed));
+            assert_eq!(log.claim("c3", true), Reply::Ended(Final::Failed));
+        } else {
+            assert_eq!(generation(reply), g + 1);
+        }
+        // Late writes of an owner that was only stopped.
+        assert_eq!(log.send("c1", g, false), Reply::Refused(Refusal::LifeEnded));
+    }
+
+    #[test]
+    fn what_must_not_run_twice_and_has_begun_is_not_begun_anew() {
+        let mut log = Log::default();
+        let g = generation(log.claim("c1", false));
+        log.send("c1", g, false);
+        log.put("c1", Command::Began { name: "r".into(), generation: g });
+        log.put("c1", Command::LetGo { name: "r".into(), generation: g });
+        assert_eq!(log.claim("c2", false), Reply::Refused(Refusal::Begun));
+        assert_eq!(generation(log.claim("c2", true)), g + 1);
+    }
+
+    #[test]
+    fn a_call_goes_out_once_whoever_asks_for_it_again() {
+        let mut log = Log::default();
+        let g1 = generation(log.claim("c1", false));
+        log.send("c1", g1, false);
+        log.put("c1", Command::Began { name: "r".into(), generation: g1 });
+        assert_eq!(log.call("c1", g1, 7), Reply::Go);
+        // Its client moves on while c1 lives: c2 has the request, the call stays c1's.
+        let g2 = generation(log.claim("c2", true));
+        assert!(log.notices.contains(&Notice::Moved { name: "r".into(), from: who("c1"), to: who("c2") }));
+        assert_eq!(log.call("c2", g2, 7), Reply::Known(CallStage::Out));
+        assert_eq!(log.call("c2", g2, 8), Reply::Refused(Refusal::OtherArguments));
+        assert_eq!(log.call("c1", g1, 7), Reply::Refused(Refusal::Superseded));
+        assert_eq!(log.call_ended("c2", Some(b"x")), Reply::Refused(Refusal::Superseded));
+        assert_eq!(log.call_ended("c1", Some(b"out")), Reply::Done);
+        assert_eq!(log.call("c2", g2, 7), Reply::Known(CallStage::Ended(b"out".to_vec())));
+    }
+
+    #[test]
+    fn a_call_whose_conductor_died_is_unknown_for_good_and_one_that_never_left_may_go() {
+        let mut log = Log::default();
+        let g1 = generation(log.claim("c1", false));
+        assert_eq!(log.call("c1", g1, 7), Reply::Go);
+        assert_eq!(log.call_ended("c1", None), Reply::Done);
+        assert_eq!(log.call("c1", g1, 7), Reply::Go);
+        log.end("c1");
+        assert_eq!(log.call_ended("c1", Some(b"late")), Reply::Refused(Refusal::LifeEnded));
+        let g2 = generation(log.claim("c2", true));
+        assert_eq!(log.call("c2", g2, 7), Reply::Known(CallStage::Unknown));
+    }
+
+    #[test]
+    fn what_a_dead_life_left_is_adopted_by_one_and_again_when_that_one_dies() {
+        let mut log = Log::default();
+        let g = generation(log.claim("c1", false));
+        log.send("c1", g, true);
+        assert_eq!(log.put("c2", Command::Adopt { dead: who("c1") }), Reply::Refused(Refusal::Nothing));
+        log.end("c1");
+        let left = Reply::Adopted(vec![("id-c1".into(), "w".into())]);
+        assert_eq!(log.put("c2", Command::Adopt { dead: who("c1") }), left);
+        assert_eq!(log.put("c3", Command::Adopt { dead: who("c1") }), Reply::Refused(Refusal::Nothing));
+        log.end("c2");
+        assert_eq!(log.put("c3", Command::Adopt { dead: who("c2") }), left);
+        log.put("c3", Command::Over { ids: vec!["id-c1".into()] });
+        assert_eq!(log.table.held_by(&who("c3")).count(), 0);
+        log.end("c3");
+        assert_eq!(log.table.orphaned().count(), 0);
+    }
+
+    #[test]
+    fn attempts_belong_to_the_request_and_the_first_final_answer_stands() {
+        let mut log = Log::default();
+        let g1 = generation(log.claim("c1", false));
+        log.send("c1", g1, true);
+        log.send("c1", g1, true);
+        log.end("c1");
+        let g2 = generation(log.claim("c2", false));
+        assert_eq!(log.send("c2", g2, true), Reply::Done);
+        assert_eq!(log.send("c2", g2, true), Reply::Refused(Refusal::Spent));
+        let done = Final::Done { text: Some("text".into()), last: b"{}".to_vec() };
+        let answer =
+            |answer: &Final| Command::Answer { name: "r".into(), generation: g2, answer: answer.clone() };
+        assert_eq!(log.put("c2", answer(&done)), Reply::Done);
+        assert_eq!(log.put("c2", answer(&Final::Failed)), Reply::Ended(done.clone()));
+        assert_eq!(log.claim("c3", true), Reply::Ended(done));
+    }
+
+    #[test]
+    fn full_means_nothing_new_and_nothing_recorded_is_dropped() {
+        let mut log = Log::default();
+        let bounds = Bounds { records: 1, bytes: 100_000 };
+        let claim = |name: &str| Command::Claim { name: name.into(), once: true, resumes: false, bounds };
+        generation(log.put("c1", claim("a")));
+        assert_eq!(log.put("c1", claim("b")), Reply::Refused(Refusal::Full));
+        assert!(log.table.named("a").is_some());
+        let narrow = Bounds { records: 9, bytes: log.table.bytes() };
+        let call =
+            Command::Call { name: "a".into(), generation: 1, ordinal: 0, arguments: 1, bounds: narrow };
+        assert_eq!(log.put("c1", call), Reply::Refused(Refusal::Full));
+    }
+
+    #[test]
+    fn a_record_is_forgotten_only_when_it_rests_for_the_time_set() {
+        let (mut log, mut keeper) = (Log::default(), Keeper::default());
+        generation(log.claim("c1", false));
+        assert!(keeper.due(0, 10, 9, &log.table).is_empty());
+        log.end("c1");
+        assert!(keeper.due(5, 10, 9, &log.table).is_empty());
+        let due = keeper.due(15, 10, 9, &log.table);
+        generation(log.claim("c2", false));
+        // Taken up again meanwhile: what was due is void.
+        assert_eq!(log.put("c3", due[0].clone()), Reply::Refused(Refusal::Superseded));
+        log.end("c2");
+        keeper.due(20, 10, 9, &log.table);
+        let due = keeper.due(30, 10, 9, &log.table);
+        assert_eq!(log.put("c3", due[0].clone()), Reply::Done);
+        assert!(log.table.is_empty() && log.table.bytes() == 0);
+    }
+}
