--- a/src/fleet/takeover.rs
+++ b/src/fleet/takeover.rs
@@ -529,7 +529,13 @@
             self.named.insert(name, record.clone());
             return Ok(Reply::Claimed(Box::new(record)));
         };
+        if record.owner.as_ref() == Some(who) {
+            // Its front asks anew: what it did before is over, whether or not it came to saying so.
+            record.settle();
+            record.changed = at;
+        }
         if let Stage::Ended(answer) = &record.stage {
+            record.owner = None;
             return Ok(Reply::Ended(answer.clone()));
         }
         if let Some(owner) = record.owner.as_ref().filter(|o| *o != who) {
@@ -795,6 +801,15 @@
         assert_eq!(log.send("c1", g, false), Reply::Refused(Refusal::LifeEnded));
     }
 
+    /// Found by the model: a front that gave up waiting after its send, and was asked again by the same client.
+    #[test]
+    fn an_owner_that_asks_anew_after_a_send_that_may_have_run_does_not_send_again() {
+        let mut log = Log::default();
+        let g = generation(log.claim("c1", false));
+        log.send("c1", g, false);
+        assert_eq!(log.claim("c1", false), Reply::Ended(Final::Failed));
+    }
+
     #[test]
     fn what_must_not_run_twice_and_has_begun_is_not_begun_anew() {
         let mut log = Log::default();
