--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,6 @@
 //! What a conductor is told at start: the platform's JSON, or an operator's TOML file of the same shape.
 
+use crate::fleet::config::FleetConfig;
 use crate::interface::Settings;
 use crate::net::discovery::{ListMessage, Listing};
 use crate::wire::read_settings;
@@ -114,6 +115,8 @@
     known: Option<ListMessage>,
     settings: Value,
     tools: Option<ToolSettings>,
+    fleet: Option<Value>,
+    store: Option<Value>,
 }
 
 /// A conductor's configuration.
@@ -137,6 +140,8 @@
     pub idle_close: Duration,
     /// The tool-call front, if configured.
     pub tools: Option<ToolSettings>,
+    /// The fleet that this conductor is a member of, if configured; in an operator's file only.
+    pub fleet: Option<FleetConfig>,
 }
 
 impl Config {
@@ -145,7 +150,12 @@
     /// # Errors
     /// Names the field at fault.
     pub fn from_json(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
-        let value = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let mut value: Value = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        // Conductors on the platform share nothing, whatever it says.
+        if let Some(fields) = value.as_object_mut() {
+            fields.remove("fleet");
+            fields.remove("store");
+        }
         Self::from_value(value, env)
     }
 
@@ -170,6 +180,7 @@
             ("limits", a.limits != b.limits),
             ("settings", a.settings != b.settings || a.idle_close != b.idle_close),
             ("tools", a.tools != b.tools),
+            ("fleet", a.fleet != b.fleet),
         ];
         all.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
@@ -200,8 +211,11 @@
         if raw.limits.memory_mb < 32 {
             return Err(ConfigError("limits.memory_mb: at least 32 are needed".into()));
         }
+        let name = if raw.name.is_empty() { env("NODE_NAME").unwrap_or_default() } else { raw.name };
+        let fleet = FleetConfig::read(&name, raw.fleet, raw.store, &raw.limits)?;
         Ok(Config {
-            name: if raw.name.is_empty() { env("NODE_NAME").unwrap_or_default() } else { raw.name },
+            name,
+            fleet,
             listen,
             discovery,
             seed,
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -53,6 +53,8 @@
     slow_clients,
     /// Requests refused before the module saw them, for want of room.
     over_bound,
+    /// Requests refused since this conductor's right to act in its fleet has ended.
+    cut_off,
     /// Connections opened to model hosts.
     connections_out,
     /// Kept connections that were reset as soon as a request was written to them.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -14,6 +14,11 @@
 /// Frames of a stream that may wait for a slow client before the model host is made to wait.
 const FRAMES: usize = 16;
 
+/// Whether an id may stand in a path and a header as it is.
+pub fn is_plain_id(id: &str) -> bool {
+    !id.is_empty() && id.len() <= 64 && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+}
+
 /// A request as it is passed on to model hosts, unchanged.
 #[derive(Clone, Debug)]
 pub struct Call {
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -1,1 +1,235 @@
-//! The operator's tables for a fleet.
+//! The `[fleet]` and `[store]` tables of an operator's file.
+
+use super::{MemberName, SiteName};
+use crate::config::{ConfigError, Limits};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// What a conductor does with new requests while its right to act has ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WhenCutOff {
+    /// Refuse them with 503 and `Retry-After`.
+    #[default]
+    Refuse,
+    /// Take them all the same: reach before one policy everywhere.
+    Serve,
+}
+
+/// Where the log of the fleet's group is kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreConfig {
+    /// Its directory; of one conductor alone.
+    pub path: PathBuf,
+    /// The most bytes that it may take.
+    pub most_bytes: u64,
+}
+
+/// What a conductor is told of its fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetConfig {
+    /// Its own name.
+    pub name: MemberName,
+    /// Its site.
+    pub site: SiteName,
+    /// Its own peer address: UDP for the view, TCP for the rest.
+    pub peer: SocketAddr,
+    /// The file with the shared key.
+    pub key_file: PathBuf,
+    /// The members that keep the log: 1, 3 or 5.
+    pub voters: BTreeSet<MemberName>,
+    /// The other members' addresses as this one reaches them; they win over what members say of themselves.
+    pub peers: BTreeMap<MemberName, SocketAddr>,
+    /// The most members that are known at once, this one included.
+    pub most_members: usize,
+    /// The most bytes that wait for one peer.
+    pub most_queue_bytes: usize,
+    /// The most frames that are taken from one peer in a second.
+    pub most_frames_per_s: u32,
+    /// What is done with new requests while the right to act has ended.
+    pub when_cut_off: WhenCutOff,
+    /// How often the holder of `discovery-refresh` does its duty, in milliseconds.
+    pub refresh_period_ms: u64,
+    /// Where the log is kept.
+    pub store: StoreConfig,
+}
+
+/// The part of `limits.memory_mb` that the fleet's tables and queues may take.
+const MEMORY_PART: usize = 8;
+/// The part of `limits.sockets` that peers may take.
+const SOCKETS_PART: usize = 4;
+/// Descriptors beside two for each peer: the UDP socket, the listener, the log, and those who ask for the status.
+const OWN_SOCKETS: usize = 12;
+/// The longest frame, and what must fit into a queue at least.
+const LEAST_QUEUE: usize = 64 * 1024;
+
+impl FleetConfig {
+    /// Reads the two tables. `name` is the conductor's. `None` without a `[fleet]` table.
+    ///
+    /// # Errors
+    /// Names the field at fault.
+    pub(crate) fn read(
+        name: &str,
+        fleet: Option<Value>,
+        store: Option<Value>,
+        limits: &Limits,
+    ) -> Result<Option<Self>, ConfigError> {
+        let Some(fleet) = fleet else {
+            return match store {
+                Some(_) => Err(ConfigError("store: of no use without a [fleet] table".into())),
+                None => Ok(None),
+            };
+        };
+        let (mut fleet, mut store) =
+            (Table::new("fleet", fleet)?, Table::new("store", store.unwrap_or_default())?);
+        let own = match fleet.optional::<String>("name")? {
+            Some(name) => name,
+            None => name.to_owned(),
+        };
+        let name = MemberName::try_from(own).map_err(|e| ConfigError(format!("fleet.name: {e}")))?;
+        let config = FleetConfig {
+            site: fleet.required("site")?,
+            peer: fleet.required("peer")?,
+            key_file: fleet.required("key_file")?,
+            voters: fleet.required("voters")?,
+            peers: fleet.optional("peers")?.unwrap_or_default(),
+            most_members: fleet.bounded("most_members", 64, 1, 1_000)?,
+            most_queue_bytes: fleet.bounded("most_queue_bytes", 128 * 1024, LEAST_QUEUE as u64, 1 << 30)?,
+            most_frames_per_s: fleet.bounded("most_frames_per_s", 2_000, 50, 1_000_000)?,
+            when_cut_off: fleet.optional("when_cut_off")?.unwrap_or_default(),
+            refresh_period_ms: fleet.bounded("refresh_period_ms", 1_000, 10, 3_600_000)?,
+            store: StoreConfig {
+                path: store.required("path")?,
+                most_bytes: store.bounded("most_bytes", 64 << 20, 1 << 20, 1 << 40)?,
+            },
+            name,
+        };
+        fleet.end()?;
+        store.end()?;
+        config.check(limits).map_err(|(field, what)| ConfigError(format!("{field}: {what}")))?;
+        Ok(Some(config))
+    }
+
+    fn check(&self, limits: &Limits) -> Result<(), (&'static str, String)> {
+        if ![1, 3, 5].contains(&self.voters.len()) {
+            return Err(("fleet.voters", format!("1, 3 or 5 are needed, not {}", self.voters.len())));
+        }
+        if let Some(voter) = self.voters.iter().find(|v| **v != self.name && !self.peers.contains_key(v)) {
+            return Err(("fleet.voters", format!("{voter} has no address in fleet.peers")));
+        }
+        if self.peer.port() == 0 || self.peer.ip().is_unspecified() {
+            return Err(("fleet.peer", format!("others can't reach {}", self.peer)));
+        }
+        if let Some(own) = self.peers.get(&self.name).filter(|own| **own != self.peer) {
+            return Err((
+                "fleet.peers",
+                format!("{} is this conductor, at {}, not {own}", self.name, self.peer),
+            ));
+        }
+        let mut seen = BTreeMap::new();
+        for (name, address) in self.peers.iter().filter(|(name, _)| **name != self.name) {
+            if *address == self.peer {
+                return Err(("fleet.peers", format!("{name} has this conductor's own address {address}")));
+            }
+            if let Some(other) = seen.insert(address, name) {
+                return Err(("fleet.peers", format!("{other} and {name} have the same address {address}")));
+            }
+        }
+        let members = self.peers.len() + usize::from(!self.peers.contains_key(&self.name));
+        if self.most_members < members {
+            return Err(("fleet.most_members", format!("{} members are named", members)));
+        }
+        if self.sockets() > limits.sockets / SOCKETS_PART {
+            let most = (limits.sockets / SOCKETS_PART).saturating_sub(OWN_SOCKETS) / 2;
+            return Err(("fleet.most_members", format!("limits.sockets have room for {most} members")));
+        }
+        // Each peer has a queue on its way out and a frame on its way in.
+        let memory = limits.memory_mb * 1024 * 1024 / MEMORY_PART;
+        if self.most_members * (self.most_queue_bytes + LEAST_QUEUE) > memory {
+            let most = (memory / self.most_members).saturating_sub(LEAST_QUEUE);
+            let what =
+                format!("limits.memory_mb have room for {most} for each of {} members", self.most_members);
+            return Err(("fleet.most_queue_bytes", what));
+        }
+        Ok(())
+    }
+
+    /// The descriptors that are kept for peers.
+    pub fn sockets(&self) -> usize {
+        2 * self.most_members + OWN_SOCKETS
+    }
+
+    /// Has relative paths begin at a folder: that of the operator's file.
+    pub fn begin_paths_at(&mut self, folder: &Path) {
+        self.key_file = folder.join(&self.key_file);
+        self.store.path = folder.join(&self.store.path);
+    }
+}
+
+/// A table whose fields are taken out one by one, so that each error can name its field.
+struct Table {
+    name: &'static str,
+    fields: Map<String, Value>,
+}
+
+impl Table {
+    fn new(name: &'static str, value: Value) -> Result<Self, ConfigError> {
+        match value {
+            Value::Object(fields) => Ok(Table { name, fields }),
+            Value::Null => Ok(Table { name, fields: Map::new() }),
+            _ => Err(ConfigError(format!("{name}: not a table"))),
+        }
+    }
+
+    fn wrong(&self, field: &str, what: impl std::fmt::Display) -> ConfigError {
+        ConfigError(format!("{}.{field}: {what}", self.name))
+    }
+
+    fn optional<T: DeserializeOwned>(&mut self, field: &str) -> Result<Option<T>, ConfigError> {
+        let Some(value) = self.fields.remove(field) else { return Ok(None) };
+        serde_json::from_value(value).map(Some).map_err(|e| self.wrong(field, e))
+    }
+
+    fn required<T: DeserializeOwned>(&mut self, field: &str) -> Result<T, ConfigError> {
+        self.optional(field)?.ok_or_else(|| self.wrong(field, "is missing"))
+    }
+
+    fn bounded<T: TryFrom<u64>>(
+        &mut self,
+        field: &str,
+        default: u64,
+        least: u64,
+        most: u64,
+    ) -> Result<T, ConfigError> {
+        let number = self.optional::<u64>(field)?.unwrap_or(default);
+        let fits = Some(number).filter(|n| (least..=most).contains(n)).and_then(|n| T::try_from(n).ok());
+        fits.ok_or_else(|| self.wrong(field, format!("{number} is not in {least} to {most}")))
+    }
+
+    /// Takes a table of settings: what it names stands in for the default's.
+    #[allow(dead_code)]
+    fn settings<T: DeserializeOwned + Serialize + Default>(&mut self, field: &str) -> Result<T, ConfigError> {
+        let Some(given) = self.optional::<Map<String, Value>>(field)? else { return Ok(T::default()) };
+        let mut whole = serde_json::to_value(T::default()).map_err(|e| self.wrong(field, e))?;
+        let mut settings = T::default();
+        for (name, value) in given {
+            let path = format!("{field}.{name}");
+            let place = whole.get_mut(&name).ok_or_else(|| self.wrong(&path, "there is no such field"))?;
+            *place = value;
+            // One at a time: the error is this field's.
+            settings = serde_json::from_value(whole.clone()).map_err(|e| self.wrong(&path, e))?;
+        }
+        Ok(settings)
+    }
+
+    fn end(self) -> Result<(), ConfigError> {
+        match self.fields.keys().next() {
+            Some(field) => Err(self.wrong(field, "there is no such field")),
+            None => Ok(()),
+        }
+    }
+}
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -8,11 +8,10 @@
 
 use super::ledger::{CallKey, Ledger, Outcome};
 use super::platform::{AnswerBody, refusal};
+use super::shared::{CUT_OFF, MOST_BODY, Shared};
 use crate::config::ToolSettings;
-use crate::exchange::{Answer, Call, Feed, Frame, Presence};
-use crate::interface::{Ask, RequestId};
-use crate::net::is_plain_id;
-use crate::net::server::{MOST_BODY, Shared};
+use crate::exchange::{Answer, Call, Feed, Frame, Presence, is_plain_id};
+use crate::interface::{Ask, Micros, RequestId};
 use bytes::{Bytes, BytesMut};
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
@@ -160,6 +159,12 @@
     const fn new(status: StatusCode, code: i32, message: &'static str) -> Self {
         Fault(status, ErrorObject { code, message, data: None })
     }
+
+    fn refused(retry_after: Option<Micros>) -> Self {
+        let data = retry_after.map(|t| RetryAfter { retry_after: t as f64 / 1e6 });
+        let error = ErrorObject { code: -32000, message: "refused; trying again is harmless", data };
+        Fault(StatusCode::SERVICE_UNAVAILABLE, error)
+    }
 }
 
 const PARSE: Fault = Fault::new(StatusCode::BAD_REQUEST, -32700, "parse error");
@@ -513,6 +518,10 @@
         if body.len() > MOST_BODY {
             return Err(TOO_LONG);
         }
+        if !(self.shared.may_serve)() {
+            self.shared.counters.cut_off.up();
+            return Err(Fault::refused(Some(CUT_OFF)));
+        }
         let mut in_hand = self.take_in_hand(params.request.as_str().into(), params.resume.is_some())?;
         // One token is four characters.
         let prompt_tokens = params.prompt_len.unwrap_or(body.len() as u64 / 4);
@@ -539,11 +548,7 @@
         };
         let calls = params.resume.map_or(0, |r| r.calls);
         match answer {
-            Answer::Refused { retry_after } => {
-                let data = retry_after.map(|t| RetryAfter { retry_after: t as f64 / 1e6 });
-                let error = ErrorObject { code: -32000, message: "refused; trying again is harmless", data };
-                Err(Fault(StatusCode::SERVICE_UNAVAILABLE, error))
-            }
+            Answer::Refused { retry_after } => Err(Fault::refused(retry_after)),
             Answer::Failed => Err(FAILED),
             Answer::Stream(feed) => {
                 in_hand.streaming.set(true);
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,3 +3,4 @@
 pub mod jsonrpc;
 pub mod ledger;
 pub mod platform;
+pub mod shared;
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -1,8 +1,7 @@
 //! The platform's protocol: headers into what the module is told, answers into responses.
 
-use crate::exchange::{Answer, Feed, Frame, Presence};
+use crate::exchange::{Answer, Feed, Frame, Presence, is_plain_id};
 use crate::interface::{Ask, Micros, RequestId};
-use crate::net::is_plain_id;
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::body::{Body, Frame as BodyFrame, SizeHint};
--- /dev/null
+++ b/src/front/shared.rs
@@ -0,0 +1,75 @@
+//! What the server's connections and the fronts share.
+
+use crate::core::CoreHandle;
+use crate::counters::Counters;
+use crate::interface::Micros;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::rc::Rc;
+
+/// No body is longer.
+pub const MOST_BODY: usize = 256 * 1024;
+/// Advice to clients that came when there was no room.
+pub const COME_BACK: Micros = 500_000;
+/// Advice to clients of a conductor that is cut off from its fleet: another one is better tried first.
+pub const CUT_OFF: Micros = 1_000_000;
+
+/// What all connections of the edge share.
+pub struct Shared {
+    /// The core.
+    pub core: CoreHandle,
+    /// Classes that the settings name.
+    pub classes: Vec<String>,
+    /// Whether the conductor can serve.
+    pub ready: Box<dyn Fn() -> bool>,
+    /// Whether new requests may be taken: in a fleet, whether the conductor's right to act stands at this moment.
+    pub may_serve: Box<dyn Fn() -> bool>,
+    /// Counters.
+    pub counters: Rc<Counters>,
+    /// Bytes of bodies that may be held at once.
+    pub budget: Cell<usize>,
+    /// Ids in hand.
+    pub ids: RefCell<HashSet<String>>,
+}
+
+/// Bytes of the budget, given back when dropped.
+pub struct Held(Rc<Shared>, usize);
+
+impl Held {
+    /// None yet.
+    pub fn new(shared: Rc<Shared>) -> Self {
+        Held(shared, 0)
+    }
+
+    /// Takes more, as bytes come: a length that is only claimed takes nothing from others.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let left = self.0.budget.get().checked_sub(bytes);
+        if let Some(left) = left {
+            self.0.budget.set(left);
+            self.1 += bytes;
+        }
+        left.is_some()
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.budget.set(self.0.budget.get() + self.1);
+    }
+}
+
+/// An id in hand, free again when dropped.
+pub struct InHand(Rc<Shared>, String);
+
+impl InHand {
+    /// Over an id that has been entered.
+    pub fn new(shared: Rc<Shared>, id: String) -> Self {
+        InHand(shared, id)
+    }
+}
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.ids.borrow_mut().remove(&self.1);
+    }
+}
--- /dev/null
+++ b/src/logs.rs
@@ -0,0 +1,107 @@
+//! Log lines on standard error: plain text, or one JSON object a line with the event's key-values.
+
+use clap::ValueEnum;
+use log::kv::{Error, Key, Value, VisitSource, VisitValue};
+use serde_json::{Map, Value as Json};
+use std::io::Write;
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum LogFormat {
+    /// Level and module in front.
+    Text,
+    /// One JSON object a line: `time`, `level`, `target`, `message`, and the event's key-values beside them.
+    Json,
+}
+
+/// Starts the log.
+pub fn start(format: LogFormat) {
+    let mut builder = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"));
+    if format == LogFormat::Json {
+        builder.format(|out, record| {
+            let time = out.timestamp_micros().to_string();
+            let mut line = object(record, &time);
+            line.push(b'\n');
+            out.write_all(&line)
+        });
+    }
+    builder.init();
+}
+
+fn object(record: &log::Record, time: &str) -> Vec<u8> {
+    let mut fields = Fields(Map::new());
+    for (name, text) in [("time", time), ("level", record.level().as_str()), ("target", record.target())] {
+        fields.0.insert(name.into(), text.into());
+    }
+    fields.0.insert("message".into(), record.args().to_string().into());
+    // A key-value that can't be read is left out; the line is written all the same.
+    let _ = record.key_values().visit(&mut fields);
+    serde_json::to_vec(&fields.0).unwrap_or_default()
+}
+
+struct Fields(Map<String, Json>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let mut read = Read(Json::Null);
+        value.visit(&mut read)?;
+        self.0.insert(key.as_str().to_owned(), read.0);
+        Ok(())
+    }
+}
+
+struct Read(Json);
+
+impl<'v> VisitValue<'v> for Read {
+    fn visit_any(&mut self, value: Value) -> Result<(), Error> {
+        self.0 = value.to_string().into();
+        Ok(())
+    }
+    fn visit_null(&mut self) -> Result<(), Error> {
+        self.0 = Json::Null;
+        Ok(())
+    }
+    fn visit_u64(&mut self, value: u64) -> Result<(), Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+    fn visit_i64(&mut self, value: i64) -> Result<(), Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+    fn visit_f64(&mut self, value: f64) -> Result<(), Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+    fn visit_bool(&mut self, value: bool) -> Result<(), Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+    fn visit_str(&mut self, value: &str) -> Result<(), Error> {
+        self.0 = value.into();
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_line_is_one_object_with_typed_key_values() {
+        let values: &[(&str, Value)] =
+            &[("token", Value::from(7u64)), ("peer", Value::from("c\"2")), ("up", Value::from(true))];
+        let record = log::Record::builder()
+            .args(format_args!("two\nlines"))
+            .level(log::Level::Warn)
+            .target("t")
+            .key_values(&values)
+            .build();
+        let text = String::from_utf8(object(&record, "now")).unwrap();
+        assert!(!text.contains('\n'));
+        let read: Json = serde_json::from_str(&text).unwrap();
+        let wanted = serde_json::json!({"time": "now", "level": "WARN", "target": "t", "message": "two\nlines",
+            "token": 7, "peer": "c\"2", "up": true});
+        assert_eq!(read, wanted);
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,60 +1,37 @@
-//! The conductor's program: wiring, signals, log.
+//! The conductor's program.
 
-use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
-use std::process::ExitCode;
-use std::rc::Rc;
-use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, watch};
-use whinhaven::config::{Config, ConfigError};
-use whinhaven::core::{Clock, Core, CoreHandle};
-use whinhaven::counters::Counters;
-use whinhaven::front::jsonrpc::Front;
-use whinhaven::interface::ListKind;
-use whinhaven::net::client::Hosts;
-use whinhaven::net::discovery::{Directory, Follower};
-use whinhaven::net::pool::Pool;
-use whinhaven::net::server::{Connections, Edge, Listener, OVER, Shared, Stage};
-
-/// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
-const ACCEPT_ON: Duration = Duration::from_millis(700);
-/// How often idle connections are looked at.
-const RETIRE: Duration = Duration::from_millis(500);
-/// Descriptors for everything that is neither a client nor a model host.
-const SPARE_SOCKETS: usize = 24;
+mod cli;
+mod logs;
+mod run;
 
-const USAGE: &str =
-    "usage: whinhaven                      serve on the platform (NODE_CONFIG names the configuration)
-       whinhaven serve FILE           serve by an operator's file
-       whinhaven import haproxy FILE  write an operator's file from HAProxy's configuration";
+use cli::{Command, From};
+use run::{Source, read};
+use std::path::Path;
+use std::process::ExitCode;
+use whinhaven::config::ConfigError;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let done = match words.as_slice() {
-        [] => platform_source().and_then(serve),
-        ["serve", file] => serve(Source { file: (*file).to_owned(), platform: false }),
-        ["import", "haproxy", file] => read(file).and_then(|text| import(&text)),
-        ["-h" | "--help" | "help"] => {
-            println!("{USAGE}");
-            Ok(())
-        }
-        _ => Err(ConfigError(USAGE.to_owned())),
+    let cli = match cli::parse() {
+        Ok(cli) => cli,
+        Err(fault) => return failed(&fault),
+    };
+    logs::start(cli.log_format);
+    let done = match cli.command {
+        None => Source::platform().and_then(run::serve),
+        Some(Command::Serve { file }) => run::serve(Source::operator(file)),
+        Some(Command::Import { from: From::Haproxy { file } }) => read(&file).and_then(|text| import(&text)),
+        Some(Command::Check { file }) => check(&file),
+        Some(Command::Fleet { .. }) => Err(ConfigError("no fleet yet".into())),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("whinhaven: {error}");
-            ExitCode::FAILURE
-        }
+        Err(error) => failed(&error.to_string()),
     }
 }
 
-fn read(file: &str) -> Result<String, ConfigError> {
-    std::fs::read_to_string(file).map_err(|e| ConfigError(format!("{file}: {e}")))
+fn failed(fault: &str) -> ExitCode {
+    eprintln!("whinhaven: {fault}");
+    ExitCode::FAILURE
 }
 
 /// Writes the operator's file to standard output, and what could not be carried over to standard error.
@@ -67,186 +44,15 @@
     Ok(())
 }
 
-/// Where the configuration is read, at start and at each SIGHUP.
-struct Source {
-    file: String,
-    platform: bool,
-}
-
-impl Source {
-    fn load(&self) -> Result<Config, ConfigError> {
-        let text = read(&self.file)?;
-        if self.platform {
-            Config::from_json(&text, |name| std::env::var(name).ok().filter(|v| !v.is_empty()))
-        } else {
-            Config::from_toml(&text)
-        }
-    }
-}
-
-fn platform_source() -> Result<Source, ConfigError> {
-    let file = std::env::var("NODE_CONFIG").map_err(|_| ConfigError("NODE_CONFIG is not set".into()))?;
-    Ok(Source { file, platform: true })
-}
-
-fn serve(source: Source) -> Result<(), ConfigError> {
-    let config = source.load()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| ConfigError(format!("runtime: {e}")))?;
-    let local = tokio::task::LocalSet::new();
-    runtime.block_on(local.run_until(run(config, source)))
-}
-
-/// Takes a new configuration in: discovery moves, all else stays as it was at the start. A file that can't be used
-/// changes nothing.
-fn reload(
-    source: &Source,
-    held: &mut Config,
-    discovery: &watch::Sender<Option<SocketAddr>>,
-    counters: &Counters,
-) {
-    let new = match source.load() {
-        Ok(new) => new,
-        Err(error) => {
-            counters.reloads_failed.up();
-            log::error!("reload: {error}; the configuration held stands");
-            return;
-        }
-    };
-    counters.reloads.up();
-    let fixed = held.differences(&new);
-    if !fixed.is_empty() {
-        log::warn!("reload: a new {} counts from the next start on", fixed.join(", "));
-    }
-    let moved = discovery.send_if_modified(|at| {
-        let moved = *at != new.discovery;
-        *at = new.discovery;
-        moved
-    });
-    held.discovery = new.discovery;
-    match new.discovery {
-        Some(address) if moved => log::info!("reload: discovery is now at {address}"),
-        None if moved => log::info!("reload: no discovery any more; the list stands"),
-        _ => log::info!("reload: discovery stays where it was"),
-    }
-}
-
-async fn run(mut config: Config, source: Source) -> Result<(), ConfigError> {
-    // Before anything can be reached: until it is caught, SIGHUP ends the process.
-    let failed = |e: std::io::Error| ConfigError(format!("signals: {e}"));
-    let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
-    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
-    let mut usr1 = signal(SignalKind::user_defined1()).map_err(failed)?;
-    let listener = TcpListener::bind(config.listen).await;
-    let bound = listener.and_then(|l| Ok((l.local_addr()?, l)));
-    let (address, listener) = bound.map_err(|e| ConfigError(format!("listen {}: {e}", config.listen)))?;
-    let counters = Rc::new(Counters::default());
-    let clock = Clock::start();
-    let (core, queue) = CoreHandle::channel(clock);
-    let settings = config.settings.clone();
-    // Every request in hand may hold a socket of either side; clients that say nothing hold some more of theirs.
-    let spare = SPARE_SOCKETS + config.tools.as_ref().map_or(0, |t| t.max_calls_at_once);
-    let sockets = config.limits.sockets.saturating_sub(spare);
-    let (to_hosts, to_clients) = (sockets * 9 / 20, sockets - sockets * 9 / 20);
-    if to_hosts < 64 {
-        return Err(ConfigError(format!("limits.sockets: {} are too few", config.limits.sockets)));
-    }
-    let connect_timeout = Duration::from_micros(settings.connect_timeout.max(10_000));
-    let pool = Pool::new(to_hosts, connect_timeout, config.idle_close / 3, counters.clone());
-    let directory = Rc::new(Directory::default());
-    let (watch_again, fetch_list) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
-    let hosts = Hosts {
-        directory: directory.clone(),
-        pool: pool.clone(),
-        core: core.clone(),
-        reports: settings.reports,
-        counters: counters.clone(),
-        watch_again: watch_again.clone(),
-        fetch_list: fetch_list.clone(),
-    };
-    let driver = Core::new(settings.clone(), config.seed, clock, Rc::new(hosts), counters.clone());
-    let follower = Follower {
-        directory: directory.clone(),
-        core: core.clone(),
-        hang_up: Box::new({
-            let pool = pool.clone();
-            move |worker| pool.hang_up(worker)
-        }),
-        ask: settings.list_on_request.then_some(watch_again),
-        fetch_list,
-        counters: counters.clone(),
-    };
-    follower.take(std::mem::take(&mut config.known), ListKind::Saved);
-    tokio::task::spawn_local(driver.run(queue));
-    let (discovery, address_told) = watch::channel(config.discovery);
-    tokio::task::spawn_local(follower.follow(address_told));
-    let stopping = Rc::new(Cell::new(false));
-    let ready = {
-        let (directory, stopping, kinds) = (directory.clone(), stopping.clone(), settings.kinds.clone());
-        move || !stopping.get() && directory.can_serve(&kinds)
-    };
-    let shared = Rc::new(Shared {
-        core,
-        classes: settings.classes.iter().map(|c| c.name.clone()).collect(),
-        ready: Box::new(ready),
-        counters: counters.clone(),
-        budget: Cell::new(config.limits.memory_mb * 1024 * 1024 / 3),
-        ids: RefCell::default(),
-    });
-    let seed = config.seed;
-    let tools = config.tools.clone().map(|t| Front::new(shared.clone(), t, connect_timeout, seed));
-    let front = tools.clone();
-    let (stage, stages) = watch::channel(Stage::Open);
-    let open = Rc::new(Connections::default());
-    let bound = to_clients - OVER;
-    let accepting =
-        Listener { edge: Edge { shared, tools }, bound, waiting: bound, stage: stages, open: open.clone() };
-    let accepting = tokio::task::spawn_local(accepting.accept(listener));
-    log::info!(
-        "{} serves on {}, {} sockets for clients and {} for model hosts",
-        config.name,
-        address,
-        to_clients,
-        to_hosts
-    );
-
-    let mut retire = tokio::time::interval(RETIRE);
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = usr1.recv() => log::info!("counters: {counters}"),
-            _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
-            _ = retire.tick() => {
-                pool.retire();
-                if let Some(front) = &front {
-                    front.tidy();
-                }
-            }
-        }
-    }
-    log::info!("stopping: accepting for {} ms more", ACCEPT_ON.as_millis());
-    stopping.set(true);
-    let ending = async {
-        tokio::time::sleep(ACCEPT_ON).await;
-        accepting.abort();
-        let _ = stage.send(Stage::Closing);
-        pool.clear();
-        while open.count() > 0 {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        // What was just answered may still have a release on its way.
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    };
-    tokio::pin!(ending);
-    // What was taken may run on for long: the list has to follow discovery meanwhile.
-    loop {
-        tokio::select! {
-            () = &mut ending => break,
-            _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
-        }
-    }
-    log::info!("stopped; counters: {counters}");
+/// Says what an operator's file sets up.
+fn check(file: &Path) -> Result<(), ConfigError> {
+    let config = Source::operator(file.to_owned()).load()?;
+    let mut parts = vec![format!("{} would serve on {}", config.name, config.listen)];
+    parts.extend(config.tools.map(|t| format!("tool calls go to {}", t.dial)));
+    parts.extend(config.fleet.map(|f| {
+        let role = if f.voters.contains(&f.name) { "a voter" } else { "a learner" };
+        format!("{role} of {} at site {}, peer address {}", f.voters.len(), f.site, f.peer)
+    }));
+    println!("{}: good: {}", file.display(), parts.join(", "));
     Ok(())
 }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,12 +1,12 @@
 //! The client side: carries out attempts at model hosts and the calls around them.
 
+use super::Local;
 use super::discovery::Directory;
 use super::events::Events;
 use super::pool::{ConnectError, Connection, Pool, Target};
-use super::{Local, is_plain_id};
 use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
 use crate::counters::Counters;
-use crate::exchange::{Call, FeedSource, Frame, Reply, feed};
+use crate::exchange::{Call, FeedSource, Frame, Reply, feed, is_plain_id};
 use crate::interface::{AttemptIndex, Outcome, Report, Reports, RequestId, WorkerId};
 use crate::wire::read_report;
 use bytes::Bytes;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,8 +13,3 @@
 
 /// A future that stays on its thread.
 pub type Local<T> = Pin<Box<dyn Future<Output = T>>>;
-
-/// Whether an id may stand in a path and a header as it is.
-pub fn is_plain_id(id: &str) -> bool {
-    !id.is_empty() && id.len() <= 64 && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
-}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,12 +2,11 @@
 
 use super::Local;
 use super::framing::{Standing, Watch, Watched};
-use crate::core::CoreHandle;
 use crate::counters::Counters;
 use crate::exchange::Call;
 use crate::front::jsonrpc;
 use crate::front::platform::{self, AnswerBody, plain};
-use crate::interface::Micros;
+use crate::front::shared::{COME_BACK, CUT_OFF, Held, InHand, MOST_BODY, Shared};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -16,7 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::any::Any;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -29,8 +28,6 @@
 use tokio::time::Instant;
 use tower::{Service, ServiceBuilder, ServiceExt};
 
-/// No body is longer.
-pub const MOST_BODY: usize = 256 * 1024;
 /// A request has this long to come whole, from its first byte and, the first on a connection, from the accept on.
 /// Progress doesn't renew it: half a head, half a body and a drip without end all hold a place.
 const ARRIVE: Duration = Duration::from_millis(2_400);
@@ -53,57 +50,9 @@
 const MOST_LINGER: usize = 2 * MOST_BODY;
 /// Connections over the bound that are still told so; beyond them, new ones wait in the system's queue.
 pub const OVER: usize = 16;
-/// Advice to clients that came when there was no room.
-const COME_BACK: Micros = 500_000;
 /// For a request that did not come in time.
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// What all connections of the edge share.
-pub struct Shared {
-    /// The core.
-    pub core: CoreHandle,
-    /// Classes that the settings name.
-    pub classes: Vec<String>,
-    /// Whether the conductor can serve.
-    pub ready: Box<dyn Fn() -> bool>,
-    /// Counters.
-    pub counters: Rc<Counters>,
-    /// Bytes of bodies that may be held at once.
-    pub budget: Cell<usize>,
-    /// Ids in hand.
-    pub ids: RefCell<HashSet<String>>,
-}
-
-/// Bytes of the budget, given back when dropped.
-struct Held(Rc<Shared>, usize);
-
-impl Held {
-    /// Takes more, as bytes come: a length that is only claimed takes nothing from others.
-    fn grow(&mut self, bytes: usize) -> bool {
-        let left = self.0.budget.get().checked_sub(bytes);
-        if let Some(left) = left {
-            self.0.budget.set(left);
-            self.1 += bytes;
-        }
-        left.is_some()
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.0.budget.set(self.0.budget.get() + self.1);
-    }
-}
-
-/// An id in hand, free again when dropped.
-struct InHand(Rc<Shared>, String);
-
-impl Drop for InHand {
-    fn drop(&mut self) {
-        self.0.ids.borrow_mut().remove(&self.1);
-    }
-}
-
 /// The tower service that clients reach.
 #[derive(Clone)]
 pub struct Edge {
@@ -127,7 +76,7 @@
         }
         let path = request.uri().path();
         if path == "/healthz" && request.method() == Method::GET {
-            let ready = (self.shared.ready)();
+            let ready = (self.shared.ready)() && (self.shared.may_serve)();
             return if ready {
                 plain(StatusCode::OK, "ready\n")
             } else {
@@ -152,6 +101,10 @@
 
     async fn platform(self, request: Request<Incoming>, watch: &Watch) -> Response<AnswerBody> {
         let shared = self.shared.clone();
+        if !(shared.may_serve)() {
+            shared.counters.cut_off.up();
+            return platform::refusal(Some(CUT_OFF));
+        }
         let (head, body) = request.into_parts();
         let mut intake = match platform::decode(&head.headers, shared.core.clock.now()) {
             Ok(intake) => intake,
@@ -174,7 +127,7 @@
         if !shared.ids.borrow_mut().insert(intake.id.clone()) {
             return self.bad(StatusCode::CONFLICT, "a request with this id is in hand\n");
         }
-        let in_hand = InHand(shared.clone(), intake.id.clone());
+        let in_hand = InHand::new(shared.clone(), intake.id.clone());
         let target = head.uri.path_and_query().map_or(platform::PATH, |p| p.as_str()).to_owned();
         let content_type = head.headers.get("content-type").and_then(|v| v.to_str().ok()).map(str::to_owned);
         let keeps: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, held)));
@@ -190,7 +143,7 @@
         if body.size_hint().lower() > MOST_BODY as u64 {
             return Err(too_long());
         }
-        let (mut whole, mut held) = (BytesMut::new(), Held(self.shared.clone(), 0));
+        let (mut whole, mut held) = (BytesMut::new(), Held::new(self.shared.clone()));
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return Err(self.bad(StatusCode::BAD_REQUEST, "body broken\n")) };
             let Ok(data) = frame.into_data() else { continue };
--- /dev/null
+++ b/src/run.rs
@@ -0,0 +1,243 @@
+//! Serving: wiring, signals, reload.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, watch};
+use whinhaven::config::{Config, ConfigError};
+use whinhaven::core::{Clock, Core, CoreHandle};
+use whinhaven::counters::Counters;
+use whinhaven::front::jsonrpc::Front;
+use whinhaven::front::shared::Shared;
+use whinhaven::interface::ListKind;
+use whinhaven::net::client::Hosts;
+use whinhaven::net::discovery::{Directory, Follower};
+use whinhaven::net::pool::Pool;
+use whinhaven::net::server::{Connections, Edge, Listener, OVER, Stage};
+
+/// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
+const ACCEPT_ON: Duration = Duration::from_millis(700);
+/// How often idle connections are looked at.
+const RETIRE: Duration = Duration::from_millis(500);
+/// Descriptors for everything that is neither a client nor a model host.
+const SPARE_SOCKETS: usize = 24;
+
+/// Reads a file.
+///
+/// # Errors
+/// Names the file.
+pub fn read(file: &Path) -> Result<String, ConfigError> {
+    std::fs::read_to_string(file).map_err(|e| ConfigError(format!("{}: {e}", file.display())))
+}
+
+/// Where the configuration is read, at start and at each SIGHUP.
+pub struct Source {
+    file: PathBuf,
+    platform: bool,
+}
+
+impl Source {
+    /// An operator's file.
+    pub fn operator(file: PathBuf) -> Self {
+        Source { file, platform: false }
+    }
+
+    /// The platform's, which NODE_CONFIG names.
+    ///
+    /// # Errors
+    /// NODE_CONFIG is not set.
+    pub fn platform() -> Result<Self, ConfigError> {
+        let file = std::env::var("NODE_CONFIG").map_err(|_| ConfigError("NODE_CONFIG is not set".into()))?;
+        Ok(Source { file: file.into(), platform: true })
+    }
+
+    /// Reads it.
+    ///
+    /// # Errors
+    /// Names the field at fault.
+    pub fn load(&self) -> Result<Config, ConfigError> {
+        let text = read(&self.file)?;
+        if self.platform {
+            Config::from_json(&text, |name| std::env::var(name).ok().filter(|v| !v.is_empty()))
+        } else {
+            let mut config = Config::from_toml(&text)?;
+            if let (Some(fleet), Some(folder)) = (&mut config.fleet, self.file.parent()) {
+                fleet.begin_paths_at(folder);
+            }
+            Ok(config)
+        }
+    }
+}
+
+/// Serves until told to stop.
+///
+/// # Errors
+/// Why it could not begin.
+pub fn serve(source: Source) -> Result<(), ConfigError> {
+    let config = source.load()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| ConfigError(format!("runtime: {e}")))?;
+    let local = tokio::task::LocalSet::new();
+    runtime.block_on(local.run_until(run(config, source)))
+}
+
+/// Takes a new configuration in: discovery moves, all else stays as it was at the start. A file that can't be used
+/// changes nothing.
+fn reload(
+    source: &Source,
+    held: &mut Config,
+    discovery: &watch::Sender<Option<SocketAddr>>,
+    counters: &Counters,
+) {
+    let new = match source.load() {
+        Ok(new) => new,
+        Err(error) => {
+            counters.reloads_failed.up();
+            log::error!("reload: {error}; the configuration held stands");
+            return;
+        }
+    };
+    counters.reloads.up();
+    let fixed = held.differences(&new);
+    if !fixed.is_empty() {
+        log::warn!("reload: a new {} counts from the next start on", fixed.join(", "));
+    }
+    let moved = discovery.send_if_modified(|at| {
+        let moved = *at != new.discovery;
+        *at = new.discovery;
+        moved
+    });
+    held.discovery = new.discovery;
+    match new.discovery {
+        Some(address) if moved => log::info!("reload: discovery is now at {address}"),
+        None if moved => log::info!("reload: no discovery any more; the list stands"),
+        _ => log::info!("reload: discovery stays where it was"),
+    }
+}
+
+async fn run(mut config: Config, source: Source) -> Result<(), ConfigError> {
+    // Before anything can be reached: until it is caught, SIGHUP ends the process.
+    let failed = |e: std::io::Error| ConfigError(format!("signals: {e}"));
+    let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
+    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+    let mut usr1 = signal(SignalKind::user_defined1()).map_err(failed)?;
+    let listener = TcpListener::bind(config.listen).await;
+    let bound = listener.and_then(|l| Ok((l.local_addr()?, l)));
+    let (address, listener) = bound.map_err(|e| ConfigError(format!("listen {}: {e}", config.listen)))?;
+    let counters = Rc::new(Counters::default());
+    let clock = Clock::start();
+    let (core, queue) = CoreHandle::channel(clock);
+    let settings = config.settings.clone();
+    // Every request in hand may hold a socket of either side; clients that say nothing hold some more of theirs.
+    let spare = SPARE_SOCKETS
+        + config.tools.as_ref().map_or(0, |t| t.max_calls_at_once)
+        + config.fleet.as_ref().map_or(0, |f| f.sockets());
+    let sockets = config.limits.sockets.saturating_sub(spare);
+    let (to_hosts, to_clients) = (sockets * 9 / 20, sockets - sockets * 9 / 20);
+    if to_hosts < 64 {
+        return Err(ConfigError(format!("limits.sockets: {} are too few", config.limits.sockets)));
+    }
+    let connect_timeout = Duration::from_micros(settings.connect_timeout.max(10_000));
+    let pool = Pool::new(to_hosts, connect_timeout, config.idle_close / 3, counters.clone());
+    let directory = Rc::new(Directory::default());
+    let (watch_again, fetch_list) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
+    let hosts = Hosts {
+        directory: directory.clone(),
+        pool: pool.clone(),
+        core: core.clone(),
+        reports: settings.reports,
+        counters: counters.clone(),
+        watch_again: watch_again.clone(),
+        fetch_list: fetch_list.clone(),
+    };
+    let driver = Core::new(settings.clone(), config.seed, clock, Rc::new(hosts), counters.clone());
+    let follower = Follower {
+        directory: directory.clone(),
+        core: core.clone(),
+        hang_up: Box::new({
+            let pool = pool.clone();
+            move |worker| pool.hang_up(worker)
+        }),
+        ask: settings.list_on_request.then_some(watch_again),
+        fetch_list,
+        counters: counters.clone(),
+    };
+    follower.take(std::mem::take(&mut config.known), ListKind::Saved);
+    tokio::task::spawn_local(driver.run(queue));
+    let (discovery, address_told) = watch::channel(config.discovery);
+    tokio::task::spawn_local(follower.follow(address_told));
+    let stopping = Rc::new(Cell::new(false));
+    let ready = {
+        let (directory, stopping, kinds) = (directory.clone(), stopping.clone(), settings.kinds.clone());
+        move || !stopping.get() && directory.can_serve(&kinds)
+    };
+    let shared = Rc::new(Shared {
+        core,
+        classes: settings.classes.iter().map(|c| c.name.clone()).collect(),
+        ready: Box::new(ready),
+        may_serve: Box::new(|| true),
+        counters: counters.clone(),
+        budget: Cell::new(config.limits.memory_mb * 1024 * 1024 / 3),
+        ids: RefCell::default(),
+    });
+    let seed = config.seed;
+    let tools = config.tools.clone().map(|t| Front::new(shared.clone(), t, connect_timeout, seed));
+    let front = tools.clone();
+    let (stage, stages) = watch::channel(Stage::Open);
+    let open = Rc::new(Connections::default());
+    let bound = to_clients - OVER;
+    let accepting =
+        Listener { edge: Edge { shared, tools }, bound, waiting: bound, stage: stages, open: open.clone() };
+    let accepting = tokio::task::spawn_local(accepting.accept(listener));
+    log::info!(
+        "{} serves on {}, {} sockets for clients and {} for model hosts",
+        config.name,
+        address,
+        to_clients,
+        to_hosts
+    );
+
+    let mut retire = tokio::time::interval(RETIRE);
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = usr1.recv() => log::info!("counters: {counters}"),
+            _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
+            _ = retire.tick() => {
+                pool.retire();
+                if let Some(front) = &front {
+                    front.tidy();
+                }
+            }
+        }
+    }
+    log::info!("stopping: accepting for {} ms more", ACCEPT_ON.as_millis());
+    stopping.set(true);
+    let ending = async {
+        tokio::time::sleep(ACCEPT_ON).await;
+        accepting.abort();
+        let _ = stage.send(Stage::Closing);
+        pool.clear();
+        while open.count() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        // What was just answered may still have a release on its way.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    tokio::pin!(ending);
+    // What was taken may run on for long: the list has to follow discovery meanwhile.
+    loop {
+        tokio::select! {
+            () = &mut ending => break,
+            _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
+        }
+    }
+    log::info!("stopped; counters: {counters}");
+    Ok(())
+}
