Seal peer frames with the shared key, refuse what is forged, replayed or not for us

Members must not be moved by datagrams that anybody can send. Frames carry version, kind, sender, incarnation, receiver and sequence under HMAC-SHA256; two keys open during a rotation, the first signs. Datagrams have a window of 1024 per sender and incarnation, connections a session drawn by the acceptor and strict order. Senders and rates are bounded; a refused frame changes nothing.

--- /dev/null
+++ b/src/fleet/net/seal.rs
@@ -0,0 +1,820 @@
+//! Frames between members: sealed with a shared key, refused when forged, garbled, replayed or meant for another.
+//!
+//! No I/O and no clock. [`Sealer`] makes datagrams, [`StreamSealer`] the frames of one connection, [`Opener`] opens
+//! both. A frame that is refused changes nothing, whoever sent it: only what the key vouches for reaches a table.
+//!
+//! A frame, integers little-endian:
+//!
+//! ```text
+//! version 1 | channel 1 | kind 1 | bytes of from 1 | bytes of to 1 | incarnation 8 | sequence 8 | from | to | payload | MAC 32
+//! ```
+//!
+//! The MAC is HMAC-SHA256 over a label, the connection's session (nothing for a datagram) and all of the frame before
+//! it. On a connection a frame comes after its length ([`length_prefix`], [`frame_length`]). A connection carries
+//! frames one way, from who opened it: the acceptor begins with a [`Session`] drawn afresh, as plain bytes, so that
+//! nothing recorded from another connection opens on this one.
+//!
+//! What this does not do: payloads can be read on the way; whoever has the key can speak as any member; and a member
+//! that has just started knows no sequences, so that a datagram recorded from a living sender is taken once more if it
+//! comes before the first fresh one of that sender. The view bears that, its news being ordered by incarnation and
+//! refutation; what must not be repeated goes over connections.
+
+use crate::fleet::{Incarnation, MOST_NAME, MemberName, Who};
+use crate::interface::Micros;
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::Read;
+use std::path::Path;
+
+/// The version of the frames' form.
+pub const VERSION: u8 = 1;
+/// Bytes of a frame's MAC.
+pub const MAC_BYTES: usize = 32;
+/// Bytes of a key at the least.
+pub const LEAST_KEY_BYTES: usize = 32;
+/// Keys at once at the most: during a rotation the new one and the old one.
+pub const MOST_KEYS: usize = 2;
+/// How many sequences below the highest one seen a datagram may still come.
+pub const WINDOW: u64 = 1024;
+
+const MOST_KEY_FILE: u64 = 4096;
+const FIXED: usize = 21;
+const LABEL: &[u8] = b"whinhaven peer frame";
+const DATAGRAM: u8 = 1;
+const STREAM: u8 = 2;
+
+/// The keys that members share. The first signs, all open.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Keys(Vec<Vec<u8>>);
+
+/// A key file can't be used. Says nothing of the keys.
+#[derive(Debug, thiserror::Error)]
+pub enum KeyError {
+    /// The file can't be read.
+    #[error("can't be read: {0}")]
+    Io(#[from] std::io::Error),
+    /// Neither `keys = ["...", "..."]` nor one key a line.
+    #[error("not of the form keys = [\"HEX\", \"HEX\"] or one HEX key a line")]
+    Form,
+    /// A key is not hexadecimal; counted from 1.
+    #[error("key {0} is not hexadecimal")]
+    Hex(usize),
+    /// A key has fewer than [`LEAST_KEY_BYTES`] bytes; counted from 1.
+    #[error("key {0} has {1} bytes, at least 32 are needed")]
+    Short(usize, usize),
+    /// No key, or more than [`MOST_KEYS`].
+    #[error("{0} keys, 1 or 2 are needed")]
+    Count(usize),
+}
+
+impl Keys {
+    /// Reads the text of a key file: `keys = ["HEX", "HEX"]`, or one hexadecimal key a line; `#` begins a comment.
+    pub fn parse(text: &str) -> Result<Keys, KeyError> {
+        let plain = |line: &str| line.split('#').next().unwrap_or("").trim().to_owned();
+        let hex: Vec<String> = if text.contains('=') {
+            let table: toml::Table = text.parse().map_err(|_| KeyError::Form)?;
+            let keys = table.get("keys").and_then(toml::Value::as_array).ok_or(KeyError::Form)?;
+            let keys: Option<Vec<_>> = keys.iter().map(|k| k.as_str().map(str::to_owned)).collect();
+            keys.ok_or(KeyError::Form)?
+        } else {
+            text.lines().map(plain).filter(|line| !line.is_empty()).collect()
+        };
+        if hex.is_empty() || hex.len() > MOST_KEYS {
+            return Err(KeyError::Count(hex.len()));
+        }
+        let mut keys = Vec::new();
+        for (i, hex) in hex.iter().enumerate() {
+            let key = from_hex(hex).ok_or(KeyError::Hex(i + 1))?;
+            if key.len() < LEAST_KEY_BYTES {
+                return Err(KeyError::Short(i + 1, key.len()));
+            }
+            keys.push(key);
+        }
+        Ok(Keys(keys))
+    }
+
+    /// Reads a key file, and says what is to be warned of: that every user of the machine can read it.
+    pub fn read(path: &Path) -> Result<(Keys, Option<&'static str>), KeyError> {
+        use std::os::unix::fs::PermissionsExt;
+        let file = std::fs::File::open(path)?;
+        let mode = file.metadata()?.permissions().mode();
+        let mut text = String::new();
+        file.take(MOST_KEY_FILE).read_to_string(&mut text)?;
+        let warning = (mode & 0o004 != 0).then_some("every user of this machine can read the key file");
+        Ok((Keys::parse(&text)?, warning))
+    }
+
+    fn mac(key: &[u8], session: &[u8], body: &[u8]) -> Hmac<Sha256> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length");
+        for part in [LABEL, session, body] {
+            mac.update(part);
+        }
+        mac
+    }
+
+    fn sign(&self, session: &[u8], frame: &mut Vec<u8>) {
+        let mac = Self::mac(&self.0[0], session, frame).finalize().into_bytes();
+        frame.extend_from_slice(&mac);
+    }
+
+    /// Takes the same time wherever a MAC differs.
+    fn vouch(&self, session: &[u8], body: &[u8], mac: &[u8]) -> bool {
+        self.0.iter().any(|key| Self::mac(key, session, body).verify_slice(mac).is_ok())
+    }
+}
+
+impl fmt::Debug for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "Keys({})", self.0.len())
+    }
+}
+
+fn from_hex(text: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<u8>> = text.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect();
+    let digits = digits.filter(|d| d.len() % 2 == 0)?;
+    Some(digits.chunks(2).map(|pair| pair[0] << 4 | pair[1]).collect())
+}
+
+/// What is sealed or opened at the most.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Bounds {
+    /// Bytes of a datagram's payload.
+    pub most_datagram: usize,
+    /// Bytes of the payload of a frame on a connection.
+    pub most_stream_frame: usize,
+    /// Senders that are remembered; one more is refused.
+    pub most_senders: usize,
+    /// Frames a second that one sender may send on average.
+    pub per_second: u32,
+    /// Frames that one sender may send at once.
+    pub burst: u32,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            most_datagram: 1200,
+            most_stream_frame: 1 << 20,
+            most_senders: 4096,
+            per_second: 2000,
+            burst: 4000,
+        }
+    }
+}
+
+/// Why a frame is refused; nothing has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, thiserror::Error)]
+pub enum Refused {
+    /// Cut off, or no frame at all.
+    #[error("malformed")]
+    Malformed,
+    /// Larger than [`Bounds`] allow.
+    #[error("too_long")]
+    TooLong,
+    /// Of another version.
+    #[error("version")]
+    Version,
+    /// Made for a connection but came as a datagram, or the other way.
+    #[error("channel")]
+    Channel,
+    /// Meant for another member.
+    #[error("receiver")]
+    Receiver,
+    /// Says that it is from this very member.
+    #[error("own_name")]
+    OwnName,
+    /// No key of ours vouches for it: forged, garbled, another key, or of another connection.
+    #[error("mac")]
+    Mac,
+    /// From a life of the sender before the one that has been heard.
+    #[error("old_incarnation")]
+    OldIncarnation,
+    /// A datagram that has been taken before, or is too old to tell.
+    #[error("replay")]
+    Replay,
+    /// Not the next frame of its connection.
+    #[error("order")]
+    Order,
+    /// From another sender, or another life, than the connection's first frame.
+    #[error("other_sender")]
+    OtherSender,
+    /// The sender is new and the table of senders is full.
+    #[error("too_many_senders")]
+    TooManySenders,
+    /// The sender sends more than it may.
+    #[error("rate")]
+    Rate,
+}
+
+impl Refused {
+    /// Every reason, for counters.
+    pub const ALL: [Refused; 13] = [
+        Refused::Malformed,
+        Refused::TooLong,
+        Refused::Version,
+        Refused::Channel,
+        Refused::Receiver,
+        Refused::OwnName,
+        Refused::Mac,
+        Refused::OldIncarnation,
+        Refused::Replay,
+        Refused::Order,
+        Refused::OtherSender,
+        Refused::TooManySenders,
+        Refused::Rate,
+    ];
+}
+
+/// What the acceptor of a connection draws and sends first; must never come twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Session(pub [u8; 16]);
+
+/// An opened frame.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Opened<'a> {
+    /// Who sent it, in which life.
+    pub from: Who,
+    /// What the payload is; the transport's affair.
+    pub kind: u8,
+    /// The sender's count of its datagrams, or of the connection's frames.
+    pub sequence: u64,
+    /// What was sealed.
+    pub payload: &'a [u8],
+}
+
+#[allow(clippy::too_many_arguments)]
+fn seal(
+    keys: &Keys,
+    me: &Who,
+    to: &MemberName,
+    channel: u8,
+    session: &[u8],
+    kind: u8,
+    sequence: u64,
+    payload: &[u8],
+) -> Vec<u8> {
+    let (from, to) = (me.name.as_str().as_bytes(), to.as_str().as_bytes());
+    let mut frame = Vec::with_capacity(FIXED + from.len() + to.len() + payload.len() + MAC_BYTES);
+    frame.extend_from_slice(&[VERSION, channel, kind, from.len() as u8, to.len() as u8]);
+    frame.extend_from_slice(&me.incarnation.0.to_le_bytes());
+    frame.extend_from_slice(&sequence.to_le_bytes());
+    frame.extend_from_slice(from);
+    frame.extend_from_slice(to);
+    frame.extend_from_slice(payload);
+    keys.sign(session, &mut frame);
+    frame
+}
+
+/// Seals a member's datagrams. One for each life of the member, since it counts them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sealer {
+    me: Who,
+    keys: Keys,
+    most: usize,
+    next: u64,
+}
+
+impl Sealer {
+    /// Of this member in this life.
+    pub fn new(me: Who, keys: Keys, bounds: &Bounds) -> Self {
+        Sealer { me, keys, most: bounds.most_datagram, next: 1 }
+    }
+
+    /// A datagram for `to`. Refused is a payload over [`Bounds::most_datagram`] only.
+    pub fn seal(&mut self, to: &MemberName, kind: u8, payload: &[u8]) -> Result<Vec<u8>, Refused> {
+        if payload.len() > self.most {
+            return Err(Refused::TooLong);
+        }
+        let frame = seal(&self.keys, &self.me, to, DATAGRAM, &[], kind, self.next, payload);
+        self.next += 1;
+        Ok(frame)
+    }
+}
+
+/// Seals the frames of one connection, opened by this member to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamSealer {
+    me: Who,
+    to: MemberName,
+    keys: Keys,
+    most: usize,
+    session: Session,
+    next: u64,
+}
+
+impl StreamSealer {
+    /// For the connection whose acceptor began with `session`.
+    pub fn new(me: Who, to: MemberName, keys: Keys, bounds: &Bounds, session: Session) -> Self {
+        StreamSealer { me, to, keys, most: bounds.most_stream_frame, session, next: 1 }
+    }
+
+    /// The next frame, without its length. Refused is a payload over [`Bounds::most_stream_frame`] only.
+    pub fn seal(&mut self, kind: u8, payload: &[u8]) -> Result<Vec<u8>, Refused> {
+        if payload.len() > self.most {
+            return Err(Refused::TooLong);
+        }
+        let frame = seal(&self.keys, &self.me, &self.to, STREAM, &self.session.0, kind, self.next, payload);
+        self.next += 1;
+        Ok(frame)
+    }
+}
+
+/// What goes before a frame on a connection: its length.
+pub fn length_prefix(frame: &[u8]) -> [u8; 4] {
+    (frame.len() as u32).to_le_bytes()
+}
+
+/// The length of the frame to come. Refused before anything is read if no frame within `bounds` is that long.
+pub fn frame_length(prefix: [u8; 4], bounds: &Bounds) -> Result<usize, Refused> {
+    let length = u32::from_le_bytes(prefix) as usize;
+    match length {
+        _ if length > most_frame(bounds.most_stream_frame) => Err(Refused::TooLong),
+        _ if length < FIXED + 2 + MAC_BYTES => Err(Refused::Malformed),
+        _ => Ok(length),
+    }
+}
+
+/// Bytes of the longest frame that carries a payload of `most` bytes; a buffer for datagrams needs one byte more to
+/// tell a longer one.
+pub const fn most_frame(most: usize) -> usize {
+    FIXED + 2 * MOST_NAME + most + MAC_BYTES
+}
+
+/// The acceptor's side of a connection: who sends on it, and what comes next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Inbound {
+    session: Session,
+    from: Option<Who>,
+    next: u64,
+}
+
+impl Inbound {
+    /// A connection just accepted, on which `session` was sent.
+    pub fn new(session: Session) -> Self {
+        Inbound { session, from: None, next: 1 }
+    }
+
+    /// Who sends, once a frame was opened.
+    pub fn from(&self) -> Option<&Who> {
+        self.from.as_ref()
+    }
+}
+
+/// Lets through so many a second on average, and so many at once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bucket {
+    per_second: u32,
+    burst: u32,
+    millionths: u64,
+    at: Micros,
+}
+
+impl Bucket {
+    /// A full one.
+    pub fn new(now: Micros, per_second: u32, burst: u32) -> Self {
+        Bucket { per_second, burst, millionths: u64::from(burst) * 1_000_000, at: now }
+    }
+
+    /// Takes one, if one is left.
+    pub fn take(&mut self, now: Micros) -> bool {
+        let came = now.saturating_sub(self.at).saturating_mul(u64::from(self.per_second));
+        let held = self.millionths.saturating_add(came).min(u64::from(self.burst) * 1_000_000);
+        let left = held.checked_sub(1_000_000);
+        // A refusal changes nothing: what came meanwhile is counted the next time.
+        if let Some(left) = left {
+            (self.millionths, self.at) = (left, now.max(self.at));
+        }
+        left.is_some()
+    }
+}
+
+/// Which of a sender's last datagrams were taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Window {
+    highest: u64,
+    taken: [u64; (WINDOW / 64) as usize],
+}
+
+impl Window {
+    fn new() -> Self {
+        Window { highest: 0, taken: [0; (WINDOW / 64) as usize] }
+    }
+
+    fn place(sequence: u64) -> (usize, u64) {
+        let at = sequence % WINDOW;
+        ((at / 64) as usize, 1 << (at % 64))
+    }
+
+    /// Counted from 1, so that 0 is never fresh.
+    fn is_fresh(&self, sequence: u64) -> bool {
+        let (word, bit) = Self::place(sequence);
+        sequence > self.highest
+            || (sequence > 0 && self.highest - sequence < WINDOW && self.taken[word] & bit == 0)
+    }
+
+    fn take(&mut self, sequence: u64) {
+        if sequence > self.highest {
+            for skipped in (self.highest + 1..=sequence).rev().take(WINDOW as usize) {
+                let (word, bit) = Self::place(skipped);
+                self.taken[word] &= !bit;
+            }
+            self.highest = sequence;
+        }
+        let (word, bit) = Self::place(sequence);
+        self.taken[word] |= bit;
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Sender {
+    incarnation: Incarnation,
+    window: Window,
+    bucket: Bucket,
+}
+
+/// A frame whose MAC has been checked.
+struct Vouched<'a> {
+    from: Who,
+    kind: u8,
+    sequence: u64,
+    payload: &'a [u8],
+}
+
+/// Opens frames to a member, and remembers what it has to of their senders: 150 bytes and a name each.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Opener {
+    me: MemberName,
+    keys: Keys,
+    bounds: Bounds,
+    senders: BTreeMap<MemberName, Sender>,
+}
+
+impl Opener {
+    /// Of this member.
+    pub fn new(me: MemberName, keys: Keys, bounds: Bounds) -> Self {
+        Opener { me, keys, bounds, senders: BTreeMap::new() }
+    }
+
+    /// Opens a datagram.
+    pub fn datagram<'a>(&mut self, now: Micros, frame: &'a [u8]) -> Result<Opened<'a>, Refused> {
+        let vouched = self.vouch(frame, DATAGRAM, &[], self.bounds.most_datagram)?;
+        let mut sender = self.sender(now, &vouched.from)?;
+        if !sender.window.is_fresh(vouched.sequence) {
+            return Err(Refused::Replay);
+        }
+        if !sender.bucket.take(now) {
+            return Err(Refused::Rate);
+        }
+        sender.window.take(vouched.sequence);
+        Ok(self.opened(sender, vouched))
+    }
+
+    /// Opens a frame of a connection. After [`Refused::Rate`] the same frame may be tried again later; after any other
+    /// refusal nothing of that connection can be trusted, and it is to be closed.
+    pub fn stream<'a>(
+        &mut self,
+        now: Micros,
+        inbound: &mut Inbound,
+        frame: &'a [u8],
+    ) -> Result<Opened<'a>, Refused> {
+        let vouched = self.vouch(frame, STREAM, &inbound.session.0, self.bounds.most_stream_frame)?;
+        if inbound.from.as_ref().is_some_and(|from| *from != vouched.from) {
+            return Err(Refused::OtherSender);
+        }
+        if vouched.sequence != inbound.next {
+            return Err(Refused::Order);
+        }
+        let mut sender = self.sender(now, &vouched.from)?;
+        if !sender.bucket.take(now) {
+            return Err(Refused::Rate);
+        }
+        inbound.next += 1;
+        inbound.from.get_or_insert_with(|| vouched.from.clone());
+        Ok(self.opened(sender, vouched))
+    }
+
+    /// Forgets a sender that the view has dropped for good, and makes its place free. What was recorded from it can
+    /// be replayed from then on.
+    pub fn forget(&mut self, name: &MemberName) {
+        self.senders.remove(name);
+    }
+
+    /// How many senders are remembered; at most [`Bounds::most_senders`].
+    pub fn senders(&self) -> usize {
+        self.senders.len()
+    }
+
+    fn vouch<'a>(
+        &self,
+        frame: &'a [u8],
+        channel: u8,
+        session: &[u8],
+        most: usize,
+    ) -> Result<Vouched<'a>, Refused> {
+        let (&version, _) = frame.split_first().ok_or(Refused::Malformed)?;
+        if version != VERSION {
+            return Err(Refused::Version);
+        }
+        if frame.len() > most_frame(most) {
+            return Err(Refused::TooLong);
+        }
+        let body_length = frame.len().checked_sub(MAC_BYTES).ok_or(Refused::Malformed)?;
+        let (body, mac) = frame.split_at(body_length);
+        let (head, rest) = body.split_at_checked(FIXED).ok_or(Refused::Malformed)?;
+        let (from, rest) = rest.split_at_checked(head[3].into()).ok_or(Refused::Malformed)?;
+        let (to, payload) = rest.split_at_checked(head[4].into()).ok_or(Refused::Malformed)?;
+        if head[1] != channel {
+            return Err(Refused::Channel);
+        }
+        if payload.len() > most {
+            return Err(Refused::TooLong);
+        }
+        if to != self.me.as_str().as_bytes() {
+            return Err(Refused::Receiver);
+        }
+        if !self.keys.vouch(session, body, mac) {
+            return Err(Refused::Mac);
+        }
+        let name = std::str::from_utf8(from).ok().and_then(|name| MemberName::try_from(name).ok());
+        let name = name.ok_or(Refused::Malformed)?;
+        if name == self.me {
+            return Err(Refused::OwnName);
+        }
+        let integer = |at: usize| u64::from_le_bytes(head[at..at + 8].try_into().expect("8 bytes"));
+        let from = Who { name, incarnation: Incarnation(integer(5)) };
+        Ok(Vouched { from, kind: head[2], sequence: integer(13), payload })
+    }
+
+    /// What is known of the sender, as a copy that [`Self::opened`] puts in place once all else is settled.
+    fn sender(&self, now: Micros, from: &Who) -> Result<Sender, Refused> {
+        match self.senders.get(&from.name) {
+            Some(known) if from.incarnation < known.incarnation => Err(Refused::OldIncarnation),
+            Some(known) if from.incarnation == known.incarnation => Ok(known.clone()),
+            // The bucket stays, so that a new life is no way around the rate.
+            Some(known) => Ok(Sender {
+                incarnation: from.incarnation,
+                window: Window::new(),
+                bucket: known.bucket.clone(),
+            }),
+            None if self.senders.len() >= self.bounds.most_senders => Err(Refused::TooManySenders),
+            None => Ok(Sender {
+                incarnation: from.incarnation,
+                window: Window::new(),
+                bucket: Bucket::new(now, self.bounds.per_second, self.bounds.burst),
+            }),
+        }
+    }
+
+    fn opened<'a>(&mut self, sender: Sender, vouched: Vouched<'a>) -> Opened<'a> {
+        let Vouched { from, kind, sequence, payload } = vouched;
+        self.senders.insert(from.name.clone(), sender);
+        Opened { from, kind, sequence, payload }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+    use rstest::rstest;
+    use std::collections::BTreeSet;
+
+    fn name(text: &str) -> MemberName {
+        MemberName::try_from(text).unwrap()
+    }
+
+    fn who(text: &str, life: u64) -> Who {
+        Who { name: name(text), incarnation: Incarnation(life) }
+    }
+
+    fn keys(bytes: &[u8]) -> Keys {
+        Keys(bytes.iter().map(|b| vec![*b; LEAST_KEY_BYTES]).collect())
+    }
+
+    fn c1(life: u64, bounds: &Bounds) -> Sealer {
+        Sealer::new(who("c1", life), keys(&[1]), bounds)
+    }
+
+    fn small() -> Bounds {
+        Bounds { most_datagram: 40, most_stream_frame: 60, most_senders: 2, per_second: 1000, burst: 3000 }
+    }
+
+    /// Whatever `opener` says of the frame, it must refuse it and stay as it is.
+    fn refuses(opener: &mut Opener, frame: &[u8], what: &str) -> Refused {
+        let before = opener.clone();
+        let refused = opener.datagram(5, frame).expect_err(what);
+        assert_eq!(*opener, before, "{what}: {refused}");
+        refused
+    }
+
+    #[test]
+    fn only_the_very_bytes_that_a_member_sealed_for_this_one_open_and_only_once() {
+        let bounds = small();
+        let mut opener = Opener::new(name("c2"), keys(&[1]), bounds.clone());
+        let mut sealer = c1(7, &bounds);
+        let frame = sealer.seal(&name("c2"), 9, b"news").unwrap();
+        // Before the sender is known, and after: forged frames reach no table in either case.
+        for round in ["new sender", "known sender"] {
+            for bit in 0..frame.len() * 8 {
+                let mut flipped = frame.clone();
+                flipped[bit / 8] ^= 1 << (bit % 8);
+                refuses(&mut opener, &flipped, &format!("{round}, bit {bit}"));
+            }
+            for cut in 0..frame.len() {
+                refuses(&mut opener, &frame[..cut], &format!("{round}, cut at {cut}"));
+                refuses(&mut opener, &frame[cut + 1..], &format!("{round}, begun at {cut}"));
+            }
+            for extra in 1..200 {
+                refuses(&mut opener, &[&frame[..], &vec![0; extra]].concat(), "longer");
+            }
+            let mut other_key = Sealer::new(who("c1", 7), keys(&[3]), &bounds);
+            let forged = other_key.seal(&name("c2"), 9, b"news").unwrap();
+            assert_eq!(refuses(&mut opener, &forged, "another key"), Refused::Mac);
+            let elsewhere = sealer.seal(&name("c3"), 9, b"news").unwrap();
+            assert_eq!(refuses(&mut opener, &elsewhere, "another receiver"), Refused::Receiver);
+            let own = Sealer::new(who("c2", 1), keys(&[1]), &bounds).seal(&name("c2"), 9, b"news").unwrap();
+            assert_eq!(refuses(&mut opener, &own, "own name"), Refused::OwnName);
+            if round == "new sender" {
+                assert_eq!(opener.senders(), 0);
+                let opened = opener.datagram(5, &frame).unwrap();
+                assert_eq!((opened.from, opened.kind, opened.payload), (who("c1", 7), 9, &b"news"[..]));
+            }
+            if round == "known sender" {
+                assert_eq!(refuses(&mut opener, &frame, "replay"), Refused::Replay);
+            }
+        }
+        assert_eq!(sealer.seal(&name("c2"), 9, &[0; 41]), Err(Refused::TooLong));
+        let roomy = Bounds { most_datagram: 41, ..small() };
+        let long = c1(7, &roomy).seal(&name("c2"), 9, &[0; 41]).unwrap();
+        assert_eq!(refuses(&mut opener, &long, "too long"), Refused::TooLong);
+    }
+
+    #[test]
+    fn a_life_before_the_last_one_heard_is_refused_and_a_full_table_takes_no_new_sender() {
+        let bounds = small();
+        let mut opener = Opener::new(name("c2"), keys(&[1]), bounds.clone());
+        let (mut old, mut new) = (c1(7, &bounds), c1(8, &bounds));
+        let to = name("c2");
+        let (first, late) = (old.seal(&to, 0, b"a").unwrap(), old.seal(&to, 0, b"b").unwrap());
+        opener.datagram(0, &first).unwrap();
+        opener.datagram(0, &new.seal(&to, 0, b"c").unwrap()).unwrap();
+        assert_eq!(refuses(&mut opener, &late, "old life"), Refused::OldIncarnation);
+        for (sender, taken) in [("c3", true), ("c4", false), ("c5", false), ("c3", true)] {
+            let mut sealer = Sealer::new(who(sender, 2), keys(&[1]), &bounds);
+            sealer.next = 1 + opener.senders() as u64;
+            let frame = sealer.seal(&to, 0, b"").unwrap();
+            assert_eq!(opener.datagram(0, &frame).is_ok(), taken, "{sender}");
+            assert!(opener.senders() <= 2);
+        }
+        opener.forget(&name("c3"));
+        let c4 = Sealer::new(who("c4", 2), keys(&[1]), &bounds).seal(&to, 0, b"").unwrap();
+        opener.datagram(0, &c4).unwrap();
+    }
+
+    #[test]
+    fn both_keys_open_during_a_rotation_and_the_old_one_no_more_after_it() {
+        let bounds = small();
+        let to = name("c2");
+        // c1's and c2's key files are changed one after the other; at each step they understand each other.
+        let steps: [&[u8]; 5] = [&[1], &[1, 2], &[2, 1], &[2], &[2]];
+        for (step, both) in steps.windows(2).enumerate() {
+            for (from, at) in [(both[0], both[1]), (both[1], both[0])] {
+                let frame = Sealer::new(who("c1", 1), keys(from), &bounds).seal(&to, 0, b"x").unwrap();
+                let mut opener = Opener::new(to.clone(), keys(at), bounds.clone());
+                assert!(opener.datagram(0, &frame).is_ok(), "step {step}: {from:?} to {at:?}");
+            }
+        }
+        let frame = Sealer::new(who("c1", 1), keys(&[1, 2]), &bounds).seal(&to, 0, b"x").unwrap();
+        let refused = Opener::new(to.clone(), keys(&[2]), bounds).datagram(0, &frame).unwrap_err();
+        assert_eq!(refused, Refused::Mac);
+    }
+
+    #[test]
+    fn a_connection_takes_its_frames_in_order_from_one_life_and_none_of_another_connection() {
+        let bounds = small();
+        let to = name("c2");
+        let mut opener = Opener::new(to.clone(), keys(&[1]), bounds.clone());
+        let (here, there) = (Session([1; 16]), Session([2; 16]));
+        let sealer = |from, session| StreamSealer::new(from, to.clone(), keys(&[1]), &bounds, session);
+        let mut c1s = sealer(who("c1", 7), here);
+        let frames: Vec<_> = (0..4).map(|kind| c1s.seal(kind, &[kind; 60]).unwrap()).collect();
+        assert_eq!(c1s.seal(0, &[0; 61]), Err(Refused::TooLong));
+        let mut inbound = Inbound::new(here);
+        let elsewhere = sealer(who("c1", 7), there).seal(0, b"x").unwrap();
+        let mut other_life = sealer(who("c1", 8), here);
+        other_life.next = 2;
+        let wrong = [
+            (elsewhere, Refused::Mac),
+            (c1(7, &bounds).seal(&to, 0, b"x").unwrap(), Refused::Channel),
+            (frames[2].clone(), Refused::Order),
+            (frames[0].clone(), Refused::Order),
+            (other_life.seal(0, b"x").unwrap(), Refused::OtherSender),
+        ];
+        opener.stream(0, &mut inbound, &frames[0]).unwrap();
+        for (frame, why) in wrong {
+            let before = (opener.clone(), inbound.clone());
+            assert_eq!(opener.stream(0, &mut inbound, &frame).unwrap_err(), why);
+            assert_eq!((opener.clone(), inbound.clone()), before);
+        }
+        for (kind, frame) in frames.iter().enumerate().skip(1) {
+            assert_eq!(frame_length(length_prefix(frame), &bounds), Ok(frame.len()));
+            let opened = opener.stream(0, &mut inbound, frame).unwrap();
+            assert_eq!((opened.kind, opened.payload), (kind as u8, &[kind as u8; 60][..]));
+        }
+        // A new life heard anywhere ends the old one's connections.
+        opener.datagram(0, &c1(8, &bounds).seal(&to, 0, b"x").unwrap()).unwrap();
+        let late = c1s.seal(0, b"x").unwrap();
+        assert_eq!(opener.stream(0, &mut inbound, &late).unwrap_err(), Refused::OldIncarnation);
+        assert_eq!(frame_length([255; 4], &bounds), Err(Refused::TooLong));
+        assert_eq!(frame_length([1, 0, 0, 0], &bounds), Err(Refused::Malformed));
+    }
+
+    #[test]
+    fn a_sender_gets_its_burst_and_then_its_rate_and_takes_nothing_from_others() {
+        let bounds = Bounds { per_second: 10, burst: 5, ..small() };
+        let to = name("c2");
+        let mut opener = Opener::new(to.clone(), keys(&[1]), bounds.clone());
+        let mut sealer = c1(1, &bounds);
+        let mut flood = |opener: &mut Opener, now| {
+            (0..100).filter(|_| opener.datagram(now, &sealer.seal(&to, 0, b"").unwrap()).is_ok()).count()
+        };
+        assert_eq!(flood(&mut opener, 0), 5);
+        assert_eq!(flood(&mut opener, 99_999), 0);
+        assert_eq!(flood(&mut opener, 100_000), 1);
+        assert_eq!(flood(&mut opener, 90_000), 0);
+        assert_eq!(flood(&mut opener, 400_000), 3);
+        assert_eq!(flood(&mut opener, u64::MAX), 5);
+        // Neither does a new life help, nor does it cost another sender anything.
+        let again = c1(2, &bounds).seal(&to, 0, b"").unwrap();
+        assert_eq!(opener.datagram(u64::MAX, &again).unwrap_err(), Refused::Rate);
+        let c3 = Sealer::new(who("c3", 1), keys(&[1]), &bounds).seal(&to, 0, b"").unwrap();
+        opener.datagram(u64::MAX, &c3).unwrap();
+    }
+
+    #[rstest]
+    #[case::toml("# ours\nkeys = [\"K\", \"L\"]\n", Ok(2))]
+    #[case::lines("K # the new one\n\n  L\n", Ok(2))]
+    #[case::one("K", Ok(1))]
+    #[case::three("K\nL\nK", Err("3 keys"))]
+    #[case::none("# nothing\n", Err("0 keys"))]
+    #[case::short("K\nabcdef", Err("key 2 has 3 bytes"))]
+    #[case::not_hex("secretsecretsecretsecretsecretsecret", Err("key 1 is not hex"))]
+    #[case::no_toml("keys = secretsecret", Err("not of the form"))]
+    #[case::no_list("keys = \"secretsecret\"", Err("not of the form"))]
+    fn a_key_file_is_read_or_refused_without_telling_what_is_in_it(
+        #[case] text: &str,
+        #[case] wanted: Result<usize, &str>,
+    ) {
+        let text = text.replace('K', &"0a".repeat(32)).replace('L', &"B1".repeat(40));
+        match (Keys::parse(&text), wanted) {
+            (Ok(keys), Ok(count)) => assert_eq!((keys.0.len(), &keys.0[0]), (count, &vec![10; 32])),
+            (Err(error), Err(part)) => {
+                let said = format!("{error} {error:?}");
+                assert!(said.contains(part) && !said.contains("secretsecret"), "{said}");
+            }
+            (read, _) => panic!("{read:?}"),
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(22), failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Any order, loss and repetition of datagrams: none is taken twice, and each that comes less than a window
+        /// late for the first time is taken.
+        #[test]
+        fn the_window_takes_each_datagram_once_in_any_order(steps in prop::collection::vec((0u64..3, 0u64..2500), 1..200)) {
+            let (mut window, mut taken, mut highest) = (Window::new(), BTreeSet::new(), 1u64);
+            for (how, by) in steps {
+                let sequence = match how {
+                    0 => highest + by % 5,
+                    1 => highest.saturating_sub(by),
+                    _ => highest + by,
+                };
+                let wanted = sequence > 0 && sequence + WINDOW > highest && !taken.contains(&sequence);
+                prop_assert_eq!(window.is_fresh(sequence), wanted, "{} below {}", sequence, highest);
+                if wanted {
+                    window.take(sequence);
+                    taken.insert(sequence);
+                    highest = highest.max(sequence);
+                }
+            }
+        }
+
+        #[test]
+        fn no_bytes_at_all_make_the_opener_panic_or_change(bytes in prop::collection::vec(any::<u8>(), 0..120), lengths in any::<(u8, u8)>()) {
+            let mut opener = Opener::new(name("c2"), keys(&[1]), small());
+            let mut framed = [&[VERSION, DATAGRAM, 0, lengths.0 % 9, lengths.1 % 9][..], &bytes].concat();
+            refuses(&mut opener, &bytes, "noise");
+            refuses(&mut opener, &framed, "noise behind a head");
+            framed[1] = STREAM;
+            let mut inbound = Inbound::new(Session([0; 16]));
+            prop_assert!(opener.stream(0, &mut inbound, &framed).is_err());
+            prop_assert_eq!(inbound, Inbound::new(Session([0; 16])));
+        }
+    }
+}
