--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -400,6 +400,28 @@
     }
 }
 
+// ---------------------------------------------------------------- the side that is acted on
+
+/// What is acted on under leases keeps the highest token that it has seen, and refuses lower ones. This closes what no
+/// clock can: an act that was checked in time and was sent after a pause.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Guard {
+    highest: BTreeMap<LeaseName, Token>,
+}
+
+impl Guard {
+    /// Whether an act under this token may go ahead. At most `most` names are kept; acts under further ones may not.
+    pub fn admit(&mut self, name: &LeaseName, token: Token, most: usize) -> bool {
+        let lower = self.highest.get(name).is_some_and(|highest| *highest > token);
+        let full = !self.highest.contains_key(name) && self.highest.len() >= most;
+        if lower || full {
+            return false;
+        }
+        self.highest.insert(name.clone(), token);
+        true
+    }
+}
+
 // ---------------------------------------------------------------- the leader's side
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -673,6 +695,12 @@
         seq
     }
 
+    /// Another member leads: what waits for an answer is sent again at once.
+    pub fn hurry(&mut self, now: Micros, out: &mut Vec<Action>) {
+        self.outbox.hurry(now);
+        self.send(now, out);
+    }
+
     /// Nobody waits for this proposal any more; it may still be applied.
     pub fn forget(&mut self, seq: u64) {
         self.outbox.settle(seq);
@@ -880,7 +908,6 @@
         let cause = match cause {
             Cause::RanOut if self.ended || !life_good => Cause::Life,
             Cause::RanOut if to == Standing::Acting => Cause::Granted,
-            Cause::Renewed if to != Standing::Acting => Cause::RanOut,
             cause => cause,
         };
         let (from, token) = (mine.standing, mine.held.map(|(token, _)| token));
@@ -899,10 +926,8 @@
 
     /// Says that a grant has gone, while its token is still known.
     fn tell_lost(&mut self, now: Micros, name: &LeaseName, cause: Cause, out: &mut Vec<Action>) {
-        if let Some(mine) = self.mine.get_mut(name) {
-            if let Some((_, base)) = mine.held.as_mut() {
-                *base = None;
-            }
+        if let Some((_, base)) = self.mine.get_mut(name).and_then(|mine| mine.held.as_mut()) {
+            *base = None;
         }
         self.tell(now, name, cause, out);
     }
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -1,1 +1,603 @@
 //! One member of a fleet: view, group, state and leases put together, without I/O.
+//!
+//! The driver hands in events with the time on this member's own monotonic clock, and carries the actions out in
+//! order: an [`Action::Persist`] is durable before any later action is begun. [`Node::timeout`] says when to call with
+//! [`Event::Tick`]. Who may act is asked of [`lease::Rights`], which the driver keeps by [`Action::Lease`] as it comes
+//! to it, with the clock read just before the act.
+
+use crate::fleet::group::{self, Group};
+use crate::fleet::lease::{self, Holder, LeaseChange, Watch};
+use crate::fleet::message::Message;
+use crate::fleet::state::{Answer, Bounds, Command, Effect, FleetState, Proposal};
+use crate::fleet::view::{self, View};
+use crate::fleet::{Incarnation, Index, LeaseName, MemberName, SiteName, Term, Token, Who};
+use crate::interface::Micros;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The settings of a member's machines.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Of the view.
+    pub view: view::Settings,
+    /// Of the group.
+    pub group: group::Settings,
+    /// Of the leases.
+    pub lease: lease::Settings,
+    /// Of the state's tables; a leader puts its own in force.
+    pub bounds: Bounds,
+    /// Of this machine.
+    pub node: Limits,
+}
+
+/// What this member itself keeps at most.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Most leases that this member wants at once, its life lease included.
+    pub most_wants: usize,
+    /// Most proposals of other parts that wait for an answer.
+    pub most_proposals: usize,
+    /// A proposal without an answer is given up after this, in milliseconds.
+    pub give_up_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { most_wants: 64, most_proposals: 256, give_up_ms: 10_000 }
+    }
+}
+
+/// Who a member is and what it remembers at its start.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// This member, in this life.
+    pub me: view::Me,
+    /// The number that its store drew when it was formatted.
+    pub store: u64,
+    /// The voters of the first configuration, from the operator's file.
+    pub voters: BTreeSet<MemberName>,
+    /// What its disk holds of the group.
+    pub restored: group::Restored,
+    /// The seed of all that is drawn.
+    pub seed: u64,
+}
+
+/// What a member is told.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// Look for the others at these addresses.
+    Join {
+        /// From the operator's file.
+        seeds: Vec<(MemberName, SocketAddr)>,
+    },
+    /// A message came whose sender is proven.
+    Message {
+        /// The sender.
+        from: MemberName,
+        /// What it says.
+        message: Message,
+    },
+    /// Hold this lease when it can be had, until `Unwant`.
+    Want(LeaseName),
+    /// Give this lease up.
+    Unwant(LeaseName),
+    /// Put a command into the log; [`Action::Done`] has the answer.
+    Propose {
+        /// The caller's number for it.
+        ticket: u64,
+        /// What is to be done.
+        command: Command,
+    },
+    /// These members shall vote.
+    ChangeVoters(BTreeSet<MemberName>),
+    /// A planned stop: act no more, give all leases up, leave the view. [`Node::left`] says when that is done.
+    Leave,
+}
+
+/// What a member wants done, in this order.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Action {
+    /// Send a message.
+    Send {
+        /// To whom.
+        to: MemberName,
+        /// Where the view saw it last; the operator's file goes first. `None`: only the file knows.
+        address: Option<SocketAddr>,
+        /// What.
+        message: Message,
+        /// Over the ordered channel; else a datagram does.
+        reliable: bool,
+    },
+    /// Write to the store before anything that follows.
+    Persist(group::Write),
+    /// The view of a member changed.
+    View(view::Change),
+    /// This member's own standing to a lease changed: carry it to [`lease::Rights`] and into the history.
+    Lease(LeaseChange),
+    /// Who leads the group, as far as this member knows.
+    Leading {
+        /// The leader.
+        leader: Option<MemberName>,
+        /// Its term.
+        term: Term,
+    },
+    /// A proposal came to its end.
+    Done {
+        /// The caller's number.
+        ticket: u64,
+        /// What came of it.
+        result: Result<Answer, Lost>,
+    },
+    /// This member gained (true) or lost its right to act as itself.
+    MayAct(bool),
+    /// The log has ended this life: come back as a new incarnation, or stop.
+    LifeEnded,
+    /// The state changed. Each member sees each effect of the entries that it applies, in one order; those covered
+    /// by a snapshot are not seen one by one, see [`Action::Restored`].
+    Effect {
+        /// The entry.
+        index: Index,
+        /// What it did.
+        effect: Effect,
+    },
+    /// The state was replaced by a snapshot: read it anew with [`Node::state`].
+    Restored {
+        /// The last entry that it covers.
+        index: Index,
+    },
+    /// The group refused what was asked of it. Proposals are sent again by themselves.
+    Refused(group::Refusal),
+}
+
+/// Why there is no answer to a proposal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, thiserror::Error)]
+#[serde(rename_all = "snake_case")]
+pub enum Lost {
+    /// Too many wait already; it was not sent.
+    #[error("too many proposals wait")]
+    Full,
+    /// No answer came in time. It may still be applied.
+    #[error("no answer in time; it may still be applied")]
+    GaveUp,
+    /// It was decided, but a snapshot hid the answer: look at the state.
+    #[error("decided; look at the state")]
+    Hidden,
+}
+
+/// What `whinhaven fleet status` shows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// This member.
+    pub me: Who,
+    /// Its site.
+    pub site: SiteName,
+    /// How it stands to its life lease: `acting`, `waiting` or `ended`.
+    pub life: String,
+    /// The token of its life lease, if it has one.
+    pub life_token: Option<Token>,
+    /// The leader it knows.
+    pub leader: Option<MemberName>,
+    /// The group's term.
+    pub term: Term,
+    /// The last committed entry it knows.
+    pub commit: Index,
+    /// The last entry applied.
+    pub applied: Index,
+    /// All members in the view.
+    pub members: Vec<StatusMember>,
+    /// All leases in the log as applied here.
+    pub leases: Vec<StatusLease>,
+    /// The policy's epoch; 0 before the first.
+    pub epoch: u64,
+}
+
+/// A member as the view has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusMember {
+    /// Its name.
+    pub name: MemberName,
+    /// Its site.
+    pub site: SiteName,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// `alive`, `suspect`, `dead` or `left`.
+    pub status: String,
+}
+
+/// A lease as the log has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusLease {
+    /// Its name.
+    pub name: LeaseName,
+    /// Who holds it.
+    pub holder: Who,
+    /// Under which token.
+    pub token: Token,
+    /// How often it was renewed.
+    pub renewals: u64,
+    /// False while it is only offered.
+    pub taken: bool,
+    /// How many wait for it.
+    pub waiters: usize,
+}
+
+/// One member: see the module.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Node {
+    me: view::Me,
+    who: Who,
+    bounds: Bounds,
+    limits: Limits,
+    view: View,
+    group: Group,
+    state: FleetState,
+    holder: Holder,
+    watch: Watch,
+    leading: bool,
+    /// The callers' numbers of proposals that wait, by this member's, and when they are given up.
+    tickets: BTreeMap<u64, (u64, Micros)>,
+    /// The leader's requests to end a lease that wait for an answer.
+    expiring: BTreeMap<LeaseName, u64>,
+    may_act: bool,
+    life_ended: bool,
+    leaving: bool,
+}
+
+impl Node {
+    /// A member at the start of its life. It wants its life lease at once; it looks for the others at [`Event::Join`].
+    pub fn new(start: Start, settings: Settings, now: Micros) -> Node {
+        let Start { me, store, voters, restored, seed } = start;
+        let who = Who { name: me.name.clone(), incarnation: me.incarnation };
+        let draw = |part: u64| xxh3_64_with_seed(&part.to_le_bytes(), seed);
+        let voter = group::VoterId { name: me.name.clone(), store };
+        let most_wants = settings.node.most_wants;
+        Node {
+            view: View::new(me.clone(), settings.view, draw(1)),
+            group: Group::new(voter, &voters, settings.group, draw(2), restored, now),
+            state: FleetState::new(),
+            holder: Holder::new(who.clone(), settings.lease.clone(), most_wants, draw(3)),
+            watch: Watch::new(settings.lease),
+            me,
+            who,
+            bounds: settings.bounds,
+            limits: settings.node,
+            leading: false,
+            tickets: BTreeMap::new(),
+            expiring: BTreeMap::new(),
+            may_act: false,
+            life_ended: false,
+            leaving: false,
+        }
+    }
+
+    /// Takes an event at `now` and appends what is to be done, in order.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        // The clock goes first: after a pause, the rights that have run out are taken back before anything else.
+        let mut asks = VecDeque::new();
+        self.hold(now, lease::Event::Tick, &mut asks, out);
+        self.say_rights(now, out);
+        match event {
+            Event::Tick => {
+                self.look(now, view::Event::Tick, out);
+                asks.push_back(group::Event::Tick);
+                self.end_leases(now, &mut asks);
+                self.give_up(now, out);
+            }
+            Event::Join { seeds } => self.look(now, view::Event::Join { seeds }, out),
+            Event::Message { from, message: Message::View(message) } => {
+                self.look(now, view::Event::Message { from, message }, out);
+            }
+            Event::Message { from, message: Message::Group(message) } => {
+                self.look(now, view::Event::Reached(from.clone()), out);
+                asks.push_back(group::Event::Message { from, message });
+            }
+            Event::Want(name) => self.hold(now, lease::Event::Want(name), &mut asks, out),
+            Event::Unwant(name) => self.hold(now, lease::Event::Unwant(name), &mut asks, out),
+            Event::Propose { ticket, command } => {
+                if self.tickets.len() >= self.limits.most_proposals || self.leaving {
+                    out.push(Action::Done { ticket, result: Err(Lost::Full) });
+                } else {
+                    let give_up = now.saturating_add(self.limits.give_up_ms.saturating_mul(1000));
+                    let seq = self.propose(now, command, &mut asks);
+                    self.tickets.insert(seq, (ticket, give_up));
+                }
+            }
+            Event::ChangeVoters(names) => asks.push_back(group::Event::ChangeVoters(names)),
+            Event::Leave => {
+                self.leaving = true;
+                self.hold(now, lease::Event::Leave, &mut asks, out);
+                self.look(now, view::Event::Leave, out);
+                asks.push_back(group::Event::HandOver);
+            }
+        }
+        self.work(now, asks, out);
+        self.say_rights(now, out);
+    }
+
+    /// When to call with [`Event::Tick`] at the latest.
+    pub fn timeout(&self) -> Option<Micros> {
+        let give_up = self.tickets.first_key_value().map(|(_, (_, at))| *at);
+        let parts = [
+            self.view.timeout(),
+            self.group.timeout(),
+            self.holder.timeout(),
+            self.watch.timeout().filter(|_| self.leading),
+            give_up,
+        ];
+        parts.into_iter().flatten().min()
+    }
+
+    /// This member, in its life.
+    pub fn who(&self) -> &Who {
+        &self.who
+    }
+
+    /// What this member believes of the others.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Its part of the replicated log.
+    pub fn group(&self) -> &Group {
+        &self.group
+    }
+
+    /// What the log has made, as far as applied here.
+    pub fn state(&self) -> &FleetState {
+        &self.state
+    }
+
+    /// The token to act under at `now`. It may run ahead of the disk; the driver asks [`lease::Rights`] instead.
+    pub fn may_act(&self, name: &LeaseName, now: Micros) -> Option<Token> {
+        self.holder.may_act(name, now)
+    }
+
+    /// Whether a planned stop is complete as far as it can be seen here: the log has ended this life, and somebody
+    /// else leads. Whoever stops does not wait for it for ever.
+    pub fn left(&self) -> bool {
+        self.leaving && !self.leading && self.state.leases().ended(&self.who)
+    }
+
+    /// What there is to show.
+    pub fn status(&self, now: Micros) -> Status {
+        let life_token = self.holder.life_token(now);
+        let life = match (self.holder.ended(), life_token) {
+            (true, _) => "ended",
+            (false, Some(_)) => "acting",
+            (false, None) => "waiting",
+        };
+        let member = |peer: &view::Peer| StatusMember {
+            name: peer.name.clone(),
+            site: peer.site.clone(),
+            incarnation: peer.incarnation,
+            address: peer.address,
+            status: peer.status.as_str().to_owned(),
+        };
+        let table = self.state.leases();
+        let lease = |(name, grant): (&LeaseName, &lease::Grant)| StatusLease {
+            name: name.clone(),
+            holder: grant.holder.clone(),
+            token: grant.token,
+            renewals: grant.renewals,
+            taken: grant.taken,
+            waiters: table.waiters(name).count(),
+        };
+        Status {
+            me: self.who.clone(),
+            site: self.me.site.clone(),
+            life: life.to_owned(),
+            life_token,
+            leader: self.group.leader().cloned(),
+            term: self.group.term(),
+            commit: self.group.commit(),
+            applied: self.state.applied(),
+            members: self.view.peers().map(member).collect(),
+            leases: table.grants().map(lease).collect(),
+            epoch: 0,
+        }
+    }
+
+    // ------------------------------------------------------------ the parts
+
+    fn look(&mut self, now: Micros, event: view::Event, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        self.view.handle(now, event, &mut actions);
+        out.extend(actions.into_iter().map(|action| match action {
+            view::Action::Send { to, address, message, reliable } => {
+                Action::Send { to, address: Some(address), message: Message::View(message), reliable }
+            }
+            view::Action::Changed(change) => Action::View(change),
+        }));
+    }
+
+    fn hold(
+        &mut self,
+        now: Micros,
+        event: lease::Event,
+        asks: &mut VecDeque<group::Event>,
+        out: &mut Vec<Action>,
+    ) {
+        let mut actions = Vec::new();
+        self.holder.handle(now, event, self.state.leases(), &mut actions);
+        self.held(actions, asks, out);
+    }
+
+    fn held(&self, actions: Vec<lease::Action>, asks: &mut VecDeque<group::Event>, out: &mut Vec<Action>) {
+        for action in actions {
+            match action {
+                lease::Action::Propose(proposal) => {
+                    asks.push_back(group::Event::Propose { payload: proposal.encode() });
+                }
+                lease::Action::Changed(change) => out.push(Action::Lease(change)),
+            }
+        }
+    }
+
+    fn propose(&mut self, now: Micros, command: Command, asks: &mut VecDeque<group::Event>) -> u64 {
+        let mut actions = Vec::new();
+        let seq = self.holder.propose(now, command, &mut actions);
+        self.held(actions, asks, &mut Vec::new());
+        seq
+    }
+
+    /// Gives the group what there is for it, until nothing more comes of it.
+    fn work(&mut self, now: Micros, mut asks: VecDeque<group::Event>, out: &mut Vec<Action>) {
+        while let Some(event) = asks.pop_front() {
+            let mut actions = Vec::new();
+            self.group.handle(now, event, &mut actions);
+            for action in actions {
+                match action {
+                    group::Action::Persist(write) => out.push(Action::Persist(write)),
+                    group::Action::Send { to, message } => {
+                        let address = self.view.peer(&to).map(|peer| peer.address);
+                        out.push(Action::Send {
+                            to,
+                            address,
+                            message: Message::Group(message),
+                            reliable: true,
+                        });
+                    }
+                    group::Action::Apply(entry) => self.apply(now, entry, &mut asks, out),
+                    group::Action::Restore(snapshot) => self.restore(now, snapshot, &mut asks, out),
+                    group::Action::Leading(leader, term) => self.lead(now, leader, term, &mut asks, out),
+                    group::Action::Refused(refusal) => out.push(Action::Refused(refusal)),
+                }
+            }
+            if asks.is_empty() && self.group.wants_snapshot() {
+                let (index, data) = (self.state.applied(), self.state.encode());
+                asks.push_back(group::Event::Compact { index, data });
+            }
+        }
+    }
+
+    fn apply(
+        &mut self,
+        now: Micros,
+        entry: group::Entry,
+        asks: &mut VecDeque<group::Event>,
+        out: &mut Vec<Action>,
+    ) {
+        let proposal = match &entry.payload {
+            group::Payload::Data(payload) => Proposal::decode(payload),
+            _ => None,
+        };
+        let mut effects = Vec::new();
+        match proposal {
+            Some(proposal) => self.state.apply(entry.index, proposal, &mut effects),
+            None => self.state.skip(entry.index),
+        }
+        for effect in effects {
+            out.push(Action::Effect { index: entry.index, effect: effect.clone() });
+            match effect {
+                Effect::Lease(change) => {
+                    self.watch.changed(now, &change.name, self.state.leases());
+                    self.hold(now, lease::Event::Changed(change.name), asks, out);
+                }
+                Effect::Answered { origin, answer } if origin.who == self.who => {
+                    if let Some((ticket, _)) = self.tickets.remove(&origin.seq) {
+                        out.push(Action::Done { ticket, result: Ok(answer.clone()) });
+                    }
+                    self.expiring.retain(|_, seq| *seq != origin.seq);
+                    self.hold(now, lease::Event::Answered(origin.seq, answer), asks, out);
+                }
+                Effect::Answered { .. } | Effect::Bounds(_) => {}
+            }
+        }
+    }
+
+    /// A snapshot takes the place of the state. Answers that it hides are looked up in it.
+    fn restore(
+        &mut self,
+        now: Micros,
+        snapshot: group::Snapshot,
+        asks: &mut VecDeque<group::Event>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(state) = FleetState::decode(&snapshot.data) else { return };
+        self.state = state;
+        self.state.skip(snapshot.index);
+        out.push(Action::Restored { index: snapshot.index });
+        self.watch.lead(now, self.leading, self.state.leases());
+        for origin in self.holder.open() {
+            if self.state.decided(&origin) {
+                if let Some((ticket, _)) = self.tickets.remove(&origin.seq) {
+                    out.push(Action::Done { ticket, result: Err(Lost::Hidden) });
+                }
+                self.hold(now, lease::Event::Answered(origin.seq, Answer::Done), asks, out);
+            }
+        }
+        self.hold(now, lease::Event::Restored, asks, out);
+    }
+
+    fn lead(
+        &mut self,
+        now: Micros,
+        leader: Option<MemberName>,
+        term: Term,
+        asks: &mut VecDeque<group::Event>,
+        out: &mut Vec<Action>,
+    ) {
+        let leading = leader.as_ref() == Some(&self.who.name);
+        if leading != self.leading {
+            self.leading = leading;
+            self.watch.lead(now, leading, self.state.leases());
+            for (_, seq) in std::mem::take(&mut self.expiring) {
+                self.holder.forget(seq);
+            }
+        }
+        if leading && self.bounds != *self.state.bounds() {
+            self.propose(now, Command::Bounds(self.bounds.clone()), asks);
+        }
+        if leader.is_some() {
+            let mut actions = Vec::new();
+            self.holder.hurry(now, &mut actions);
+            self.held(actions, asks, out);
+        }
+        out.push(Action::Leading { leader, term });
+    }
+
+    /// As leader, asks the log to end what has run out by this member's clock.
+    fn end_leases(&mut self, now: Micros, asks: &mut VecDeque<group::Event>) {
+        let mut commands = Vec::new();
+        if self.leading {
+            self.watch.expire(now, &mut commands);
+        }
+        for command in commands {
+            let lease::Command::Expire { name, .. } = &command else { continue };
+            let name = name.clone();
+            let seq = self.propose(now, Command::Lease(command), asks);
+            if let Some(before) = self.expiring.insert(name, seq) {
+                self.holder.forget(before);
+            }
+        }
+    }
+
+    fn give_up(&mut self, now: Micros, out: &mut Vec<Action>) {
+        while let Some(entry) = self.tickets.first_entry().filter(|entry| entry.get().1 <= now) {
+            let (seq, (ticket, _)) = entry.remove_entry();
+            self.holder.forget(seq);
+            out.push(Action::Done { ticket, result: Err(Lost::GaveUp) });
+        }
+    }
+
+    /// Says when this member gains or loses its right to act as itself.
+    fn say_rights(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let may_act = self.holder.life_token(now).is_some();
+        if may_act != self.may_act {
+            self.may_act = may_act;
+            out.push(Action::MayAct(may_act));
+        }
+        if self.holder.ended() && !self.life_ended {
+            self.life_ended = true;
+            out.push(Action::LifeEnded);
+        }
+    }
+}
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -329,6 +329,14 @@
         }
     }
 
+    /// Everything is due now: there is somebody new to send it to.
+    pub fn hurry(&mut self, now: Micros) {
+        for open in self.open.values_mut() {
+            open.tries = 0;
+            open.due = now;
+        }
+    }
+
     /// When [`Outbox::due`] has something to send next.
     pub fn timeout(&self) -> Option<Micros> {
         self.open.values().map(|open| open.due).min()
