--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -1,6 +1,7 @@
 //! The `[fleet]` and `[store]` tables of an operator's file.
 
-use super::{MemberName, SiteName};
+use super::net::admin::ADMINISTRATOR;
+use super::{MOST_NAME, MemberName, SiteName, lease, node};
 use crate::config::{ConfigError, Limits};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -54,6 +55,8 @@
     pub when_cut_off: WhenCutOff,
     /// How often the holder of `discovery-refresh` does its duty, in milliseconds.
     pub refresh_period_ms: u64,
+    /// Of the machines.
+    pub settings: node::Settings,
     /// Where the log is kept.
     pub store: StoreConfig,
 }
@@ -64,8 +67,11 @@
 const SOCKETS_PART: usize = 4;
 /// Descriptors beside two for each peer: the UDP socket, the listener, the log, and those who ask for the status.
 const OWN_SOCKETS: usize = 12;
-/// The longest frame, and what must fit into a queue at least.
-const LEAST_QUEUE: usize = 64 * 1024;
+/// What is around entries in a message, and a member's row in a table that members exchange.
+const AROUND: usize = 8 * 1024;
+const ROW: usize = 2 * MOST_NAME + 64;
+/// The longest payload of an entry, and bytes of entries in a message, unless the file says otherwise.
+const PAYLOAD: usize = 64 * 1024;
 
 impl FleetConfig {
     /// Reads the two tables. `name` is the conductor's. `None` without a `[fleet]` table.
@@ -91,14 +97,25 @@
             None => name.to_owned(),
         };
         let name = MemberName::try_from(own).map_err(|e| ConfigError(format!("fleet.name: {e}")))?;
+        let mut settings = node::Settings::default();
+        settings.group.most_payload_bytes = PAYLOAD;
+        settings.group.most_bytes_per_message = PAYLOAD;
+        settings.view = fleet.settings("view", settings.view)?;
+        settings.group = fleet.settings("group", settings.group)?;
+        settings.lease = fleet.settings("lease", settings.lease)?;
+        settings.bounds = fleet.settings("bounds", settings.bounds)?;
+        settings.node = fleet.settings("node", settings.node)?;
+        let most_members: usize = fleet.bounded("most_members", 32, 1, 1_000)?;
+        settings.view.most_members = most_members.max(2);
+        settings.group.most_learners = most_members;
         let config = FleetConfig {
             site: fleet.required("site")?,
             peer: fleet.required("peer")?,
             key_file: fleet.required("key_file")?,
             voters: fleet.required("voters")?,
             peers: fleet.optional("peers")?.unwrap_or_default(),
-            most_members: fleet.bounded("most_members", 64, 1, 1_000)?,
-            most_queue_bytes: fleet.bounded("most_queue_bytes", 128 * 1024, LEAST_QUEUE as u64, 1 << 30)?,
+            most_members,
+            most_queue_bytes: fleet.bounded("most_queue_bytes", 256 * 1024, 1, 1 << 30)?,
             most_frames_per_s: fleet.bounded("most_frames_per_s", 2_000, 50, 1_000_000)?,
             when_cut_off: fleet.optional("when_cut_off")?.unwrap_or_default(),
             refresh_period_ms: fleet.bounded("refresh_period_ms", 1_000, 10, 3_600_000)?,
@@ -106,6 +123,7 @@
                 path: store.required("path")?,
                 most_bytes: store.bounded("most_bytes", 64 << 20, 1 << 20, 1 << 40)?,
             },
+            settings,
             name,
         };
         fleet.end()?;
@@ -121,6 +139,31 @@
         if let Some(voter) = self.voters.iter().find(|v| **v != self.name && !self.peers.contains_key(v)) {
             return Err(("fleet.voters", format!("{voter} has no address in fleet.peers")));
         }
+        if self.name.as_str() == ADMINISTRATOR || self.name.as_str().len() > lease::MOST_MEMBER_NAME {
+            let most = lease::MOST_MEMBER_NAME;
+            return Err((
+                "fleet.name",
+                format!("{} can't be one: at most {most} bytes, not {ADMINISTRATOR}", self.name),
+            ));
+        }
+        if let Err(error) = self.settings.view.check() {
+            return Err(("fleet.view", error.0.to_owned()));
+        }
+        let group = &self.settings.group;
+        if group.heartbeat_us == 0 || group.heartbeat_us.saturating_mul(5) > group.election_us {
+            return Err((
+                "fleet.group.heartbeat_us",
+                "must be above 0 and at most a fifth of election_us".into(),
+            ));
+        }
+        let lease = &self.settings.lease;
+        if lease.hold() <= lease.renew() {
+            let what = "nothing is left to act in after a third, drift_ppm and margin_ms";
+            return Err(("fleet.lease.granted_for_ms", what.into()));
+        }
+        if lease.granted_for_ms > self.settings.bounds.most_granted_for_ms {
+            return Err(("fleet.lease.granted_for_ms", "is above fleet.bounds.most_granted_for_ms".into()));
+        }
         if self.peer.port() == 0 || self.peer.ip().is_unspecified() {
             return Err(("fleet.peer", format!("others can't reach {}", self.peer)));
         }
@@ -147,10 +190,14 @@
             let most = (limits.sockets / SOCKETS_PART).saturating_sub(OWN_SOCKETS) / 2;
             return Err(("fleet.most_members", format!("limits.sockets have room for {most} members")));
         }
+        let frame = self.most_frame_bytes();
+        if self.most_queue_bytes < frame {
+            return Err(("fleet.most_queue_bytes", format!("the longest message has {frame}")));
+        }
         // Each peer has a queue on its way out and a frame on its way in.
         let memory = limits.memory_mb * 1024 * 1024 / MEMORY_PART;
-        if self.most_members * (self.most_queue_bytes + LEAST_QUEUE) > memory {
-            let most = (memory / self.most_members).saturating_sub(LEAST_QUEUE);
+        if self.most_members * (self.most_queue_bytes + frame) > memory {
+            let most = (memory / self.most_members).saturating_sub(frame);
             let what =
                 format!("limits.memory_mb have room for {most} for each of {} members", self.most_members);
             return Err(("fleet.most_queue_bytes", what));
@@ -158,6 +205,13 @@
         Ok(())
     }
 
+    /// Bytes of the longest message over a connection.
+    pub fn most_frame_bytes(&self) -> usize {
+        let group = &self.settings.group;
+        let entries = group.most_bytes_per_message.max(group.most_payload_bytes);
+        AROUND + entries.max(ROW * self.most_members)
+    }
+
     /// The descriptors that are kept for peers.
     pub fn sockets(&self) -> usize {
         2 * self.most_members + OWN_SOCKETS
@@ -210,12 +264,15 @@
         fits.ok_or_else(|| self.wrong(field, format!("{number} is not in {least} to {most}")))
     }
 
-    /// Takes a table of settings: what it names stands in for the default's.
-    #[allow(dead_code)]
-    fn settings<T: DeserializeOwned + Serialize + Default>(&mut self, field: &str) -> Result<T, ConfigError> {
-        let Some(given) = self.optional::<Map<String, Value>>(field)? else { return Ok(T::default()) };
-        let mut whole = serde_json::to_value(T::default()).map_err(|e| self.wrong(field, e))?;
-        let mut settings = T::default();
+    /// Takes a table of settings: what it names stands in for what `settings` has.
+    fn settings<T: DeserializeOwned + Serialize>(
+        &mut self,
+        field: &str,
+        settings: T,
+    ) -> Result<T, ConfigError> {
+        let Some(given) = self.optional::<Map<String, Value>>(field)? else { return Ok(settings) };
+        let mut whole = serde_json::to_value(&settings).map_err(|e| self.wrong(field, e))?;
+        let mut settings = settings;
         for (name, value) in given {
             let path = format!("{field}.{name}");
             let place = whole.get_mut(&name).ok_or_else(|| self.wrong(&path, "there is no such field"))?;
--- /dev/null
+++ b/src/fleet/net/drive.rs
@@ -0,0 +1,447 @@
+//! Drives a member: events in, actions out in their order, one life after the other.
+//!
+//! What the view sends goes out at once. All else waits in one queue, so that whatever follows a write happens after
+//! the write is on the disk.
+
+use super::disk::{Disk, DiskError, Found};
+use super::history::{self, History};
+use super::links::{Links, Terms};
+use super::reception::{Came, Reception};
+use super::seal::{Bucket, Refused, Sealer, most_frame};
+use super::{Fleet, MESSAGE, admin, bounds, store_settings};
+use crate::fleet::config::FleetConfig;
+use crate::fleet::lease::{Standing, What, life};
+use crate::fleet::message::Message;
+use crate::fleet::node::{Action, Event, Node, Start};
+use crate::fleet::state::Effect;
+use crate::fleet::{LeaseName, MemberName, Who, group, view};
+use crate::interface::Micros;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, MissedTickBehavior};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Actions that may wait for the disk until nothing more of the group is taken in.
+const MOST_WAITING: usize = 4_096;
+/// A write that has not ended after so many seconds has failed.
+const MOST_SECONDS: u32 = 10;
+/// How often what the view has forgotten is forgotten here.
+const TIDY: Duration = Duration::from_secs(60);
+/// Datagrams that are looked at in a second, for each member there may be: checking a seal takes time.
+const LOOKS: u32 = 1_000;
+
+/// What the program asks of its member.
+pub enum Ask {
+    /// Hold this lease whenever it can be had.
+    Want(LeaseName),
+    /// A planned stop.
+    Leave(oneshot::Sender<()>),
+}
+
+/// Drives one member for as long as the program runs.
+pub struct Driver {
+    /// What it was told.
+    pub config: FleetConfig,
+    /// What the program sees of it.
+    pub fleet: Fleet,
+    /// What comes over connections, and the opener of frames.
+    pub reception: Rc<Reception>,
+    /// For datagrams.
+    pub socket: UdpSocket,
+    /// Messages and administrators' requests.
+    pub came: mpsc::Receiver<Came>,
+    /// The program's requests.
+    pub asked: mpsc::Receiver<Ask>,
+    /// Of all that is drawn.
+    pub seed: u64,
+}
+
+/// Why a life is over.
+enum Over {
+    /// The log has ended it: another one may begin.
+    Ended,
+    /// The disk failed.
+    Failed(DiskError),
+    /// The program has dropped its end.
+    Dropped,
+}
+
+/// The store, at hand or at the thread that writes.
+enum Writing {
+    Idle(Disk),
+    Busy(JoinHandle<(Disk, Result<(), DiskError>)>),
+    Gone,
+}
+
+/// One life of the member.
+struct Life {
+    who: Who,
+    history: History,
+    node: Node,
+    sealer: Sealer,
+    links: Links,
+    writing: Writing,
+    /// What is to be done once the disk has what came before it.
+    waiting: VecDeque<Action>,
+    left: Option<oneshot::Sender<()>>,
+    leaving: bool,
+    ended: bool,
+}
+
+impl Driver {
+    /// Runs until the program ends. Where the store fails, the member is silent from then on.
+    pub async fn run(mut self, mut found: Found) {
+        let mut wants = vec![];
+        loop {
+            let over = self.live(found, &mut wants).await;
+            // Whatever comes next, this life acts no more.
+            self.fleet.0.rights.take();
+            let failed = match over {
+                Over::Dropped => return,
+                Over::Ended => match self.reopen().await {
+                    Ok(again) => {
+                        found = again;
+                        continue;
+                    }
+                    Err(error) => error,
+                },
+                Over::Failed(error) => error,
+            };
+            History(self.fleet.who()).failed(&failed.to_string());
+            self.fleet.0.stopped.set(true);
+            return self.silent(&failed.to_string()).await;
+        }
+    }
+
+    async fn reopen(&self) -> Result<Found, DiskError> {
+        let (path, settings) = (self.config.store.path.clone(), store_settings(&self.config));
+        let opening = tokio::task::spawn_blocking(move || Disk::open(&path, settings, history::unix_us()));
+        opening.await.unwrap_or(Err(DiskError::Gone))
+    }
+
+    /// Answers administrators, and nobody else.
+    async fn silent(&mut self, why: &str) {
+        loop {
+            tokio::select! {
+                came = self.came.recv() => match came {
+                    Some(Came::Asked(_, answer)) => {
+                        let _ = answer.send(admin::Reply::Refused(format!("the store failed: {why}")));
+                    }
+                    Some(Came::Message(..)) => {}
+                    None => return,
+                },
+                asked = self.asked.recv() => if asked.is_none() { return },
+            }
+        }
+    }
+
+    async fn live(&mut self, found: Found, wants: &mut Vec<LeaseName>) -> Over {
+        let Found { disk, store_id, fresh, restored, torn } = found;
+        let who = Who { name: self.config.name.clone(), incarnation: disk.incarnation() };
+        let history = History(who.clone());
+        if let Some(torn) = torn {
+            history.note(&format!("store: {torn}"));
+        }
+        history.start(self.config.site.as_str(), self.config.peer, store_id, fresh);
+        self.fleet.0.who.replace(who.clone());
+        self.reception.me.replace(who.clone());
+        let key = [who.incarnation.0.to_le_bytes(), store_id.to_le_bytes()].concat();
+        let seed = xxh3_64_with_seed(&key, self.seed);
+        let me = view::Me {
+            name: who.name.clone(),
+            site: self.config.site.clone(),
+            address: self.config.peer,
+            incarnation: who.incarnation,
+        };
+        let start = Start { me, store: store_id, voters: self.config.voters.clone(), restored, seed };
+        let (keys, bounds) = (self.reception.keys.clone(), bounds(&self.config));
+        let terms = Terms {
+            me: who.clone(),
+            keys: keys.clone(),
+            bounds: bounds.clone(),
+            most_queue_bytes: self.config.most_queue_bytes,
+            most_links: self.config.most_members,
+            seed: seed ^ 1,
+        };
+        let mut life = Life {
+            node: Node::new(start, self.config.settings.clone(), self.now()),
+            sealer: Sealer::new(who.clone(), keys, &bounds),
+            links: Links::new(terms, self.fleet.0.counters.clone()),
+            writing: Writing::Idle(disk),
+            waiting: VecDeque::new(),
+            left: None,
+            leaving: false,
+            ended: false,
+            who,
+            history,
+        };
+        let seeds = self.config.peers.iter().map(|(name, address)| (name.clone(), *address)).collect();
+        self.event(&mut life, Event::Join { seeds });
+        for name in wants.iter() {
+            self.event(&mut life, Event::Want(name.clone()));
+        }
+        self.drive(life, wants).await
+    }
+
+    async fn drive(&mut self, mut life: Life, wants: &mut Vec<LeaseName>) -> Over {
+        let mut buffer = vec![0; most_frame(self.config.settings.view.most_bytes) + 1];
+        let looks = LOOKS.saturating_mul(self.config.most_members as u32);
+        let mut looks = Bucket::new(self.now(), looks, looks);
+        let mut seconds = tokio::time::interval(Duration::from_secs(1));
+        seconds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut tidy = tokio::time::interval(TIDY);
+        tidy.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut waited = 0;
+        loop {
+            self.carry_out(&mut life);
+            if life.ended
+                && !life.leaving
+                && matches!(life.writing, Writing::Idle(_))
+                && life.waiting.is_empty()
+            {
+                return Over::Ended;
+            }
+            let next = life.node.timeout().map(|at| self.fleet.0.clock.instant(at));
+            let full = life.waiting.len() >= MOST_WAITING;
+            let busy = matches!(life.writing, Writing::Busy(_));
+            // What the clock says goes before what has come: after a pause, rights that have run out end first.
+            tokio::select! {
+                biased;
+                written = written(&mut life.writing), if busy => {
+                    waited = 0;
+                    match written {
+                        Ok(disk) => life.writing = Writing::Idle(disk),
+                        Err(error) => return Over::Failed(error),
+                    }
+                }
+                () = tokio::time::sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {
+                    self.event(&mut life, Event::Tick);
+                }
+                _ = seconds.tick(), if busy => {
+                    // Counted, not measured: a process that was stopped has not waited for its disk.
+                    waited += 1;
+                    if waited > MOST_SECONDS {
+                        return Over::Failed(DiskError::Stalled(MOST_SECONDS));
+                    }
+                }
+                _ = tidy.tick() => self.tidy(&mut life),
+                came = async {
+                    tokio::select! {
+                        asked = self.asked.recv() => Next::Asked(asked),
+                        came = self.came.recv(), if !full => Next::Came(came),
+                        came = self.socket.recv_from(&mut buffer) => Next::Datagram(came),
+                    }
+                } => match came {
+                    Next::Asked(None) | Next::Came(None) => return Over::Dropped,
+                    Next::Asked(Some(Ask::Want(name))) => {
+                        if !wants.contains(&name) {
+                            wants.push(name.clone());
+                        }
+                        self.event(&mut life, Event::Want(name));
+                    }
+                    Next::Asked(Some(Ask::Leave(left))) => {
+                        life.leaving = true;
+                        life.left = Some(left);
+                        self.event(&mut life, Event::Leave);
+                    }
+                    Next::Came(Some(Came::Message(from, message))) => {
+                        self.event(&mut life, Event::Message { from, message });
+                    }
+                    Next::Came(Some(Came::Asked(request, answer))) => {
+                        let _ = answer.send(self.answer(&life, request));
+                    }
+                    Next::Datagram(Ok((length, from))) => {
+                        self.datagram(&mut life, &buffer[..length], from, &mut looks);
+                    }
+                    // Someone was not there to take a datagram.
+                    Next::Datagram(Err(error)) => log::debug!("fleet: {error}"),
+                }
+            }
+        }
+    }
+
+    fn now(&self) -> Micros {
+        self.fleet.0.clock.now()
+    }
+
+    fn event(&self, life: &mut Life, event: Event) {
+        let mut actions = Vec::new();
+        let now = self.now();
+        // Timers that are due go first, whatever it was that woke this member up.
+        if event != Event::Tick && life.node.timeout().is_some_and(|at| at <= now) {
+            life.node.handle(now, Event::Tick, &mut actions);
+        }
+        life.node.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { to, address, message: message @ Message::View(_), reliable } => {
+                    self.send(life, &to, address, &message, reliable);
+                }
+                Action::View(change) => {
+                    self.fleet.0.counters.view_changes.up();
+                    life.history.view(&change);
+                }
+                other => life.waiting.push_back(other),
+            }
+        }
+        if life.leaving && life.node.left() {
+            if let Some(left) = life.left.take() {
+                let _ = left.send(());
+            }
+        }
+    }
+
+    fn datagram(&self, life: &mut Life, frame: &[u8], from: SocketAddr, looks: &mut Bucket) {
+        let now = self.now();
+        if !looks.take(now) {
+            return self.reception.refused(from.ip(), Refused::Rate);
+        }
+        let opened = match self.reception.opener.borrow_mut().datagram(now, frame) {
+            Ok(opened) => Ok((opened.from.name, opened.kind, Message::decode(opened.payload))),
+            Err(reason) => Err(reason),
+        };
+        match opened {
+            Err(reason) => self.reception.refused(from.ip(), reason),
+            Ok((from, MESSAGE, Some(message @ Message::View(_)))) => {
+                self.fleet.0.counters.datagrams_in.up();
+                self.event(life, Event::Message { from, message });
+            }
+            Ok((from, ..)) => self.reception.unreadable(&from),
+        }
+    }
+
+    fn send(
+        &self,
+        life: &mut Life,
+        to: &MemberName,
+        address: Option<SocketAddr>,
+        message: &Message,
+        reliable: bool,
+    ) {
+        let Some(address) = self.config.peers.get(to).copied().or(address) else { return };
+        let payload = message.encode();
+        if reliable || payload.len() > self.config.settings.view.most_bytes {
+            return life.links.send(to, address, payload);
+        }
+        let sent = life.sealer.seal(to, MESSAGE, &payload).ok();
+        let sent = sent.and_then(|frame| self.socket.try_send_to(&frame, address).ok());
+        let counters = &self.fleet.0.counters;
+        if sent.is_some() { counters.datagrams_out.up() } else { counters.datagrams_lost.up() }
+    }
+
+    /// Carries out what waits, up to a write that is not done yet.
+    fn carry_out(&self, life: &mut Life) {
+        while matches!(life.writing, Writing::Idle(_)) {
+            let Some(action) = life.waiting.pop_front() else { return };
+            match action {
+                Action::Persist(write) => self.write(life, write),
+                other => self.act(life, other),
+            }
+        }
+    }
+
+    /// Hands a write to the blocking thread, with those that follow it directly.
+    fn write(&self, life: &mut Life, first: group::Write) {
+        let mut writes = vec![first];
+        while matches!(life.waiting.front(), Some(Action::Persist(_))) {
+            if let Some(Action::Persist(write)) = life.waiting.pop_front() {
+                writes.push(write);
+            }
+        }
+        if let Writing::Idle(mut disk) = std::mem::replace(&mut life.writing, Writing::Gone) {
+            self.fleet.0.counters.writes.up();
+            life.writing = Writing::Busy(tokio::task::spawn_blocking(move || {
+                let done = disk.write(&writes);
+                (disk, done)
+            }));
+        }
+    }
+
+    fn act(&self, life: &mut Life, action: Action) {
+        let shared = &self.fleet.0;
+        match action {
+            Action::Send { to, address, message, reliable } => {
+                self.send(life, &to, address, &message, reliable)
+            }
+            Action::Lease(change) => {
+                let now = self.now();
+                shared.rights.borrow_mut().change(&change);
+                match (change.from, change.to) {
+                    (Standing::Acting, Standing::Acting) => {}
+                    (_, Standing::Acting) => shared.counters.leases_granted.up(),
+                    (Standing::Acting, _) => shared.counters.leases_lost.up(),
+                    _ => {}
+                }
+                life.history.lease(&change, now);
+            }
+            Action::Leading { leader, term } => {
+                if leader.is_some() {
+                    shared.counters.leaders.up();
+                }
+                life.history.leading(leader.as_ref(), term);
+            }
+            Action::MayAct(gained) => {
+                let table = life.node.state().leases();
+                let token = table.life(&life.who.name).filter(|grant| grant.holder == life.who);
+                life.history.life(token.map(|grant| grant.token), gained);
+            }
+            Action::LifeEnded => life.ended = true,
+            Action::Effect { index, effect: Effect::Lease(change) } => {
+                let of_life = self::life(&change.holder.name).is_some_and(|name| name == change.name);
+                if of_life && matches!(change.what, What::Expired | What::Released) {
+                    shared.counters.deaths.up();
+                    life.history.death(&change.holder, index);
+                }
+            }
+            Action::Refused(group::Refusal::FirstVotersDiffer) => {
+                life.history.note("another first voter names other first voters: the group can't start");
+            }
+            Action::Refused(refusal) => log::debug!("fleet: the group refused: {refusal:?}"),
+            // Of use to the parts that put commands into the log.
+            Action::Done { .. } | Action::Effect { .. } | Action::Restored { .. } => {}
+            Action::Persist(_) | Action::View(_) => {}
+        }
+    }
+
+    fn answer(&self, life: &Life, request: admin::Request) -> admin::Reply {
+        match request {
+            admin::Request::Status => admin::Reply::Status(Box::new(life.node.status(self.now()))),
+        }
+    }
+
+    /// Lets go of what belongs to members that the view has forgotten.
+    fn tidy(&self, life: &mut Life) {
+        let known =
+            |name: &MemberName| life.node.view().peer(name).is_some() || self.config.peers.contains_key(name);
+        let gone: Vec<MemberName> = life.links.names().filter(|name| !known(name)).cloned().collect();
+        let senders =
+            self.reception.opener.borrow().names().filter(|name| !known(name)).cloned().collect::<Vec<_>>();
+        for name in &gone {
+            life.links.forget(name);
+        }
+        for name in &senders {
+            self.reception.opener.borrow_mut().forget(name);
+        }
+    }
+}
+
+enum Next {
+    Asked(Option<Ask>),
+    Came(Option<Came>),
+    Datagram(std::io::Result<(usize, SocketAddr)>),
+}
+
+/// Waits for the write that is under way.
+async fn written(writing: &mut Writing) -> Result<Disk, DiskError> {
+    let Writing::Busy(task) = writing else { return std::future::pending().await };
+    match task.await {
+        Ok((disk, Ok(()))) => Ok(disk),
+        Ok((_, Err(error))) => Err(error),
+        Err(_) => Err(DiskError::Gone),
+    }
+}
--- /dev/null
+++ b/src/fleet/net/history.rs
@@ -0,0 +1,159 @@
+//! The history: one log line for each change of state, with key-values for whoever reads it by program.
+//!
+//! Every line has `event`, `at_us` (microseconds since 1970), `member` and `incarnation`. The lines are explained in
+//! `docs/fleet.md`.
+
+use crate::fleet::lease::{Cause, LeaseChange, Standing};
+use crate::fleet::{Index, LeaseName, MemberName, Term, Token, Who, view};
+use crate::interface::Micros;
+use std::net::SocketAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Where all but renewals go.
+const TARGET: &str = "whinhaven::fleet";
+/// Renewals come all the time, so they can be turned off by themselves.
+pub const RENEWALS: &str = "whinhaven::fleet::renewals";
+
+/// Microseconds since 1970 by the system's clock. For the history only: all that is decided goes by the monotonic one.
+pub fn unix_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+macro_rules! event {
+    ($self:ident, $level:ident, $target:expr, $event:literal, at $at:expr, { $($values:tt)* }, $($text:tt)*) => {
+        log::$level!(target: $target, event = $event, at_us = $at, member = $self.0.name.as_str(),
+            incarnation = $self.0.incarnation.0, $($values)*; $($text)*)
+    };
+}
+
+/// Writes the history of one life.
+#[derive(Clone, Debug)]
+pub struct History(pub Who);
+
+impl History {
+    /// A life begins.
+    pub fn start(&self, site: &str, peer: SocketAddr, store: u64, fresh: bool) {
+        let (me, peer) = (&self.0, peer.to_string());
+        let disk = if fresh { "an empty store" } else { "its store" };
+        event!(self, info, TARGET, "fleet.start", at unix_us(),
+            { site = site, peer = peer.as_str(), store = store, fresh = fresh },
+            "fleet: {me} at site {site} begins from {disk}, peer address {peer}");
+    }
+
+    /// The life is over for this process.
+    pub fn stop(&self, cause: &str) {
+        event!(self, info, TARGET, "fleet.stop", at unix_us(), { cause = cause }, "fleet: {} stops: {cause}", self.0);
+    }
+
+    /// The store failed: this member takes part no more.
+    pub fn failed(&self, error: &str) {
+        event!(self, error, TARGET, "fleet.stop", at unix_us(), { cause = "store", error = error },
+            "fleet: the store failed: {error}; this conductor acts no more and takes no part until it is restarted");
+    }
+
+    /// A belief about a member changed.
+    pub fn view(&self, change: &view::Change) {
+        let (peer, life, to) = (change.member.as_str(), change.incarnation.0, change.to.as_str());
+        let (from, cause) = (change.from.map_or("unknown", view::Status::as_str), change.cause.as_str());
+        let by = match &change.cause {
+            view::Cause::Told(by) | view::Cause::Refuted(by) => Some(by.as_str()),
+            _ => None,
+        };
+        let site = change.site.as_str();
+        event!(self, info, TARGET, "view.change", at unix_us(),
+            { peer = peer, peer_incarnation = life, site = site, from = from, to = to, cause = cause, by = by },
+            "view: {peer}@{life} at {site} from {from} to {to} ({cause}{}{})",
+            if by.is_some() { " by " } else { "" }, by.unwrap_or_default());
+    }
+
+    /// Another leader, or none.
+    pub fn leading(&self, leader: Option<&MemberName>, term: Term) {
+        let (leader, term) = (leader.map(MemberName::as_str), term.0);
+        event!(self, info, TARGET, "group.leading", at unix_us(), { leader = leader, term = term },
+            "group: {} leads in term {term}", leader.unwrap_or("nobody"));
+    }
+
+    /// This member's own standing to a lease changed. `until` is by the clock that reads `now`.
+    pub fn lease(&self, change: &LeaseChange, now: Micros) {
+        let (at, lease, token) = (unix_us(), change.name.as_str(), change.token.map(|t| t.0));
+        let until = (change.until > now).then(|| at + (change.until - now));
+        let text = token.map_or("none".to_owned(), |t| t.to_string());
+        match (change.from, change.to, change.cause) {
+            (Standing::Acting, Standing::Acting, _) => {
+                event!(self, info, RENEWALS, "lease.renewed", at at,
+                    { lease = lease, token = token, until_us = until }, "lease {lease}: renewed, token {text}");
+            }
+            (_, Standing::Acting, _) => {
+                event!(self, info, TARGET, "lease.granted", at at,
+                    { lease = lease, token = token, until_us = until }, "lease {lease}: granted, token {text}");
+            }
+            (Standing::Acting, _, Cause::Released) => {
+                event!(self, info, TARGET, "lease.released", at at, { lease = lease, token = token },
+                    "lease {lease}: released, token {text}");
+            }
+            (Standing::Acting, _, cause) => {
+                let cause = word(cause);
+                event!(self, warn, TARGET, "lease.lost", at at, { lease = lease, token = token, cause = cause },
+                    "lease {lease}: lost ({cause}), token {text}");
+            }
+            (_, to, cause) => {
+                let (to, cause) = (if to == Standing::Waiting { "waiting" } else { "out" }, word(cause));
+                event!(self, debug, TARGET, "lease.standing", at at, { lease = lease, to = to, cause = cause },
+                    "lease {lease}: {to} ({cause})");
+            }
+        }
+    }
+
+    /// This member gained or lost its right to act.
+    pub fn life(&self, token: Option<Token>, gained: bool) {
+        let token = token.map(|t| t.0);
+        if gained {
+            event!(self, info, TARGET, "life.gained", at unix_us(), { token = token },
+                "life: this conductor may act");
+        } else {
+            event!(self, warn, TARGET, "life.lost", at unix_us(), { token = token },
+                "life: this conductor may not act; it takes nothing new");
+        }
+    }
+
+    /// Something was done under a lease. `at` was read before the right was looked up.
+    pub fn act(&self, at: u64, lease: &LeaseName, token: Token) {
+        let (lease, token) = (lease.as_str(), token.0);
+        event!(self, info, ACTS, "lease.act", at at, { lease = lease, token = token },
+            "lease {lease}: acted, token {token}");
+    }
+
+    /// The log has ended a life of a member.
+    pub fn death(&self, who: &Who, index: Index) {
+        let (peer, life, index) = (who.name.as_str(), who.incarnation.0, index.0);
+        event!(self, info, TARGET, "life.ended", at unix_us(),
+            { peer = peer, peer_incarnation = life, index = index }, "life: {who} has ended, entry {index}");
+    }
+
+    /// Frames of a source were refused since the last such line.
+    pub fn refused(&self, peer: &str, reason: &str, times: u64) {
+        event!(self, warn, TARGET, "fleet.refused", at unix_us(),
+            { peer = peer, reason = reason, times = times },
+            "fleet: {times} frames of {peer} refused, the last one for {reason}");
+    }
+
+    /// Something else that is to be known.
+    pub fn note(&self, what: &str) {
+        event!(self, warn, TARGET, "fleet.note", at unix_us(), { what = what }, "fleet: {what}");
+    }
+}
+
+/// Acts come once a period, so they can be turned off by themselves.
+pub const ACTS: &str = "whinhaven::fleet::acts";
+
+fn word(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Wanted => "wanted",
+        Cause::Granted => "granted",
+        Cause::Renewed => "renewed",
+        Cause::RanOut => "ran_out",
+        Cause::Ended => "ended",
+        Cause::Life => "life",
+        Cause::Released => "released",
+    }
+}
--- a/src/fleet/net/mod.rs
+++ b/src/fleet/net/mod.rs
@@ -1,3 +1,195 @@
-//! Carries the messages of a member: sockets, keys, disk.
+//! Carries out what a member decides: sockets, keys, disk, and the history.
+//!
+//! [`start`] opens all that a member needs and drives its [`Node`](super::node::Node) on the program's one thread;
+//! writes to the store go through one blocking thread, one after the other. [`Fleet`] is what the rest of the program
+//! asks. Datagrams and connections share the peer address: the view goes by datagrams, all else by connections.
 
+pub mod admin;
+pub mod disk;
+mod drive;
+pub mod history;
+mod links;
+mod reception;
+mod refusals;
 pub mod seal;
+
+use crate::config::ConfigError;
+use crate::core::Clock;
+use crate::counters::FleetCounters;
+use crate::fleet::config::{FleetConfig, WhenCutOff};
+use crate::fleet::lease::{Rights, life};
+use crate::fleet::{LeaseName, Token, Who};
+use crate::store;
+use drive::{Ask, Driver};
+use history::History;
+use reception::Reception;
+use seal::{Bounds, Keys, Opener};
+use std::cell::{Cell, RefCell};
+use std::io::{self, Read};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, oneshot};
+
+/// The kind of a frame that carries a message between members.
+const MESSAGE: u8 = 1;
+/// The kind of a frame that carries a request of an administrator or its reply.
+const ADMIN: u8 = 2;
+/// Messages that have come and wait for the member.
+const INBOX: usize = 256;
+/// The program's own requests to the member that wait.
+const ASKS: usize = 64;
+
+/// What the rest of the program knows of its fleet.
+#[derive(Clone)]
+pub struct Fleet(Rc<Shared>);
+
+struct Shared {
+    clock: Clock,
+    when_cut_off: WhenCutOff,
+    who: RefCell<Who>,
+    life: LeaseName,
+    rights: RefCell<Rights>,
+    asks: mpsc::Sender<Ask>,
+    counters: Rc<FleetCounters>,
+    stopped: Cell<bool>,
+}
+
+impl Fleet {
+    /// The token to act under, if this conductor may act under a lease at this very moment: the clock is read anew.
+    pub fn may_act(&self, lease: &LeaseName) -> Option<Token> {
+        let Shared { clock, who, rights, .. } = &*self.0;
+        rights.borrow().may_act(&who.borrow(), lease, clock.now())
+    }
+
+    /// Whether new requests may be taken at this very moment.
+    pub fn may_serve(&self) -> bool {
+        self.0.when_cut_off == WhenCutOff::Serve || self.may_act(&self.0.life).is_some()
+    }
+
+    /// This conductor in its present life.
+    pub fn who(&self) -> Who {
+        self.0.who.borrow().clone()
+    }
+
+    /// Holds a lease from here on whenever it can be had.
+    pub async fn want(&self, lease: LeaseName) {
+        let _ = self.0.asks.send(Ask::Want(lease)).await;
+    }
+
+    /// Does something under a lease if this conductor may, and tells the history.
+    pub fn act(&self, lease: &LeaseName, act: impl FnOnce(Token)) {
+        let at = history::unix_us();
+        let Some(token) = self.may_act(lease) else { return };
+        act(token);
+        self.0.counters.lease_acts.up();
+        History(self.who()).act(at, lease, token);
+    }
+
+    /// A planned stop: gives all leases up and leaves the view. Resolves when the others know, or it can't be waited
+    /// for any longer.
+    pub async fn leave(&self, patience: Duration) {
+        let (done, left) = oneshot::channel();
+        if self.0.asks.send(Ask::Leave(done)).await.is_ok() {
+            let _ = tokio::time::timeout(patience, left).await;
+        }
+        self.stopped("left");
+    }
+
+    fn stopped(&self, cause: &str) {
+        if !self.0.stopped.replace(true) {
+            History(self.who()).stop(cause);
+        }
+    }
+
+    /// Counters.
+    pub fn counters(&self) -> &FleetCounters {
+        &self.0.counters
+    }
+}
+
+/// Opens the store and the peer address, and lets the member run on the present thread's tasks.
+///
+/// # Errors
+/// Names the field at fault: the key file, the peer address or the store.
+pub async fn start(config: &FleetConfig, clock: Clock, seed: u64) -> Result<Fleet, ConfigError> {
+    let wrong = |field: &str, what: String| ConfigError(format!("{field}: {what}"));
+    let key_file = config.key_file.display();
+    let (keys, warning) =
+        Keys::read(&config.key_file).map_err(|e| wrong("fleet.key_file", format!("{key_file}: {e}")))?;
+    if let Some(warning) = warning {
+        log::warn!("fleet: {key_file}: {warning}");
+    }
+    let unreachable = |e: io::Error| wrong("fleet.peer", format!("{}: {e}", config.peer));
+    let listener = TcpListener::bind(config.peer).await.map_err(unreachable)?;
+    let socket = UdpSocket::bind(config.peer).await.map_err(unreachable)?;
+    let path = config.store.path.clone();
+    let settings = store_settings(config);
+    let found = disk::Disk::open(&path, settings, history::unix_us())
+        .map_err(|e| wrong("store.path", format!("{}: {e}", path.display())))?;
+    let life = life(&config.name).ok_or_else(|| wrong("fleet.name", "too long".to_owned()))?;
+    let who = Who { name: config.name.clone(), incarnation: found.disk.incarnation() };
+    let bounds = bounds(config);
+    let counters = Rc::new(FleetCounters::default());
+    let (inbox, came) = mpsc::channel(INBOX);
+    let (asks, asked) = mpsc::channel(ASKS);
+    let fleet = Fleet(Rc::new(Shared {
+        clock,
+        when_cut_off: config.when_cut_off,
+        who: RefCell::new(who.clone()),
+        life,
+        rights: RefCell::default(),
+        asks,
+        counters: counters.clone(),
+        stopped: Cell::new(false),
+    }));
+    let reception = Rc::new(Reception {
+        opener: RefCell::new(Opener::new(config.name.clone(), keys.clone(), bounds.clone())),
+        me: RefCell::new(who),
+        keys,
+        bounds,
+        refusals: RefCell::default(),
+        counters,
+        clock,
+        inbox,
+        most_proven: config.most_members,
+        proven: RefCell::default(),
+        unproven: RefCell::default(),
+    });
+    tokio::task::spawn_local(reception.clone().accept(listener));
+    let driver =
+        Driver { config: config.clone(), fleet: fleet.clone(), reception, socket, came, asked, seed };
+    tokio::task::spawn_local(driver.run(found));
+    Ok(fleet)
+}
+
+/// The bounds of frames, by the fleet's configuration.
+fn bounds(config: &FleetConfig) -> Bounds {
+    Bounds {
+        most_datagram: config.settings.view.most_bytes,
+        most_stream_frame: config.most_frame_bytes(),
+        most_senders: 2 * config.most_members,
+        per_second: config.most_frames_per_s,
+        burst: config.most_frames_per_s.saturating_mul(2),
+    }
+}
+
+fn store_settings(config: &FleetConfig) -> store::Settings {
+    let most_record = config.settings.group.most_payload_bytes.max(64 * 1024) + 64 * 1024;
+    store::Settings {
+        most_bytes: config.store.most_bytes,
+        most_record_bytes: u32::try_from(most_record).unwrap_or(u32::MAX),
+    }
+}
+
+/// Bytes that never come twice.
+fn draw() -> io::Result<[u8; 16]> {
+    let mut bytes = [0; 16];
+    std::fs::File::open("/dev/urandom")?.read_exact(&mut bytes)?;
+    Ok(bytes)
+}
+
+/// Bounds a wait.
+async fn within<T>(patience: Duration, wait: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    tokio::time::timeout(patience, wait).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
+}
--- a/src/fleet/net/seal.rs
+++ b/src/fleet/net/seal.rs
@@ -503,6 +503,11 @@
         self.senders.remove(name);
     }
 
+    /// The senders that are remembered.
+    pub fn names(&self) -> impl Iterator<Item = &MemberName> {
+        self.senders.keys()
+    }
+
     /// How many senders are remembered; at most [`Bounds::most_senders`].
     pub fn senders(&self) -> usize {
         self.senders.len()
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -4,6 +4,7 @@
 use log::kv::{Error, Key, Value, VisitSource, VisitValue};
 use serde_json::{Map, Value as Json};
 use std::io::Write;
+use whinhaven::fleet::net::history::{ACTS, RENEWALS};
 
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -16,7 +17,10 @@
 
 /// Starts the log.
 pub fn start(format: LogFormat) {
-    let mut builder = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"));
+    // What comes once a period is for whoever reads by program.
+    let quiet = format!("info,{RENEWALS}=warn,{ACTS}=warn");
+    let default = if format == LogFormat::Json { "info" } else { &quiet };
+    let mut builder = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(default));
     if format == LogFormat::Json {
         builder.format(|out, record| {
             let time = out.timestamp_micros().to_string();
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,11 +4,12 @@
 mod logs;
 mod run;
 
-use cli::{Command, From};
+use cli::{Ask, Command, From, Where};
 use run::{Source, read};
 use std::path::Path;
 use std::process::ExitCode;
 use whinhaven::config::ConfigError;
+use whinhaven::fleet::net::admin;
 
 fn main() -> ExitCode {
     let cli = match cli::parse() {
@@ -21,7 +22,7 @@
         Some(Command::Serve { file }) => run::serve(Source::operator(file)),
         Some(Command::Import { from: From::Haproxy { file } }) => read(&file).and_then(|text| import(&text)),
         Some(Command::Check { file }) => check(&file),
-        Some(Command::Fleet { .. }) => Err(ConfigError("no fleet yet".into())),
+        Some(Command::Fleet { ask: Ask::Status(at) }) => status(&at),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -56,3 +57,20 @@
     println!("{}: good: {}", file.display(), parts.join(", "));
     Ok(())
 }
+
+/// Prints how a conductor sees its fleet.
+fn status(at: &Where) -> Result<(), ConfigError> {
+    let config = Source::operator(at.file.clone()).load()?;
+    let missing = || ConfigError(format!("{}: there is no [fleet] table", at.file.display()));
+    let fleet = config.fleet.ok_or_else(missing)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| ConfigError(format!("runtime: {e}")))?;
+    match runtime.block_on(admin::ask(&fleet, admin::Request::Status)).map_err(ConfigError)? {
+        admin::Reply::Status(status) if at.json => {
+            println!("{}", serde_json::to_string(&status).map_err(|e| ConfigError(e.to_string()))?);
+        }
+        admin::Reply::Status(status) => print!("{}", admin::table(&status)),
+        admin::Reply::Refused(why) => return Err(ConfigError(why)),
+    }
+    Ok(())
+}
--- a/src/run.rs
+++ b/src/run.rs
@@ -8,9 +8,12 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
+use tokio::time::MissedTickBehavior;
 use whinhaven::config::{Config, ConfigError};
 use whinhaven::core::{Clock, Core, CoreHandle};
 use whinhaven::counters::Counters;
+use whinhaven::fleet::LeaseName;
+use whinhaven::fleet::net::{self, Fleet};
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::front::shared::Shared;
 use whinhaven::interface::ListKind;
@@ -119,6 +122,18 @@
     }
 }
 
+/// The duty of one conductor for all: asks discovery for its whole list once a period, while it holds the lease.
+async fn refresh(fleet: Fleet, period: Duration, fetch: impl Fn()) {
+    let lease = LeaseName::try_from("discovery-refresh").expect("a name");
+    fleet.want(lease.clone()).await;
+    let mut periods = tokio::time::interval(period);
+    periods.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        periods.tick().await;
+        fleet.act(&lease, |_| fetch());
+    }
+}
+
 async fn run(mut config: Config, source: Source) -> Result<(), ConfigError> {
     // Before anything can be reached: until it is caught, SIGHUP ends the process.
     let failed = |e: std::io::Error| ConfigError(format!("signals: {e}"));
@@ -164,9 +179,17 @@
             move |worker| pool.hang_up(worker)
         }),
         ask: settings.list_on_request.then_some(watch_again),
-        fetch_list,
+        fetch_list: fetch_list.clone(),
         counters: counters.clone(),
     };
+    let refresh_list = {
+        let discovery = config.discovery.is_some();
+        move || {
+            if discovery {
+                fetch_list.notify_one()
+            }
+        }
+    };
     follower.take(std::mem::take(&mut config.known), ListKind::Saved);
     tokio::task::spawn_local(driver.run(queue));
     let (discovery, address_told) = watch::channel(config.discovery);
@@ -176,11 +199,23 @@
         let (directory, stopping, kinds) = (directory.clone(), stopping.clone(), settings.kinds.clone());
         move || !stopping.get() && directory.can_serve(&kinds)
     };
+    let fleet = match &config.fleet {
+        Some(settings) => Some(net::start(settings, clock, config.seed).await?),
+        None => None,
+    };
+    let may_serve: Box<dyn Fn() -> bool> = match fleet.clone() {
+        Some(fleet) => Box::new(move || fleet.may_serve()),
+        None => Box::new(|| true),
+    };
+    if let (Some(fleet), Some(settings)) = (&fleet, &config.fleet) {
+        let period = Duration::from_millis(settings.refresh_period_ms);
+        tokio::task::spawn_local(refresh(fleet.clone(), period, refresh_list));
+    }
     let shared = Rc::new(Shared {
         core,
         classes: settings.classes.iter().map(|c| c.name.clone()).collect(),
         ready: Box::new(ready),
-        may_serve: Box::new(|| true),
+        may_serve,
         counters: counters.clone(),
         budget: Cell::new(config.limits.memory_mb * 1024 * 1024 / 3),
         ids: RefCell::default(),
@@ -207,7 +242,12 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = interrupt.recv() => break,
-            _ = usr1.recv() => log::info!("counters: {counters}"),
+            _ = usr1.recv() => {
+                log::info!("counters: {counters}");
+                if let Some(fleet) = &fleet {
+                    log::info!("fleet counters: {}", fleet.counters());
+                }
+            }
             _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
             _ = retire.tick() => {
                 pool.retire();
@@ -219,8 +259,14 @@
     }
     log::info!("stopping: accepting for {} ms more", ACCEPT_ON.as_millis());
     stopping.set(true);
+    let leaving = async {
+        if let Some(fleet) = &fleet {
+            fleet.leave(ACCEPT_ON).await;
+        }
+    };
     let ending = async {
-        tokio::time::sleep(ACCEPT_ON).await;
+        // The others need not wait for leases to run out: they are given back at once.
+        tokio::join!(leaving, tokio::time::sleep(ACCEPT_ON));
         accepting.abort();
         let _ = stage.send(Stage::Closing);
         pool.clear();
@@ -238,6 +284,9 @@
             _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
         }
     }
+    if let Some(fleet) = &fleet {
+        log::info!("fleet counters: {}", fleet.counters());
+    }
     log::info!("stopped; counters: {counters}");
     Ok(())
 }
