--- a/src/config.rs
+++ b/src/config.rs
@@ -273,4 +273,14 @@
         ];
         assert_eq!(text, wanted);
     }
+
+    /// Guards against a fleet on the platform, where conductors share nothing.
+    #[test]
+    fn the_platform_switches_no_fleet_on() {
+        let file = include_str!("../deploy/fleet/c1.toml");
+        assert!(Config::from_toml(file).unwrap().fleet.is_some());
+        let value: Value = toml::from_str(file).unwrap();
+        assert!(value["fleet"].is_object());
+        assert!(Config::from_json(&value.to_string(), |_| None).unwrap().fleet.is_none());
+    }
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -92,6 +92,15 @@
     "fleet.most_queue_bytes: limits.memory_mb"
 )]
 #[case("site = \"north\"", "site = \"north\"\nwhen_cut_off = \"panic\"", "fleet.when_cut_off")]
+#[case("path = \"c1\"", "path = \"c1\"\n[fleet.view]\nperiod_ms = 0", "fleet.view: period_ms")]
+#[case("path = \"c1\"", "path = \"c1\"\n[fleet.view]\nperiod_ms = \"x\"", "fleet.view.period_ms")]
+#[case(
+    "path = \"c1\"",
+    "path = \"c1\"\n[fleet.group]\nspeed = 1",
+    "fleet.group.speed: there is no such field"
+)]
+#[case("path = \"c1\"", "path = \"c1\"\n[fleet.group]\nheartbeat_us = 900000", "fleet.group.heartbeat_us")]
+#[case("path = \"c1\"", "path = \"c1\"\n[fleet.lease]\nmargin_ms = 9000", "fleet.lease.granted_for_ms")]
 #[case("path = \"c1\"", "", "store.path: is missing")]
 #[case("path = \"c1\"", "path = \"c1\"\nmost_bytes = 5", "store.most_bytes")]
 fn a_fault_in_the_fleets_tables_is_one_line_that_names_the_field(
