--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -11,6 +11,8 @@
 
 pub mod disk;
 mod frame;
+#[cfg(test)]
+mod tests;
 
 use disk::{Directory, Disk};
 use frame::{FRAME, HEAD, Live, Op, Salt};
