--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins, faults, a checker of histories and experiments for fleets of conductors.
+
+pub mod sim;
--- /dev/null
+++ b/lab/src/sim/mod.rs
@@ -0,0 +1,9 @@
+//! A seeded, discrete-event simulation: many machines, one network, no clock but the simulation's.
+//!
+//! [`network`] carries messages and loses them; [`world`] runs machines over it, crashes, pauses and restarts them;
+//! [`faults`] draws fault scripts; [`views`] is a fleet of [`whinhaven::fleet::view::View`] and its check.
+
+pub mod faults;
+pub mod network;
+pub mod views;
+pub mod world;
