--- a/src/fleet/net/drive.rs
+++ b/src/fleet/net/drive.rs
@@ -73,8 +73,8 @@
 
 /// The store, at hand or at the thread that writes.
 enum Writing {
-    Idle(Disk),
-    Busy(JoinHandle<(Disk, Result<(), DiskError>)>),
+    Idle(Box<Disk>),
+    Busy(JoinHandle<(Box<Disk>, Result<(), DiskError>)>),
     Gone,
 }
 
@@ -172,7 +172,7 @@
             node: Node::new(start, self.config.settings.clone(), self.now()),
             sealer: Sealer::new(who.clone(), keys, &bounds),
             links: Links::new(terms, self.fleet.0.counters.clone()),
-            writing: Writing::Idle(disk),
+            writing: Writing::Idle(Box::new(disk)),
             waiting: VecDeque::new(),
             left: None,
             leaving: false,
@@ -289,10 +289,11 @@
                 other => life.waiting.push_back(other),
             }
         }
-        if life.leaving && life.node.left() {
-            if let Some(left) = life.left.take() {
-                let _ = left.send(());
-            }
+        if life.leaving
+            && life.node.left()
+            && let Some(left) = life.left.take()
+        {
+            let _ = left.send(());
         }
     }
 
@@ -437,7 +438,7 @@
 }
 
 /// Waits for the write that is under way.
-async fn written(writing: &mut Writing) -> Result<Disk, DiskError> {
+async fn written(writing: &mut Writing) -> Result<Box<Disk>, DiskError> {
     let Writing::Busy(task) = writing else { return std::future::pending().await };
     match task.await {
         Ok((disk, Ok(()))) => Ok(disk),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,6 +4,8 @@
 
 use rstest::rstest;
 use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::PathBuf;
@@ -25,6 +27,8 @@
     members: Vec<Member>,
     lines: mpsc::Receiver<(usize, Value)>,
     told: mpsc::Sender<(usize, Value)>,
+    /// Where those that have started serve.
+    listens: RefCell<BTreeMap<usize, SocketAddr>>,
 }
 
 struct Member {
@@ -64,7 +68,7 @@
         };
         let members = peers.iter().enumerate().map(member).collect();
         let (told, lines) = mpsc::channel();
-        Fleet { folder, members, lines, told }
+        Fleet { folder, members, lines, told, listens: RefCell::default() }
     }
 
     fn start(&mut self, at: usize) {
@@ -87,6 +91,10 @@
     fn wait(&self, wanted: impl Fn(usize, &Value) -> bool) -> (usize, Value) {
         loop {
             let (at, line) = self.lines.recv_timeout(4 * STUCK).expect("the history falls silent");
+            if let Some((_, serves)) = line["message"].as_str().and_then(|m| m.split_once(" serves on ")) {
+                let address = serves.split(',').next().unwrap().parse().unwrap();
+                self.listens.borrow_mut().insert(at, address);
+            }
             if wanted(at, &line) {
                 return (at, line);
             }
@@ -204,14 +212,11 @@
 #[case::serve("when_cut_off = \"serve\"", 502)]
 fn a_conductor_cut_off_from_the_majority_does_what_its_file_says(#[case] more: &str, #[case] status: u16) {
     let mut fleet = Fleet::new(3, more);
-    fleet.start(0);
-    let (_, line) = fleet.wait(|_, l| l["message"].as_str().is_some_and(|m| m.contains("serves on ")));
-    let address = line["message"].as_str().unwrap().split("serves on ").nth(1).unwrap();
-    let address: SocketAddr = address.split(',').next().unwrap().parse().unwrap();
-    fleet.start(1);
-    fleet.wait(|at, l| at == 0 && event(l, "life.gained"));
+    fleet.settle();
     fleet.kill(1);
+    fleet.kill(2);
     fleet.wait(|at, l| at == 0 && event(l, "life.lost"));
+    let address = fleet.listens.borrow()[&0];
     let answer = |request: &str| {
         let mut stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(STUCK)).unwrap();
