--- a/src/cli.rs
+++ b/src/cli.rs
@@ -61,6 +61,14 @@
 pub enum Ask {
     /// Members with site, incarnation and health; leader and term; leases with holder and token.
     Status(Where),
+    /// Has other members vote: all the names that shall, one voter is changed at a time.
+    Voters {
+        /// The operator's file of any member.
+        file: PathBuf,
+        /// Who shall vote.
+        #[arg(required = true)]
+        names: Vec<String>,
+    },
 }
 
 /// Whom to ask and how to print.
--- a/src/fleet/net/admin.rs
+++ b/src/fleet/net/admin.rs
@@ -3,9 +3,11 @@
 use super::seal::{Bounds, Inbound, Keys, Opener, Session, StreamSealer, frame_length, length_prefix};
 use super::{ADMIN, bounds, draw, within};
 use crate::fleet::config::FleetConfig;
+use crate::fleet::group::VoterId;
 use crate::fleet::node::Status;
 use crate::fleet::{Incarnation, MemberName, Who};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::io;
 use std::net::SocketAddr;
@@ -23,15 +25,45 @@
 pub enum Request {
     /// How the conductor sees its fleet.
     Status,
+    /// These members shall vote; the leader goes there one voter at a time.
+    Voters(BTreeSet<MemberName>),
 }
 
 /// What is answered. Variants are only ever added at the end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// To [`Request::Status`].
-    Status(Box<Status>),
+    Status(Box<Report>),
     /// It can't be done, and why.
     Refused(String),
+    /// It was handed on; the status tells what comes of it.
+    Asked,
+}
+
+/// A member's status, and its place in the group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// What the member shows.
+    pub status: Status,
+    /// `leader`, `candidate`, `follower` or `learner`.
+    pub role: String,
+    /// The voters, with the numbers of their stores; none before the group has begun.
+    pub voters: Vec<VoterId>,
+    /// Who shall vote.
+    pub wanted: Vec<MemberName>,
+}
+
+impl Report {
+    /// As one JSON object.
+    pub fn json(&self) -> serde_json::Value {
+        let mut all = serde_json::to_value(&self.status).unwrap_or_default();
+        if let Some(fields) = all.as_object_mut() {
+            fields.insert("role".into(), self.role.as_str().into());
+            fields.insert("voters".into(), serde_json::to_value(&self.voters).unwrap_or_default());
+            fields.insert("wanted".into(), serde_json::to_value(&self.wanted).unwrap_or_default());
+        }
+        all
+    }
 }
 
 /// A request with what the reply is sealed for.
@@ -105,20 +137,28 @@
 }
 
 /// A status as tables for people.
-pub fn table(status: &Status) -> String {
+pub fn table(report: &Report) -> String {
+    let Report { status, role, voters, wanted } = report;
     let Status { me, site, life, leader, term, commit, applied, epoch, .. } = status;
     let leader = leader.as_ref().map_or("nobody", MemberName::as_str);
     let mut text = format!(
-        "as {me} at site {site} sees it, life {life}\nleader {leader}, term {}, commit {}, applied {}, epoch {epoch}\n\n",
+        "as {me} at site {site} sees it, {role}, life {life}\nleader {leader}, term {}, commit {}, applied {}, epoch {epoch}\n\n",
         term.0, commit.0, applied.0
     );
-    let header = ["member", "site", "incarnation", "status", "address"].map(str::to_owned).to_vec();
+    let group = |name: &MemberName| match (voters.iter().any(|v| v.name == *name), wanted.contains(name)) {
+        (true, true) => "voter",
+        (true, false) => "to go",
+        (false, true) => "to vote",
+        (false, false) => "learner",
+    };
+    let header = ["member", "site", "incarnation", "status", "group", "address"].map(str::to_owned).to_vec();
     let members = status.members.iter().map(|m| {
         vec![
             m.name.to_string(),
             m.site.to_string(),
             m.incarnation.0.to_string(),
             m.status.clone(),
+            group(&m.name).to_owned(),
             m.address.to_string(),
         ]
     });
--- a/src/fleet/net/drive.rs
+++ b/src/fleet/net/drive.rs
@@ -10,13 +10,14 @@
 use super::seal::{Bucket, Refused, Sealer, most_frame};
 use super::{Fleet, MESSAGE, admin, bounds, store_settings};
 use crate::fleet::config::FleetConfig;
+use crate::fleet::group::{MOST_VOTERS, Role};
 use crate::fleet::lease::{Standing, What, life};
 use crate::fleet::message::Message;
-use crate::fleet::node::{Action, Event, Node, Start};
-use crate::fleet::state::Effect;
-use crate::fleet::{LeaseName, MemberName, Who, group, view};
+use crate::fleet::node::{Action, Event, Lost, Node, Start};
+use crate::fleet::state::{Answer, Command, Effect, FleetState};
+use crate::fleet::{Index, LeaseName, MemberName, Who, group, view};
 use crate::interface::Micros;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,6 +42,23 @@
     Want(LeaseName),
     /// A planned stop.
     Leave(oneshot::Sender<()>),
+    /// Put a command into the log.
+    Propose(Command, oneshot::Sender<Result<Answer, Lost>>),
+}
+
+/// What parts of the program are told of the fleet, in the order in which it happens. What the log did is told when it
+/// is on this member's disk.
+pub enum Told<'a> {
+    /// A life begins: nothing that was told of the state before counts any more.
+    Life(&'a Who),
+    /// A belief about a member changed.
+    View(&'a view::Change),
+    /// The conductor gained or lost its right to act as itself.
+    MayAct(bool),
+    /// The log did something.
+    Effect(Index, &'a Effect),
+    /// The state was replaced by a snapshot: this is it, or a later one.
+    Restored(&'a FleetState),
 }
 
 /// Drives one member for as long as the program runs.
@@ -91,6 +109,9 @@
     left: Option<oneshot::Sender<()>>,
     leaving: bool,
     ended: bool,
+    /// The program's proposals that wait for their answers.
+    proposals: BTreeMap<u64, oneshot::Sender<Result<Answer, Lost>>>,
+    tickets: u64,
 }
 
 impl Driver {
@@ -150,6 +171,7 @@
         history.start(self.config.site.as_str(), self.config.peer, store_id, fresh);
         self.fleet.0.who.replace(who.clone());
         self.reception.me.replace(who.clone());
+        self.fleet.tell(&Told::Life(&who));
         let key = [who.incarnation.0.to_le_bytes(), store_id.to_le_bytes()].concat();
         let seed = xxh3_64_with_seed(&key, self.seed);
         let me = view::Me {
@@ -177,6 +199,8 @@
             left: None,
             leaving: false,
             ended: false,
+            proposals: BTreeMap::new(),
+            tickets: 0,
             who,
             history,
         };
@@ -244,6 +268,12 @@
                         }
                         self.event(&mut life, Event::Want(name));
                     }
+                    Next::Asked(Some(Ask::Propose(command, answer))) => {
+                        life.tickets += 1;
+                        life.proposals.insert(life.tickets, answer);
+                        let ticket = life.tickets;
+                        self.event(&mut life, Event::Propose { ticket, command });
+                    }
                     Next::Asked(Some(Ask::Leave(left))) => {
                         life.leaving = true;
                         life.left = Some(left);
@@ -253,7 +283,7 @@
                         self.event(&mut life, Event::Message { from, message });
                     }
                     Next::Came(Some(Came::Asked(request, answer))) => {
-                        let _ = answer.send(self.answer(&life, request));
+                        let _ = answer.send(self.answer(&mut life, request));
                     }
                     Next::Datagram(Ok((length, from))) => {
                         self.datagram(&mut life, &buffer[..length], from, &mut looks);
@@ -285,6 +315,7 @@
                 Action::View(change) => {
                     self.fleet.0.counters.view_changes.up();
                     life.history.view(&change);
+                    self.fleet.tell(&Told::View(&change));
                 }
                 other => life.waiting.push_back(other),
             }
@@ -390,28 +421,58 @@
                 let table = life.node.state().leases();
                 let token = table.life(&life.who.name).filter(|grant| grant.holder == life.who);
                 life.history.life(token.map(|grant| grant.token), gained);
+                self.fleet.tell(&Told::MayAct(gained));
             }
             Action::LifeEnded => life.ended = true,
-            Action::Effect { index, effect: Effect::Lease(change) } => {
-                let of_life = self::life(&change.holder.name).is_some_and(|name| name == change.name);
-                if of_life && matches!(change.what, What::Expired | What::Released) {
-                    shared.counters.deaths.up();
-                    life.history.death(&change.holder, index);
+            Action::Effect { index, effect } => {
+                if let Effect::Lease(change) = &effect {
+                    let of_life = self::life(&change.holder.name).is_some_and(|name| name == change.name);
+                    if of_life && matches!(change.what, What::Expired | What::Released) {
+                        shared.counters.deaths.up();
+                        life.history.death(&change.holder, index);
+                    }
                 }
+                self.fleet.tell(&Told::Effect(index, &effect));
             }
             Action::Refused(group::Refusal::FirstVotersDiffer) => {
                 life.history.note("another first voter names other first voters: the group can't start");
             }
             Action::Refused(refusal) => log::debug!("fleet: the group refused: {refusal:?}"),
-            // Of use to the parts that put commands into the log.
-            Action::Done { .. } | Action::Effect { .. } | Action::Restored { .. } => {}
+            Action::Done { ticket, result } => {
+                if let Some(answer) = life.proposals.remove(&ticket) {
+                    let _ = answer.send(result);
+                }
+            }
+            Action::Restored { .. } => self.fleet.tell(&Told::Restored(life.node.state())),
             Action::Persist(_) | Action::View(_) => {}
         }
     }
 
-    fn answer(&self, life: &Life, request: admin::Request) -> admin::Reply {
+    fn answer(&self, life: &mut Life, request: admin::Request) -> admin::Reply {
         match request {
-            admin::Request::Status => admin::Reply::Status(Box::new(life.node.status(self.now()))),
+            admin::Request::Status => {
+                let group = life.node.group();
+                let voters = group.voters();
+                admin::Reply::Status(Box::new(admin::Report {
+                    status: life.node.status(self.now()),
+                    role: match group.role() {
+                        Role::Leader => "leader",
+                        Role::Candidate => "candidate",
+                        Role::Follower => "follower",
+                        Role::Learner => "learner",
+                    }
+                    .to_owned(),
+                    voters: voters.map(|v| v.now.iter().cloned().collect()).unwrap_or_default(),
+                    wanted: voters.map(|v| v.wanted.iter().cloned().collect()).unwrap_or_default(),
+                }))
+            }
+            admin::Request::Voters(names) if names.is_empty() || names.len() > MOST_VOTERS => {
+                admin::Reply::Refused(format!("1 to {MOST_VOTERS} voters are needed"))
+            }
+            admin::Request::Voters(names) => {
+                self.event(life, Event::ChangeVoters(names));
+                admin::Reply::Asked
+            }
         }
     }
 
--- a/src/fleet/net/mod.rs
+++ b/src/fleet/net/mod.rs
@@ -18,8 +18,11 @@
 use crate::counters::FleetCounters;
 use crate::fleet::config::{FleetConfig, WhenCutOff};
 use crate::fleet::lease::{Rights, life};
+use crate::fleet::node::Lost;
+use crate::fleet::state::{Answer, Command};
 use crate::fleet::{LeaseName, Token, Who};
 use crate::store;
+pub use drive::Told;
 use drive::{Ask, Driver};
 use history::History;
 use reception::Reception;
@@ -53,8 +56,12 @@
     asks: mpsc::Sender<Ask>,
     counters: Rc<FleetCounters>,
     stopped: Cell<bool>,
+    listeners: RefCell<Vec<Listener>>,
 }
 
+/// A part of the program that is told what happens in the fleet.
+pub type Listener = Box<dyn FnMut(&Told)>;
+
 impl Fleet {
     /// The token to act under, if this conductor may act under a lease at this very moment: the clock is read anew.
     pub fn may_act(&self, lease: &LeaseName) -> Option<Token> {
@@ -77,6 +84,25 @@
         let _ = self.0.asks.send(Ask::Want(lease)).await;
     }
 
+    /// Has a part of the program told what happens from here on. It must not call back into the fleet at once.
+    pub fn listen(&self, listener: Listener) {
+        self.0.listeners.borrow_mut().push(listener);
+    }
+
+    fn tell(&self, told: &Told) {
+        self.0.listeners.borrow_mut().iter_mut().for_each(|listener| listener(told));
+    }
+
+    /// Puts a command into the log, again and again until it is there, and gives the log's answer.
+    ///
+    /// # Errors
+    /// There is no answer: too many wait, none came in time, or this life is over.
+    pub async fn propose(&self, command: Command) -> Result<Answer, Lost> {
+        let (answer, answered) = oneshot::channel();
+        self.0.asks.send(Ask::Propose(command, answer)).await.map_err(|_| Lost::GaveUp)?;
+        answered.await.unwrap_or(Err(Lost::GaveUp))
+    }
+
     /// Does something under a lease if this conductor may, and tells the history.
     pub fn act(&self, lease: &LeaseName, act: impl FnOnce(Token)) {
         let at = history::unix_us();
@@ -142,6 +168,7 @@
         asks,
         counters: counters.clone(),
         stopped: Cell::new(false),
+        listeners: RefCell::default(),
     }));
     let reception = Rc::new(Reception {
         opener: RefCell::new(Opener::new(config.name.clone(), keys.clone(), bounds.clone())),
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,7 +9,8 @@
 use std::path::Path;
 use std::process::ExitCode;
 use whinhaven::config::ConfigError;
-use whinhaven::fleet::net::admin;
+use whinhaven::fleet::MemberName;
+use whinhaven::fleet::net::admin::{self, Reply, Request};
 
 fn main() -> ExitCode {
     let cli = match cli::parse() {
@@ -18,15 +19,16 @@
     };
     logs::start(cli.log_format);
     let done = match cli.command {
-        None => Source::platform().and_then(run::serve),
-        Some(Command::Serve { file }) => run::serve(Source::operator(file)),
-        Some(Command::Import { from: From::Haproxy { file } }) => read(&file).and_then(|text| import(&text)),
-        Some(Command::Check { file }) => check(&file),
+        None => Source::platform().and_then(run::serve).map_err(|e| e.to_string()),
+        Some(Command::Serve { file }) => run::serve(Source::operator(file)).map_err(|e| e.to_string()),
+        Some(Command::Import { from: From::Haproxy { file } }) => import(&file).map_err(|e| e.to_string()),
+        Some(Command::Check { file }) => check(&file).map_err(|e| e.to_string()),
         Some(Command::Fleet { ask: Ask::Status(at) }) => status(&at),
+        Some(Command::Fleet { ask: Ask::Voters { file, names } }) => voters(&file, &names),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => failed(&error.to_string()),
+        Err(fault) => failed(&fault),
     }
 }
 
@@ -36,8 +38,8 @@
 }
 
 /// Writes the operator's file to standard output, and what could not be carried over to standard error.
-fn import(text: &str) -> Result<(), ConfigError> {
-    let import = whinhaven::haproxy::import(text).map_err(|e| ConfigError(e.to_string()))?;
+fn import(file: &Path) -> Result<(), ConfigError> {
+    let import = whinhaven::haproxy::import(&read(file)?).map_err(|e| ConfigError(e.to_string()))?;
     print!("{}", import.file);
     for (line, what) in import.left_out {
         eprintln!("line {line}, not carried over: {what}");
@@ -58,19 +60,36 @@
     Ok(())
 }
 
-/// Prints how a conductor sees its fleet.
-fn status(at: &Where) -> Result<(), ConfigError> {
-    let config = Source::operator(at.file.clone()).load()?;
-    let missing = || ConfigError(format!("{}: there is no [fleet] table", at.file.display()));
-    let fleet = config.fleet.ok_or_else(missing)?;
+/// Asks the conductor of an operator's file, or one of its peers.
+fn ask(file: &Path, request: Request) -> Result<Reply, String> {
+    let config = Source::operator(file.to_owned()).load().map_err(|e| e.to_string())?;
+    let fleet = config.fleet.ok_or_else(|| format!("{}: there is no [fleet] table", file.display()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| ConfigError(format!("runtime: {e}")))?;
-    match runtime.block_on(admin::ask(&fleet, admin::Request::Status)).map_err(ConfigError)? {
-        admin::Reply::Status(status) if at.json => {
-            println!("{}", serde_json::to_string(&status).map_err(|e| ConfigError(e.to_string()))?);
-        }
-        admin::Reply::Status(status) => print!("{}", admin::table(&status)),
-        admin::Reply::Refused(why) => return Err(ConfigError(why)),
+    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(admin::ask(&fleet, request))
+}
+
+/// Prints how a conductor sees its fleet.
+fn status(at: &Where) -> Result<(), String> {
+    match ask(&at.file, Request::Status)? {
+        Reply::Status(report) if at.json => println!("{}", report.json()),
+        Reply::Status(report) => print!("{}", admin::table(&report)),
+        other => return Err(unexpected(other)),
     }
     Ok(())
 }
+
+fn voters(file: &Path, names: &[String]) -> Result<(), String> {
+    let names: Result<_, _> = names.iter().map(|name| MemberName::try_from(name.as_str())).collect();
+    match ask(file, Request::Voters(names.map_err(|e| e.to_string())?))? {
+        Reply::Asked => println!("asked; whinhaven fleet status tells what comes of it"),
+        other => return Err(unexpected(other)),
+    }
+    Ok(())
+}
+
+fn unexpected(reply: Reply) -> String {
+    match reply {
+        Reply::Refused(why) => why,
+        _ => "the conductor answered something else; is it of another version?".into(),
+    }
+}
