--- a/src/counters.rs
+++ b/src/counters.rs
@@ -32,6 +32,11 @@
         self.0.set(self.0.get() + 1);
     }
 
+    /// Adds some.
+    pub fn add(&self, some: usize) {
+        self.0.set(self.0.get() + some as u64);
+    }
+
     /// The number.
     pub fn get(&self) -> u64 {
         self.0.get()
@@ -131,6 +136,8 @@
         frames_out,
         /// Frames of members taken from connections.
         frames_in,
+        /// Bytes sent to members, seals included and the system's headers not.
+        bytes_out,
         /// Connections opened to members.
         links_opened,
         /// Connections to members that broke.
--- a/src/fleet/net/drive.rs
+++ b/src/fleet/net/drive.rs
@@ -36,6 +36,11 @@
 /// Datagrams that are looked at in a second, for each member there may be: checking a seal takes time.
 const LOOKS: u32 = 1_000;
 
+/// A life that ends sooner than this is followed by a pause from the second one on, each twice as long as the last.
+const SHORT_LIFE: Micros = 10_000_000;
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(10);
+
 /// What the program asks of its member.
 pub enum Ask {
     /// Hold this lease whenever it can be had.
@@ -81,8 +86,8 @@
 
 /// Why a life is over.
 enum Over {
-    /// The log has ended it: another one may begin.
-    Ended,
+    /// The log has ended it: another one may begin, from this incarnation on.
+    Ended(u64),
     /// The disk failed.
     Failed(DiskError),
     /// The program has dropped its end.
@@ -118,45 +123,71 @@
     /// Runs until the program ends. Where the store fails, the member is silent from then on.
     pub async fn run(mut self, mut found: Found) {
         let mut wants = vec![];
+        let mut short = 0;
         loop {
+            let begun = self.now();
             let over = self.live(found, &mut wants).await;
             // Whatever comes next, this life acts no more.
+            let acted = self.fleet.may_act(&self.fleet.0.life);
             self.fleet.0.rights.take();
+            let history = History(self.fleet.who());
             let failed = match over {
                 Over::Dropped => return,
-                Over::Ended => match self.reopen().await {
-                    Ok(again) => {
-                        found = again;
-                        continue;
+                Over::Ended(least) => {
+                    short = if self.now() - begun < SHORT_LIFE { short + 1 } else { 0 };
+                    if short > 1 {
+                        history.note(
+                            "lives end soon after their beginning: is there another process of this name?",
+                        );
+                        let wait = FIRST_PAUSE.saturating_mul(1 << short.min(8)).min(LONGEST_PAUSE);
+                        let pause = self.silent("between two lives", &mut wants);
+                        if tokio::time::timeout(wait, pause).await.is_ok() {
+                            return;
+                        }
                     }
-                    Err(error) => error,
-                },
+                    match self.reopen(least).await {
+                        Ok(again) => {
+                            found = again;
+                            continue;
+                        }
+                        Err(error) => error,
+                    }
+                }
                 Over::Failed(error) => error,
             };
-            History(self.fleet.who()).failed(&failed.to_string());
+            if let Some(token) = acted {
+                history.life(Some(token), false);
+                self.fleet.tell(&Told::MayAct(false));
+            }
+            history.failed(&failed.to_string());
             self.fleet.0.stopped.set(true);
-            return self.silent(&failed.to_string()).await;
+            return self.silent(&format!("the store failed: {failed}"), &mut wants).await;
         }
     }
 
-    async fn reopen(&self) -> Result<Found, DiskError> {
+    async fn reopen(&self, least: u64) -> Result<Found, DiskError> {
         let (path, settings) = (self.config.store.path.clone(), store_settings(&self.config));
-        let opening = tokio::task::spawn_blocking(move || Disk::open(&path, settings, history::unix_us()));
+        let now = history::unix_us().max(least);
+        let opening = tokio::task::spawn_blocking(move || Disk::open(&path, settings, now));
         opening.await.unwrap_or(Err(DiskError::Gone))
     }
 
-    /// Answers administrators, and nobody else.
-    async fn silent(&mut self, why: &str) {
+    /// Answers administrators, and nobody else, until the program stops.
+    async fn silent(&mut self, why: &str, wants: &mut Vec<LeaseName>) {
         loop {
             tokio::select! {
                 came = self.came.recv() => match came {
                     Some(Came::Asked(_, answer)) => {
-                        let _ = answer.send(admin::Reply::Refused(format!("the store failed: {why}")));
+                        let _ = answer.send(admin::Reply::Refused(why.to_owned()));
                     }
                     Some(Came::Message(..)) => {}
                     None => return,
                 },
-                asked = self.asked.recv() => if asked.is_none() { return },
+                asked = self.asked.recv() => match asked {
+                    Some(Ask::Want(name)) if !wants.contains(&name) => wants.push(name),
+                    Some(Ask::Want(_) | Ask::Propose(..)) => {}
+                    Some(Ask::Leave(_)) | None => return,
+                },
             }
         }
     }
@@ -228,7 +259,10 @@
                 && matches!(life.writing, Writing::Idle(_))
                 && life.waiting.is_empty()
             {
-                return Over::Ended;
+                let name = &life.who.name;
+                let known =
+                    life.node.state().leases().life(name).map_or(0, |grant| grant.holder.incarnation.0);
+                return Over::Ended(known.saturating_add(1));
             }
             let next = life.node.timeout().map(|at| self.fleet.0.clock.instant(at));
             let full = life.waiting.len() >= MOST_WAITING;
@@ -361,9 +395,14 @@
             return life.links.send(to, address, payload);
         }
         let sent = life.sealer.seal(to, MESSAGE, &payload).ok();
-        let sent = sent.and_then(|frame| self.socket.try_send_to(&frame, address).ok());
         let counters = &self.fleet.0.counters;
-        if sent.is_some() { counters.datagrams_out.up() } else { counters.datagrams_lost.up() }
+        match sent.and_then(|frame| self.socket.try_send_to(&frame, address).ok()) {
+            Some(bytes) => {
+                counters.datagrams_out.up();
+                counters.bytes_out.add(bytes);
+            }
+            None => counters.datagrams_lost.up(),
+        }
     }
 
     /// Carries out what waits, up to a write that is not done yet.
--- a/src/fleet/net/links.rs
+++ b/src/fleet/net/links.rs
@@ -198,7 +198,8 @@
                 written = within(STALLED, to.write_all(&bytes)) => written?,
                 _ = from.read(&mut scrap) => return Err(io::ErrorKind::ConnectionReset.into()),
             }
-            (0..frames).for_each(|_| counters.frames_out.up());
+            counters.frames_out.add(frames);
+            counters.bytes_out.add(bytes.len());
             continue;
         }
         tokio::select! {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -207,6 +207,34 @@
     fleet.wait(|at, l| at == holder && event(l, "life.gained"));
 }
 
+/// Guards against a voter whose disk was emptied and that votes as if it remembered, and against one that stays away.
+#[test]
+fn a_voter_with_an_emptied_disk_is_taken_in_as_another_one() {
+    let mut fleet = Fleet::new(3, "");
+    fleet.settle();
+    let store = |fleet: &Fleet| {
+        let status: Value = serde_json::from_slice(&fleet.status(0).stdout).unwrap();
+        let voters = status["voters"].as_array().unwrap().clone();
+        voters.iter().find(|v| v["name"] == "c3").map(|v| number(v, "store"))
+    };
+    let before = store(&fleet).unwrap();
+    fleet.kill(2);
+    std::fs::remove_dir_all(fleet.folder.join("store-3")).unwrap();
+    fleet.start(2);
+    let (_, start) = fleet.wait(|at, l| at == 2 && event(l, "fleet.start"));
+    let after = number(&start, "store");
+    assert!(start["fresh"] == true && after != before);
+    fleet.wait(|at, l| at == 2 && event(l, "life.gained"));
+    while store(&fleet) != Some(after) {
+        // One of the histories goes on: there is time to pass.
+        fleet.wait(|_, l| event(l, "lease.renewed"));
+    }
+    // It counts: with it and one more, the third is not needed.
+    fleet.kill(1);
+    let (_, line) = fleet.wait(|at, l| at != 1 && event(l, "life.ended") && l["peer"] == "c2");
+    assert!(number(&line, "index") > 0);
+}
+
 #[rstest]
 #[case::refuse("", 503)]
 #[case::serve("when_cut_off = \"serve\"", 502)]
