--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -815,6 +815,9 @@
             // The right rests on the moment at which the request was first sent, however late its commit is seen.
             let sent = mine.sent.iter().find(|(seq, _)| *seq == grant.by).map(|(_, at)| *at);
             let base = sent.filter(|_| grant.taken);
+            if base.is_some() {
+                mine.sent.retain(|(seq, _)| *seq >= grant.by);
+            }
             let known = before.filter(|(token, _)| *token == grant.token).map(|(_, base)| base);
             mine.held = Some((grant.token, base.max(known)));
         } else {
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -450,6 +450,7 @@
 
     /// Gives the group what there is for it, until nothing more comes of it.
     fn work(&mut self, now: Micros, mut asks: VecDeque<group::Event>, out: &mut Vec<Action>) {
+        let mut compacted = false;
         while let Some(event) = asks.pop_front() {
             let mut actions = Vec::new();
             self.group.handle(now, event, &mut actions);
@@ -471,7 +472,8 @@
                     group::Action::Refused(refusal) => out.push(Action::Refused(refusal)),
                 }
             }
-            if asks.is_empty() && self.group.wants_snapshot() {
+            if asks.is_empty() && !compacted && self.group.wants_snapshot() {
+                compacted = true;
                 let (index, data) = (self.state.applied(), self.state.encode());
                 asks.push_back(group::Event::Compact { index, data });
             }
