--- a/src/fleet/group/follow.rs
+++ b/src/fleet/group/follow.rs
@@ -4,6 +4,7 @@
     Action, Body, Doing, Entry, Group, Index, MemberName, Micros, Outcome, Part, Payload, Snapshot, Term,
     VoterId, Write,
 };
+use std::collections::BTreeSet;
 
 /// A snapshot on its way in.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -153,13 +154,11 @@
     /// Whom to pull from: the leader, for one that shall vote, so that the leader knows when it has caught up; any
     /// voter for others.
     fn pull_from(&self) -> Option<MemberName> {
-        let names: Vec<&MemberName> = match self.voters() {
-            Some(v) => v.now.iter().map(|v| &v.name).collect(),
-            None => self.first.iter().collect(),
-        };
-        let shall_vote = self.voters().map_or(&self.first, |v| &v.wanted).contains(&self.me.name);
+        // Its configuration may be old, with all voters of it gone: the first ones may still know more.
+        let names = self.voters().into_iter().flat_map(|v| v.now.iter().map(|v| &v.name).chain(&v.wanted));
+        let names: BTreeSet<&MemberName> = names.chain(&self.first).collect();
         match &self.leader {
-            Some(leader) if shall_vote => Some(leader.clone()),
+            Some(leader) if self.shall_vote() => Some(leader.clone()),
             _ => {
                 let others: Vec<_> = names.into_iter().filter(|n| **n != self.me.name).collect();
                 let at = (self.source % others.len().max(1) as u64) as usize;
@@ -168,6 +167,10 @@
         }
     }
 
+    fn shall_vote(&self) -> bool {
+        self.voters().map_or(&self.first, |v| &v.wanted).contains(&self.me.name)
+    }
+
     /// Whether this member may take in what it pulled: a candidate's log must stay as it was when it asked for votes.
     fn pulls(&self) -> bool {
         match &self.doing {
@@ -192,7 +195,12 @@
             return;
         }
         if !self.is_voter() {
-            self.source_heard = now;
+            // One that knows of no leader and has no news may be as far behind: another one is asked then. Who
+            // shall vote needs the leader.
+            let news = entries.last().is_some_and(|e| e.index > self.commit);
+            if leader.is_some() || (news && !self.shall_vote()) {
+                self.source_heard = now;
+            }
             if leader.is_some() && leader.as_ref() != Some(&self.me.name) && term >= self.hard.term {
                 self.raise(term, out);
                 self.leader = leader;
--- a/src/fleet/group/lead.rs
+++ b/src/fleet/group/lead.rs
@@ -3,7 +3,7 @@
 
 use super::{
     Action, Body, Doing, Entry, Group, Index, MOST_VOTERS, MemberName, Micros, Outcome, Part, Payload,
-    Proposed, Refusal, Term, VoterId, Voters, Write,
+    Proposed, Refusal, Role, Term, VoterId, Voters, Write,
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -87,8 +87,13 @@
     }
 
     fn in_touch_with(&self, lead: &Lead, voters: &Voters, now: Micros) -> usize {
-        let lately = |p: &Progress| now.saturating_sub(p.heard) <= self.settings.election_us;
-        let heard = |v: &&VoterId| **v == self.me || lead.voters.get(v).is_some_and(lately);
+        let lately = |heard: Micros| now.saturating_sub(heard) <= self.settings.election_us;
+        let heard = |v: &&VoterId| match lead.voters.get(v) {
+            Some(progress) => lately(progress.heard),
+            // About to be made a voter.
+            None => self.learners.get(&v.name).is_some_and(|l| l.store == v.store && lately(l.heard)),
+        };
+        let heard = |v: &&VoterId| **v == self.me || heard(v);
         voters.now.iter().filter(heard).count()
     }
 
@@ -434,7 +439,8 @@
         let (most, most_bytes) =
             (self.settings.most_entries_per_message, self.settings.most_bytes_per_message);
         let entries = self.log.slice(learner.next, self.commit, most, most_bytes);
-        let (commit, leader) = (self.commit, self.leader.clone());
+        // A learner's word on the leader may be old.
+        let (commit, leader) = (self.commit, self.leader.clone().filter(|_| self.role() != Role::Learner));
         self.send(to.clone(), learner.store, Body::Pulled { entries, commit, leader }, out);
     }
 
