--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -934,6 +934,11 @@
             // A member or a life not known: seen to be true before it is taken in.
             if let Claim::Alive { site, address } = claim {
                 self.rumour(via, member, Record { site, address, incarnation, refutation }, out);
+            } else if let Some(rumour) = self.rumours.get_mut(&member)
+                && rumour.incarnation == incarnation
+            {
+                // It may have ended already: only its own mouth counts now.
+                rumour.vouchers.clear();
             }
             return;
         };
