--- a/src/config.rs
+++ b/src/config.rs
@@ -9,6 +9,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The longest result of a tool that fits into an entry of the fleet's log.
+const MOST_RECORDED: usize = 32 * 1024;
+
 /// Why a configuration can't be used; one line for the operators.
 #[derive(Debug, thiserror::Error)]
 #[error("configuration: {0}")]
@@ -117,6 +120,7 @@
     tools: Option<ToolSettings>,
     fleet: Option<Value>,
     store: Option<Value>,
+    takeover: Option<Value>,
 }
 
 /// A conductor's configuration.
@@ -155,6 +159,7 @@
         if let Some(fields) = value.as_object_mut() {
             fields.remove("fleet");
             fields.remove("store");
+            fields.remove("takeover");
         }
         Self::from_value(value, env)
     }
@@ -212,7 +217,15 @@
             return Err(ConfigError("limits.memory_mb: at least 32 are needed".into()));
         }
         let name = if raw.name.is_empty() { env("NODE_NAME").unwrap_or_default() } else { raw.name };
-        let fleet = FleetConfig::read(&name, raw.fleet, raw.store, &raw.limits)?;
+        let fleet = FleetConfig::read(&name, raw.fleet, raw.store, raw.takeover, &raw.limits)?;
+        let recorded = fleet.as_ref().is_some_and(|f| f.takeover.is_some());
+        if let Some(tools) = raw.tools.as_ref().filter(|t| recorded && t.max_result_bytes > MOST_RECORDED) {
+            let what = format!(
+                "{} is above {MOST_RECORDED}, the most that [takeover] can record",
+                tools.max_result_bytes
+            );
+            return Err(ConfigError(format!("tools.max_result_bytes: {what}")));
+        }
         Ok(Config {
             name,
             fleet,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -575,8 +575,14 @@
                 tenant: None,
             };
             let target = String::new();
-            let call =
-                Call { id: String::new(), target, content_type: None, body: Bytes::new(), keeps: None };
+            let call = Call {
+                id: String::new(),
+                target,
+                content_type: None,
+                body: Bytes::new(),
+                keeps: None,
+                name: None,
+            };
             drop(handle.ask(ask, call));
             while let Ok(input) = queue.try_recv() {
                 core.input(input);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -32,6 +32,8 @@
     pub body: Bytes,
     /// What lasts for as long as anything of the request does, after its answer too: its id, the room it takes.
     pub keeps: Option<Rc<dyn Any>>,
+    /// The lasting name under which its client may ask again, and the generation of this conductor's claim to it.
+    pub name: Option<(String, u64)>,
 }
 
 /// The final answer, or the beginning of one.
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -1,4 +1,4 @@
-//! The `[fleet]` and `[store]` tables of an operator's file.
+//! The `[fleet]`, `[store]` and `[takeover]` tables of an operator's file.
 
 use super::net::admin::ADMINISTRATOR;
 use super::{MOST_NAME, MemberName, SiteName, lease, node};
@@ -30,6 +30,25 @@
     pub most_bytes: u64,
 }
 
+/// How work in hand is recorded for others to take over.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakeoverConfig {
+    /// Most records in the whole fleet, named requests and sends.
+    pub most_records: u64,
+    /// Most bytes of all records.
+    pub most_bytes: u64,
+    /// The longest answer whose text is kept with its record, in bytes.
+    pub most_text_bytes: usize,
+    /// Most questions to the group that wait at this conductor.
+    pub most_waiting: usize,
+    /// How long a send or a tool call may wait for its record, in milliseconds; then it is not made.
+    pub record_within_ms: u64,
+    /// How long a client that comes again may wait for a conductor that may be dying, in milliseconds.
+    pub claim_within_ms: u64,
+    /// How long after SIGTERM what is in hand may run on here before it is handed over, in milliseconds.
+    pub hand_over_after_ms: u64,
+}
+
 /// What a conductor is told of its fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetConfig {
@@ -59,6 +78,8 @@
     pub settings: node::Settings,
     /// Where the log is kept.
     pub store: StoreConfig,
+    /// How work in hand is recorded, if it is.
+    pub takeover: Option<TakeoverConfig>,
 }
 
 /// The part of `limits.memory_mb` that the fleet's tables and queues may take.
@@ -73,8 +94,25 @@
 /// The longest payload of an entry, and bytes of entries in a message, unless the file says otherwise.
 const PAYLOAD: usize = 64 * 1024;
 
+impl TakeoverConfig {
+    fn read(value: Value) -> Result<Self, ConfigError> {
+        let mut table = Table::new("takeover", value)?;
+        let config = TakeoverConfig {
+            most_records: table.bounded("most_records", 10_000, 16, 1_000_000)?,
+            most_bytes: table.bounded("most_bytes", 4 << 20, 64 << 10, 1 << 30)?,
+            most_text_bytes: table.bounded("most_text_bytes", 16 << 10, 0, 32 << 10)?,
+            most_waiting: table.bounded("most_waiting", 512, 8, 100_000)?,
+            record_within_ms: table.bounded("record_within_ms", 1_000, 10, 60_000)?,
+            claim_within_ms: table.bounded("claim_within_ms", 8_000, 10, 600_000)?,
+            hand_over_after_ms: table.bounded("hand_over_after_ms", 5_000, 0, 3_600_000)?,
+        };
+        table.end()?;
+        Ok(config)
+    }
+}
+
 impl FleetConfig {
-    /// Reads the two tables. `name` is the conductor's. `None` without a `[fleet]` table.
+    /// Reads the three tables. `name` is the conductor's. `None` without a `[fleet]` table.
     ///
     /// # Errors
     /// Names the field at fault.
@@ -82,14 +120,18 @@
         name: &str,
         fleet: Option<Value>,
         store: Option<Value>,
+        takeover: Option<Value>,
         limits: &Limits,
     ) -> Result<Option<Self>, ConfigError> {
         let Some(fleet) = fleet else {
-            return match store {
-                Some(_) => Err(ConfigError("store: of no use without a [fleet] table".into())),
-                None => Ok(None),
+            let useless = |name| Err(ConfigError(format!("{name}: of no use without a [fleet] table")));
+            return match (store, takeover) {
+                (Some(_), _) => useless("store"),
+                (_, Some(_)) => useless("takeover"),
+                (None, None) => Ok(None),
             };
         };
+        let takeover = takeover.map(TakeoverConfig::read).transpose()?;
         let (mut fleet, mut store) =
             (Table::new("fleet", fleet)?, Table::new("store", store.unwrap_or_default())?);
         let own = match fleet.optional::<String>("name")? {
@@ -125,6 +167,7 @@
             },
             settings,
             name,
+            takeover,
         };
         fleet.end()?;
         store.end()?;
--- a/src/fleet/hands.rs
+++ b/src/fleet/hands.rs
@@ -44,6 +44,8 @@
     },
     /// Something was written down, by whomever.
     Notice(Notice),
+    /// A snapshot took the place of notices: whatever is waited for may have happened.
+    Restored,
     /// Whether the life lease can be counted on.
     MayAct(bool),
 }
@@ -109,6 +111,20 @@
     command: Command,
     until: Option<Micros>,
     wait: Wait,
+    /// What it would wait for has happened while its answer was on the way: answers and notices may pass each other.
+    stirred: bool,
+}
+
+impl Question {
+    /// Asks anew: what has changed is on record, and another waiter may have been first.
+    fn stir(&mut self, ticket: Ticket, out: &mut Vec<Action>) {
+        if self.wait == Wait::Reply {
+            self.stirred = true;
+        } else {
+            self.wait = Wait::Reply;
+            out.push(Action::Propose { ticket, command: self.command.clone() });
+        }
+    }
 }
 
 /// The machine.
@@ -166,6 +182,11 @@
             Event::Tell { ticket, command } => self.put(ticket, command, None, out),
             Event::Reply { ticket, reply } => self.reply(ticket, reply, out),
             Event::Notice(notice) => self.notice(notice, out),
+            Event::Restored => {
+                for (ticket, question) in &mut self.open {
+                    question.stir(*ticket, out);
+                }
+            }
             Event::MayAct(may) => {
                 self.may_act = may;
                 if !may {
@@ -179,7 +200,7 @@
 
     fn put(&mut self, ticket: Ticket, command: Command, until: Option<Micros>, out: &mut Vec<Action>) {
         out.push(Action::Propose { ticket, command: command.clone() });
-        self.open.insert(ticket, Question { command, until, wait: Wait::Reply });
+        self.open.insert(ticket, Question { command, until, wait: Wait::Reply, stirred: false });
     }
 
     /// Gives a verdict; if the group's answer may still come, what it then grants is given back.
@@ -228,14 +249,10 @@
             Some(Reply::Claimed(record)) => Verdict::Claimed(record),
             Some(Reply::Ended(answer)) => Verdict::Ended(answer),
             Some(Reply::Done | Reply::Go | Reply::Adopted(_)) => Verdict::Go,
-            Some(Reply::Known(CallStage::Out)) => {
-                question.wait = Wait::Outcome;
-                return;
-            }
+            Some(Reply::Known(CallStage::Out)) => return Self::wait(question, ticket, Wait::Outcome, out),
             Some(Reply::Known(stage)) => Verdict::Known(stage),
             Some(Reply::Refused(Refusal::InHand(owner))) => {
-                question.wait = Wait::Open(owner);
-                return;
+                return Self::wait(question, ticket, Wait::Open(owner), out);
             }
             Some(Reply::Refused(refusal)) => Verdict::Refused(refusal),
             None => Verdict::Late,
@@ -243,11 +260,19 @@
         self.end(ticket, verdict, out);
     }
 
+    fn wait(question: &mut Question, ticket: Ticket, wait: Wait, out: &mut Vec<Action>) {
+        if std::mem::take(&mut question.stirred) {
+            out.push(Action::Propose { ticket, command: question.command.clone() });
+        } else {
+            question.wait = wait;
+        }
+    }
+
     /// The group has granted what nobody waits for any more.
     fn came_late(&mut self, command: Command, reply: Option<Reply>, out: &mut Vec<Action>) {
         let back = match (command, reply) {
             (Command::Claim { name, .. }, Some(Reply::Claimed(record))) => {
-                Command::LetGo { name, generation: record.generation }
+                Command::LetGo { name, generation: record.generation, harmless: false }
             }
             // It was let out and never went: whoever asks for it next may make it.
             (Command::Call { name, ordinal, .. }, Some(Reply::Go)) => {
@@ -260,27 +285,19 @@
     }
 
     fn notice(&mut self, notice: Notice, out: &mut Vec<Action>) {
-        let woken: Vec<Ticket> = (self.open.iter())
-            .filter(|(_, q)| match (&q.wait, &q.command, &notice) {
+        for (ticket, question) in &mut self.open {
+            let concerned = match (&question.command, &notice) {
                 (
-                    Wait::Open(_),
                     Command::Claim { name, .. },
                     Notice::Open { name: n } | Notice::Ended { name: n } | Notice::Moved { name: n, .. },
                 ) => name == n,
-                (
-                    Wait::Outcome,
-                    Command::Call { name, ordinal, .. },
-                    Notice::CallEnded { name: n, ordinal: o },
-                ) => name == n && ordinal == o,
+                (Command::Call { name, ordinal, .. }, Notice::CallEnded { name: n, ordinal: o }) => {
+                    name == n && ordinal == o
+                }
                 _ => false,
-            })
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        // Asked anew: what has changed is on record, and another waiter may have been first.
-        for ticket in woken {
-            if let Some(question) = self.open.get_mut(&ticket) {
-                question.wait = Wait::Reply;
-                out.push(Action::Propose { ticket, command: question.command.clone() });
+            };
+            if concerned {
+                question.stir(*ticket, out);
             }
         }
         if let Notice::Moved { name, from, .. } = notice
@@ -369,6 +386,16 @@
         assert_eq!(actions, [wanted]);
     }
 
+    /// Guards against a wait for what has happened already.
+    #[test]
+    fn an_answer_that_a_notice_has_overtaken_is_asked_for_anew() {
+        let mut side = Side::start();
+        side.ask(1, claim(), 100);
+        assert!(side.tell(1, Event::Notice(Notice::Open { name: "r".into() })).is_empty());
+        let again = side.reply(2, 1, Reply::Refused(Refusal::InHand(who("c2"))));
+        assert_eq!(again, [Action::Propose { ticket: Ticket(1), command: claim() }]);
+    }
+
     /// Guards against a call that goes out when nobody waits for it, and against one that then nobody may make.
     #[test]
     fn what_is_granted_too_late_goes_out_nowhere_and_is_given_back() {
--- a/src/fleet/net/history.rs
+++ b/src/fleet/net/history.rs
@@ -11,6 +11,8 @@
 
 /// Where all but renewals go.
 const TARGET: &str = "whinhaven::fleet";
+/// Steps of single requests, for the same reason.
+pub const WORK: &str = "whinhaven::fleet::work";
 /// Renewals come all the time, so they can be turned off by themselves.
 pub const RENEWALS: &str = "whinhaven::fleet::renewals";
 
@@ -51,6 +53,50 @@
             "fleet: the store failed: {error}; this conductor acts no more and takes no part until it is restarted");
     }
 
+    /// Another conductor has taken a request over, asked by its client.
+    pub fn moved(&self, request: &str) {
+        event!(self, info, TARGET, "work.moved", at unix_us(), { request = request },
+            "takeover: request {request} goes on at another conductor");
+    }
+
+    /// A named request is in hand here.
+    pub fn claimed(&self, request: &str, generation: u64) {
+        event!(self, info, WORK, "work.claimed", at unix_us(), { request = request, generation = generation },
+            "takeover: request {request} is in hand, generation {generation}");
+    }
+
+    /// A tool call is on record and goes out now.
+    pub fn call_out(&self, request: &str, ordinal: u32) {
+        event!(self, info, WORK, "call.out", at unix_us(), { request = request, ordinal = ordinal },
+            "takeover: call {ordinal} of request {request} goes out");
+    }
+
+    /// A tool call's outcome is on record.
+    pub fn call_ended(&self, request: &str, ordinal: u32) {
+        event!(self, info, WORK, "call.ended", at unix_us(), { request = request, ordinal = ordinal },
+            "takeover: call {ordinal} of request {request} has its outcome on record");
+    }
+
+    /// A request's final answer is on record.
+    pub fn answered(&self, request: &str) {
+        event!(self, info, WORK, "work.answered", at unix_us(), { request = request },
+            "takeover: request {request} has its final answer on record");
+    }
+
+    /// This member releases what an ended life has left.
+    pub fn adopted(&self, dead: &Who, sends: usize) {
+        let (peer, life) = (dead.name.as_str(), dead.incarnation.0);
+        event!(self, info, TARGET, "work.adopted", at unix_us(),
+            { peer = peer, peer_incarnation = life, sends = sends },
+            "takeover: adopts {sends} sends that {dead} has left at model hosts");
+    }
+
+    /// An adopted send was released, or no host took it.
+    pub fn released(&self, id: &str, worker: &str) {
+        event!(self, info, TARGET, "work.released", at unix_us(), { id = id, worker = worker },
+            "takeover: released {id}, last sent to {worker}");
+    }
+
     /// A belief about a member changed.
     pub fn view(&self, change: &view::Change) {
         let (peer, life, to) = (change.member.as_str(), change.incarnation.0, change.to.as_str());
--- a/src/fleet/net/mod.rs
+++ b/src/fleet/net/mod.rs
@@ -12,6 +12,7 @@
 mod reception;
 mod refusals;
 pub mod seal;
+pub mod work;
 
 use crate::config::ConfigError;
 use crate::core::Clock;
@@ -74,6 +75,11 @@
         self.0.when_cut_off == WhenCutOff::Serve || self.may_act(&self.0.life).is_some()
     }
 
+    /// Whether this conductor's life lease stands at this very moment: the clock is read anew.
+    pub fn lives(&self) -> bool {
+        self.may_act(&self.0.life).is_some()
+    }
+
     /// This conductor in its present life.
     pub fn who(&self) -> Who {
         self.0.who.borrow().clone()
--- /dev/null
+++ b/src/fleet/net/work.rs
@@ -0,0 +1,447 @@
+//! Work in hand, carried out: asks the fleet before something goes out, and releases what ended lives have left.
+//!
+//! [`Work`] drives [`Hands`](crate::fleet::hands::Hands) with the program's clock and proposals. [`Recording`] stands
+//! between the core and the client side: what goes to a model host is written down first, and taken off the record when
+//! nothing of its request is left.
+
+use super::history::History;
+use super::{Fleet, Told};
+use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
+use crate::exchange::Call;
+use crate::fleet::Who;
+use crate::fleet::config::TakeoverConfig;
+use crate::fleet::hands::{Action, Event, Hands, Ticket, Verdict};
+use crate::fleet::state::{Answer, Command, Effect, Refusal as Unlooked};
+use crate::fleet::takeover::{self, Bounds, MOST_OVER, Notice, Refusal, Reply};
+use crate::interface::{Micros, Outcome, RequestId, WorkerId};
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How often sends are looked at of which nothing is left.
+const SWEEP: Duration = Duration::from_millis(50);
+/// Before what nobody waits for is proposed anew.
+const AGAIN: Duration = Duration::from_millis(200);
+/// The span from which each member draws how long it waits before it adopts, for each member that there may be.
+const ADOPT_SPAN_US: u64 = 4_000;
+/// Releases of adopted sends that are out at once.
+const MOST_RELEASES: usize = 32;
+
+/// Told the name of a request that another conductor has taken over.
+type Moved = Box<dyn Fn(&str)>;
+
+/// The fleet's records of work in hand, as the rest of the program asks them.
+pub struct Work {
+    fleet: Fleet,
+    clock: Clock,
+    settings: TakeoverConfig,
+    hands: RefCell<Hands>,
+    verdicts: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
+    written: RefCell<HashMap<Ticket, oneshot::Sender<()>>>,
+    next: Cell<u64>,
+    woken: Notify,
+    moved: RefCell<Vec<Moved>>,
+    /// Ended lives whose things wait to be adopted, as far as heard.
+    orphaned: RefCell<VecDeque<Who>>,
+    orphans: Notify,
+}
+
+impl Work {
+    /// Begins to listen to the fleet.
+    pub fn start(fleet: Fleet, clock: Clock, settings: TakeoverConfig) -> Rc<Self> {
+        let hands = Hands::new(fleet.who(), settings.most_waiting);
+        let work = Rc::new(Work {
+            fleet: fleet.clone(),
+            clock,
+            settings,
+            hands: RefCell::new(hands),
+            verdicts: RefCell::default(),
+            written: RefCell::default(),
+            next: Cell::new(1),
+            woken: Notify::new(),
+            moved: RefCell::default(),
+            orphaned: RefCell::default(),
+            orphans: Notify::new(),
+        });
+        // What happened before this could listen.
+        work.handle(Event::MayAct(fleet.lives()));
+        let listener = Rc::downgrade(&work);
+        fleet.listen(Box::new(move |told| {
+            if let Some(work) = listener.upgrade() {
+                work.told(told);
+            }
+        }));
+        tokio::task::spawn_local(work.clone().keep_time());
+        work
+    }
+
+    /// Room, as this conductor's settings allow it.
+    pub fn bounds(&self) -> Bounds {
+        Bounds { records: self.settings.most_records, bytes: self.settings.most_bytes }
+    }
+
+    /// The settings.
+    pub fn settings(&self) -> &TakeoverConfig {
+        &self.settings
+    }
+
+    /// Whether this conductor may act at this very moment.
+    pub fn may_act(&self) -> bool {
+        self.fleet.lives()
+    }
+
+    /// This conductor's history.
+    pub fn history(&self) -> History {
+        History(self.fleet.who())
+    }
+
+    /// Has a function called with the name of each request that another conductor has taken over.
+    pub fn on_moved(&self, moved: impl Fn(&str) + 'static) {
+        self.moved.borrow_mut().push(Box::new(moved));
+    }
+
+    /// Asks whether something may go out, and waits for the answer until `until` at the latest.
+    pub async fn ask(self: &Rc<Self>, command: takeover::Command, until: Micros) -> Verdict {
+        let ticket = self.ticket();
+        let (answer, answered) = oneshot::channel();
+        self.verdicts.borrow_mut().insert(ticket, answer);
+        self.handle(Event::Ask { ticket, command, until });
+        let verdict = answered.await.unwrap_or(Verdict::Cut);
+        // The machine's word may be as old as the last event: the clock is read anew before anything is let out.
+        if verdict == Verdict::Go && !self.may_act() { Verdict::Cut } else { verdict }
+    }
+
+    /// Asks, with the time that the settings give a record to be written.
+    pub async fn ask_soon(self: &Rc<Self>, command: takeover::Command) -> Verdict {
+        let until = self.clock.now() + self.settings.record_within_ms * 1_000;
+        self.ask(command, until).await
+    }
+
+    /// Asks, with the time that a client may wait for a conductor that may be dying, and not past its deadline.
+    pub async fn ask_for(self: &Rc<Self>, command: takeover::Command, deadline: Micros) -> Verdict {
+        let within = self.clock.now() + self.settings.claim_within_ms * 1_000;
+        self.ask(command, within.min(deadline)).await
+    }
+
+    /// Asks, with a wait of the asker's beside the time that a record takes.
+    pub async fn ask_within(self: &Rc<Self>, command: takeover::Command, patience: Duration) -> Verdict {
+        let record = Duration::from_millis(self.settings.record_within_ms);
+        let until = self.clock.now() + (record + patience).as_micros() as Micros;
+        self.ask(command, until).await
+    }
+
+    /// Tells the group until it is written, and waits for that no longer than a record may take.
+    pub async fn told_soon(self: &Rc<Self>, command: takeover::Command) {
+        let (written, told) = oneshot::channel();
+        let ticket = self.ticket();
+        self.written.borrow_mut().insert(ticket, written);
+        self.handle(Event::Tell { ticket, command });
+        let patience = Duration::from_millis(self.settings.record_within_ms);
+        let _ = tokio::time::timeout(patience, told).await;
+        self.written.borrow_mut().remove(&ticket);
+    }
+
+    /// Tells the group; nobody waits.
+    pub fn tell(self: &Rc<Self>, command: takeover::Command) {
+        let ticket = self.ticket();
+        self.handle(Event::Tell { ticket, command });
+    }
+
+    fn ticket(&self) -> Ticket {
+        let ticket = self.next.get();
+        self.next.set(ticket + 1);
+        Ticket(ticket)
+    }
+
+    fn handle(self: &Rc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        self.hands.borrow_mut().handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Propose { ticket, command } => self.propose(ticket, command),
+                Action::Verdict { ticket, verdict } => {
+                    if let Some(answer) = self.verdicts.borrow_mut().remove(&ticket) {
+                        let _ = answer.send(verdict);
+                    }
+                }
+                Action::Moved { name } => {
+                    self.history().moved(&name);
+                    self.moved.borrow().iter().for_each(|moved| moved(&name));
+                }
+            }
+        }
+        self.woken.notify_one();
+    }
+
+    fn propose(self: &Rc<Self>, ticket: Ticket, command: takeover::Command) {
+        let work = self.clone();
+        let me = self.fleet.who();
+        tokio::task::spawn_local(async move {
+            let reply = match work.fleet.propose(Command::Takeover(command)).await {
+                Ok(Answer::Takeover(reply)) => Some(reply),
+                // The log knows nothing more of it: this life is over.
+                Ok(Answer::Refused(Unlooked::OldLife | Unlooked::MostMembers)) => {
+                    Some(Reply::Refused(Refusal::LifeEnded))
+                }
+                _ => None,
+            };
+            if reply.is_none() {
+                tokio::time::sleep(AGAIN).await;
+            }
+            // Another life's machine has other questions.
+            if work.fleet.who() == me {
+                if reply.is_some()
+                    && let Some(written) = work.written.borrow_mut().remove(&ticket)
+                {
+                    let _ = written.send(());
+                }
+                work.handle(Event::Reply { ticket, reply });
+            }
+        });
+    }
+
+    fn told(self: &Rc<Self>, told: &Told) {
+        match told {
+            Told::Life(who) => {
+                *self.hands.borrow_mut() = Hands::new((*who).clone(), self.settings.most_waiting);
+                // Dropped unanswered: whoever asked in the life before hears that it may not act.
+                self.verdicts.borrow_mut().clear();
+            }
+            Told::MayAct(may) => self.handle(Event::MayAct(*may)),
+            Told::Effect(_, Effect::Takeover(notice)) => {
+                match notice {
+                    Notice::Orphaned { dead, .. } => self.orphan(dead.clone()),
+                    Notice::Adopted { dead, .. } => self.orphaned.borrow_mut().retain(|d| d != dead),
+                    _ => {}
+                }
+                self.handle(Event::Notice(notice.clone()));
+            }
+            Told::Restored(state) => {
+                let work = state.work();
+                self.orphaned.borrow_mut().clear();
+                work.orphaned().for_each(|dead| self.orphan(dead.clone()));
+                // What is waited for may have happened under the snapshot.
+                self.handle(Event::Restored);
+            }
+            Told::View(_) | Told::Effect(..) => {}
+        }
+    }
+
+    async fn keep_time(self: Rc<Self>) {
+        loop {
+            let next = self.hands.borrow().timeout();
+            let woken = self.woken.notified();
+            let due = async {
+                match next {
+                    Some(at) => tokio::time::sleep_until(self.clock.instant(at)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = due => self.handle(Event::Tick),
+                () = woken => {}
+            }
+        }
+    }
+
+    fn orphan(&self, dead: Who) {
+        let mut orphaned = self.orphaned.borrow_mut();
+        if !orphaned.contains(&dead) {
+            orphaned.push_back(dead);
+            self.orphans.notify_one();
+        }
+    }
+
+    /// Adopts what ended lives have left at model hosts, and has it released. Each member waits for a time of its own
+    /// first, so that mostly one asks; the log lets one have it.
+    pub async fn adopt(self: Rc<Self>, members: usize, outbound: Rc<dyn Outbound>) {
+        loop {
+            let next = self.orphaned.borrow().front().cloned();
+            let Some(dead) = next else {
+                self.orphans.notified().await;
+                continue;
+            };
+            let me = self.fleet.who();
+            let drawn = xxh3_64(format!("{me} {dead}").as_bytes()) % (ADOPT_SPAN_US * members.max(1) as u64);
+            tokio::time::sleep(Duration::from_micros(drawn)).await;
+            if !self.orphaned.borrow().contains(&dead) {
+                continue;
+            }
+            let answer =
+                self.fleet.propose(Command::Takeover(takeover::Command::Adopt { dead: dead.clone() })).await;
+            match answer {
+                Ok(Answer::Takeover(Reply::Adopted(sends))) => {
+                    self.orphaned.borrow_mut().retain(|d| *d != dead);
+                    History(me).adopted(&dead, sends.len());
+                    self.release_all(sends, &outbound).await;
+                }
+                Ok(Answer::Takeover(Reply::Refused(Refusal::Nothing))) => {
+                    self.orphaned.borrow_mut().retain(|d| *d != dead);
+                }
+                _ => tokio::time::sleep(AGAIN).await,
+            }
+        }
+    }
+
+    async fn release_all(self: &Rc<Self>, sends: Vec<(String, String)>, outbound: &Rc<dyn Outbound>) {
+        let mut waiting: VecDeque<_> = sends.into();
+        let mut running = tokio::task::JoinSet::new();
+        let mut over = Vec::new();
+        loop {
+            while running.len() < MOST_RELEASES
+                && let Some((id, worker)) = waiting.pop_front()
+            {
+                let (work, outbound) = (self.clone(), outbound.clone());
+                running.spawn_local(async move {
+                    work.release(&id, &worker, &*outbound).await;
+                    id
+                });
+            }
+            match running.join_next().await {
+                Some(Ok(id)) => over.push(id),
+                Some(Err(_)) => {}
+                None => break,
+            }
+        }
+        for ids in over.chunks(MOST_OVER) {
+            self.tell(takeover::Command::Over { ids: ids.to_vec() });
+        }
+    }
+
+    async fn release(&self, id: &str, worker: &str, outbound: &dyn Outbound) {
+        let (target, body) = (String::new(), Bytes::new());
+        let call = Rc::new(Call { id: id.into(), target, content_type: None, body, keeps: None, name: None });
+        let alive = Rc::downgrade(&call);
+        let releasing = Rc::new(Releasing::default());
+        outbound.release(call, releasing.clone());
+        // Over when a host has taken it, or when none has in the time that there is for it.
+        while alive.upgrade().is_some() {
+            tokio::select! {
+                () = releasing.done() => break,
+                () = tokio::time::sleep(SWEEP) => {}
+            }
+        }
+        self.history().released(id, worker);
+    }
+}
+
+/// An [`Outbound`] that writes each send down before it goes out.
+pub struct Recording {
+    inner: Rc<dyn Outbound>,
+    work: Rc<Work>,
+    core: CoreHandle,
+    reads: Box<dyn Fn(&WorkerId) -> bool>,
+    most_attempts: u32,
+    /// Ids on record, and the calls whose end takes them off it.
+    noted: RefCell<HashMap<String, Weak<Call>>>,
+}
+
+impl Recording {
+    /// Stands before `inner`; `reads` says whether a host only reads.
+    pub fn start(
+        inner: Rc<dyn Outbound>,
+        work: Rc<Work>,
+        core: CoreHandle,
+        reads: Box<dyn Fn(&WorkerId) -> bool>,
+        most_attempts: u32,
+    ) -> Rc<Self> {
+        let noted = RefCell::default();
+        let recording = Rc::new(Recording { inner, work, core, reads, most_attempts, noted });
+        tokio::task::spawn_local(recording.clone().sweep());
+        recording
+    }
+
+    async fn sweep(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            let mut over = Vec::new();
+            self.noted.borrow_mut().retain(|id, call| {
+                let kept = call.strong_count() > 0;
+                if !kept {
+                    over.push(id.clone());
+                }
+                kept
+            });
+            for ids in over.chunks(MOST_OVER) {
+                self.work.tell(takeover::Command::Over { ids: ids.to_vec() });
+            }
+        }
+    }
+}
+
+/// A handle on itself, for what goes on after a call has returned.
+struct Going {
+    inner: Rc<dyn Outbound>,
+    work: Rc<Work>,
+    core: CoreHandle,
+}
+
+impl Going {
+    async fn send(self, mut attempt: Attempt, command: takeover::Command) {
+        let most = attempt.until;
+        let within = self.core.clock.now() + self.work.settings.record_within_ms * 1_000;
+        let verdict = tokio::select! {
+            biased;
+            _ = &mut attempt.cancelled => return self.not_sent(&attempt, Outcome::Dropped),
+            verdict = self.work.ask(command, within.min(most)) => verdict,
+        };
+        match verdict {
+            Verdict::Go => self.inner.send(attempt),
+            other => {
+                log::info!("request {}: not sent, not on record: {other:?}", attempt.call.id);
+                self.not_sent(&attempt, Outcome::NotSent);
+            }
+        }
+    }
+
+    fn not_sent(&self, attempt: &Attempt, outcome: Outcome) {
+        let (request, attempt) = (attempt.request, attempt.attempt);
+        self.core.tell(Input::Ended { request, attempt, outcome, kept: 0, report: None });
+    }
+}
+
+impl Outbound for Recording {
+    fn send(&self, attempt: Attempt) {
+        let call = &attempt.call;
+        let noted = self.noted.borrow().contains_key(&call.id);
+        // One record holds for all sends under an id, unless its name has them counted.
+        if noted && call.name.is_none() {
+            return self.inner.send(attempt);
+        }
+        self.noted.borrow_mut().insert(call.id.clone(), Rc::downgrade(call));
+        let command = takeover::Command::Send {
+            id: call.id.clone(),
+            worker: attempt.worker.0.to_string(),
+            name: call.name.clone(),
+            reads: (self.reads)(&attempt.worker),
+            most_attempts: self.most_attempts,
+            bounds: self.work.bounds(),
+        };
+        let going = Going { inner: self.inner.clone(), work: self.work.clone(), core: self.core.clone() };
+        tokio::task::spawn_local(going.send(attempt, command));
+    }
+
+    fn release(&self, call: Rc<Call>, releasing: Rc<Releasing>) {
+        self.inner.release(call, releasing);
+    }
+
+    fn hold(&self, request: RequestId, call: Rc<Call>, worker: WorkerId) {
+        self.inner.hold(request, call, worker);
+    }
+
+    fn probe(&self, worker: WorkerId) {
+        self.inner.probe(worker);
+    }
+
+    fn hang_up(&self, worker: &WorkerId) {
+        self.inner.hang_up(worker);
+    }
+
+    fn ask_list(&self, watch: bool) {
+        self.inner.ask_list(watch);
+    }
+}
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -10,7 +10,7 @@
 use crate::fleet::message::Message;
 use crate::fleet::state::{Answer, Bounds, Command, Effect, FleetState, Proposal};
 use crate::fleet::view::{self, View};
-use crate::fleet::{Incarnation, Index, LeaseName, MemberName, SiteName, Term, Token, Who};
+use crate::fleet::{Incarnation, Index, LeaseName, MemberName, SiteName, Term, Token, Who, takeover};
 use crate::interface::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -43,11 +43,13 @@
     pub most_proposals: usize,
     /// A proposal without an answer is given up after this, in milliseconds.
     pub give_up_ms: u64,
+    /// How long a record of work is remembered that nobody has in hand, in milliseconds; at least.
+    pub remember_ms: u64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { most_wants: 64, most_proposals: 256, give_up_ms: 10_000 }
+        Limits { most_wants: 64, most_proposals: 1_024, give_up_ms: 10_000, remember_ms: 900_000 }
     }
 }
 
@@ -249,8 +251,15 @@
     may_act: bool,
     life_ended: bool,
     leaving: bool,
+    keeper: takeover::Keeper,
+    /// When the leader looks next for records that may be forgotten.
+    keep_at: Micros,
 }
 
+/// How often the leader looks for records of work that may be forgotten, and the most at once.
+const KEEP: Micros = 1_000_000;
+const MOST_FORGOTTEN: usize = 64;
+
 impl Node {
     /// A member at the start of its life. It wants its life lease at once; it looks for the others at [`Event::Join`].
     pub fn new(start: Start, settings: Settings, now: Micros) -> Node {
@@ -275,6 +284,8 @@
             may_act: false,
             life_ended: false,
             leaving: false,
+            keeper: takeover::Keeper::default(),
+            keep_at: now.saturating_add(KEEP),
         }
     }
 
@@ -289,6 +300,7 @@
                 self.look(now, view::Event::Tick, out);
                 asks.push_back(group::Event::Tick);
                 self.end_leases(now, &mut asks);
+                self.forget_work(now, &mut asks);
                 self.give_up(now, out);
             }
             Event::Join { seeds } => self.look(now, view::Event::Join { seeds }, out),
@@ -330,6 +342,7 @@
             self.group.timeout(),
             self.holder.timeout(),
             self.watch.timeout().filter(|_| self.leading),
+            Some(self.keep_at).filter(|_| self.leading && !self.state.work().is_empty()),
             give_up,
         ];
         parts.into_iter().flatten().min()
@@ -510,7 +523,7 @@
                     self.expiring.retain(|_, seq| *seq != origin.seq);
                     self.hold(now, lease::Event::Answered(origin.seq, answer), asks, out);
                 }
-                Effect::Answered { .. } | Effect::Bounds(_) => {}
+                Effect::Answered { .. } | Effect::Bounds(_) | Effect::Takeover(_) => {}
             }
         }
     }
@@ -582,6 +595,21 @@
         }
     }
 
+    /// As leader, asks the log to forget records that have rested for the time set by this member's clock.
+    fn forget_work(&mut self, now: Micros, asks: &mut VecDeque<group::Event>) {
+        if !self.leading {
+            return self.keeper.clear();
+        }
+        if now < self.keep_at {
+            return;
+        }
+        self.keep_at = now.saturating_add(KEEP);
+        let remember = self.limits.remember_ms.saturating_mul(1000);
+        for command in self.keeper.due(now, remember, MOST_FORGOTTEN, self.state.work()) {
+            self.propose(now, Command::Takeover(command), asks);
+        }
+    }
+
     fn give_up(&mut self, now: Micros, out: &mut Vec<Action>) {
         while let Some(entry) = self.tickets.first_entry().filter(|entry| entry.get().1 <= now) {
             let (seq, (ticket, _)) = entry.remove_entry();
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -4,7 +4,7 @@
 //! bound that decides anything is itself in the log ([`Bounds`]). A further part of the fleet adds one variant each
 //! to [`Command`], [`Answer`] and [`Effect`], a field to [`FleetState`], and one arm in [`FleetState::apply`].
 
-use crate::fleet::{Incarnation, Index, MemberName, Who, lease};
+use crate::fleet::{Incarnation, Index, MemberName, Who, lease, takeover};
 use crate::interface::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,6 +52,8 @@
     Bounds(Bounds),
     /// About a lease.
     Lease(lease::Command),
+    /// About work in hand.
+    Takeover(takeover::Command),
 }
 
 /// What came of a proposal.
@@ -63,6 +65,8 @@
     Done,
     /// What the table of leases says.
     Lease(lease::Outcome),
+    /// What the records of work in hand say.
+    Takeover(takeover::Reply),
 }
 
 /// Why a proposal was not looked at.
@@ -90,6 +94,8 @@
     },
     /// A lease changed.
     Lease(lease::Change),
+    /// A record of work in hand changed in a way that others wait for.
+    Takeover(takeover::Notice),
     /// Other bounds are in force.
     Bounds(Bounds),
 }
@@ -132,6 +138,7 @@
     /// The highest life that was forgotten to make room; lives up to it are refused of members not remembered.
     forgotten: Incarnation,
     leases: lease::Table,
+    work: takeover::Table,
     applied: Index,
 }
 
@@ -156,6 +163,11 @@
         &self.leases
     }
 
+    /// The records of work in hand.
+    pub fn work(&self) -> &takeover::Table {
+        &self.work
+    }
+
     /// Whether this proposal has been decided (or would be refused as settled).
     pub fn decided(&self, origin: &Origin) -> bool {
         match self.sessions.get(&origin.who.name) {
@@ -190,14 +202,36 @@
                 Command::Lease(command) => {
                     let mut changes = Vec::new();
                     let outcome = self.leases.apply(index, &origin, command, &self.bounds, &mut changes);
-                    out.extend(changes.into_iter().map(Effect::Lease));
+                    for change in changes {
+                        self.lives(index, change, out);
+                    }
                     Answer::Lease(outcome)
                 }
+                Command::Takeover(command) => {
+                    let who = &origin.who;
+                    let alive = self.leases.life(&who.name).is_some_and(|grant| grant.holder == *who);
+                    let mut notices = Vec::new();
+                    let reply = self.work.apply(index, who, alive, command, &mut notices);
+                    out.extend(notices.into_iter().map(Effect::Takeover));
+                    Answer::Takeover(reply)
+                }
             },
         };
         out.push(Effect::Answered { origin, answer });
     }
 
+    /// Passes a change of a lease on. With the end of a life, what it had in hand is settled in the same entry.
+    fn lives(&mut self, index: Index, change: lease::Change, out: &mut Vec<Effect>) {
+        let of_life = lease::life(&change.holder.name).is_some_and(|name| name == change.name);
+        let dead = change.holder.clone();
+        out.push(Effect::Lease(change));
+        if of_life && self.leases.ended(&dead) {
+            let mut notices = Vec::new();
+            self.work.life_ended(index, &dead, &mut notices);
+            out.extend(notices.into_iter().map(Effect::Takeover));
+        }
+    }
+
     /// An entry that is no proposal (the group's own, or one from a later version) moves the index only.
     pub fn skip(&mut self, index: Index) {
         self.applied = self.applied.max(index);
--- a/src/fleet/takeover.rs
+++ b/src/fleet/takeover.rs
@@ -112,6 +112,8 @@
         name: String,
         /// The generation of the claim.
         generation: u64,
+        /// Whether it is known that nothing has run: its client was told that trying again is harmless.
+        harmless: bool,
     },
     /// Nothing is held any more for these sends.
     Over {
@@ -409,9 +411,12 @@
                 }
                 reply
             }
-            Command::LetGo { name, generation } => {
+            Command::LetGo { name, generation, harmless } => {
                 let reply = self.change(&name, who, generation, |r| {
                     (r.owner, r.changed) = (None, at);
+                    if harmless && r.stage == Stage::Sent {
+                        (r.stage, r.attempts) = (Stage::Taken, 0);
+                    }
                     // What must not run twice and may have run has had its chance: see `life_ended`.
                     r.settle();
                     Ok(Reply::Done)
@@ -801,6 +806,15 @@
         assert_eq!(log.send("c1", g, false), Reply::Refused(Refusal::LifeEnded));
     }
 
+    #[test]
+    fn a_request_that_was_refused_may_be_tried_again() {
+        let mut log = Log::default();
+        let g = generation(log.claim("c1", false));
+        log.send("c1", g, false);
+        log.put("c1", Command::LetGo { name: "r".into(), generation: g, harmless: true });
+        assert_eq!(generation(log.claim("c2", false)), g + 1);
+    }
+
     /// Found by the model: a front that gave up waiting after its send, and was asked again by the same client.
     #[test]
     fn an_owner_that_asks_anew_after_a_send_that_may_have_run_does_not_send_again() {
@@ -816,7 +830,7 @@
         let g = generation(log.claim("c1", false));
         log.send("c1", g, false);
         log.put("c1", Command::Began { name: "r".into(), generation: g });
-        log.put("c1", Command::LetGo { name: "r".into(), generation: g });
+        log.put("c1", Command::LetGo { name: "r".into(), generation: g, harmless: false });
         assert_eq!(log.claim("c2", false), Reply::Refused(Refusal::Begun));
         assert_eq!(generation(log.claim("c2", true)), g + 1);
     }
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -8,9 +8,12 @@
 
 use super::ledger::{CallKey, Ledger, Outcome};
 use super::platform::{AnswerBody, refusal};
+use super::record::{Claim, Claimed};
 use super::shared::{CUT_OFF, MOST_BODY, Shared};
 use crate::config::ToolSettings;
 use crate::exchange::{Answer, Call, Feed, Frame, Presence, is_plain_id};
+use crate::fleet::net::work::Work;
+use crate::fleet::takeover::Final;
 use crate::interface::{Ask, Micros, RequestId};
 use bytes::{Bytes, BytesMut};
 use hyper::header::HeaderValue;
@@ -175,6 +178,7 @@
 const IN_HAND: Fault = Fault::new(StatusCode::CONFLICT, -32003, "a request of this name is in hand");
 const FAILED: Fault = Fault::new(StatusCode::BAD_GATEWAY, -32001, "failed; it may have run");
 const CANCELLED: Fault = Fault::new(StatusCode::OK, -32002, "cancelled");
+const NOT_KEPT: Fault = Fault::new(StatusCode::GONE, -32005, "ended; its text is not kept any more");
 const BROKEN: Fault = Fault::new(StatusCode::BAD_GATEWAY, -32004, "the stream broke; ask for the rest");
 
 /// A response or a notification to the client.
@@ -215,6 +219,15 @@
     usage: Option<&'a RawValue>,
 }
 
+/// What is recorded of an answer's last line.
+#[derive(Serialize, Deserialize)]
+struct Last {
+    finish: String,
+    calls: u32,
+    #[serde(default, deserialize_with = "present")]
+    usage: Option<Box<RawValue>>,
+}
+
 /// What goes back to a writer.
 #[derive(Serialize)]
 struct ToWriter<'a> {
@@ -265,6 +278,10 @@
     active: RefCell<HashMap<Rc<str>, Active>>,
     next: Cell<u64>,
     seed: u64,
+    /// The fleet's records, where other conductors take work over.
+    work: Option<Rc<Work>>,
+    /// Classes that must not run twice.
+    once: Vec<String>,
     /// Where clients reach it.
     pub path: String,
 }
@@ -327,20 +344,61 @@
     Cancelled,
 }
 
+/// A request that was let in, or that ended before.
+enum Begun {
+    /// It streams.
+    Streams(Job, Feed, Presence),
+    /// It has its answer on record: the rest of its text, and its last line.
+    Recorded { id: Option<Box<RawValue>>, name: Rc<str>, rest: String, last: Last },
+}
+
 /// A request that was let in.
 struct Job {
     id: Option<Box<RawValue>>,
     name: Rc<str>,
     calls: u32,
+    claim: Option<Claim>,
+    /// The answer's text so far, while it may be kept with the record.
+    text: Option<String>,
     in_hand: InHand,
 }
 
 impl Front {
-    /// A front over what the server's connections share.
-    pub fn new(shared: Rc<Shared>, settings: ToolSettings, connect_timeout: Duration, seed: u64) -> Rc<Self> {
+    /// A front over what the server's connections share. With `work`, requests are recorded for other conductors;
+    /// classes in `once` must not run twice.
+    pub fn new(
+        shared: Rc<Shared>,
+        settings: ToolSettings,
+        connect_timeout: Duration,
+        seed: u64,
+        work: Option<Rc<Work>>,
+        once: Vec<String>,
+    ) -> Rc<Self> {
         let path = settings.listen_path.clone();
         let ledger = Ledger::new(settings, connect_timeout, shared.counters.clone());
-        Rc::new(Front { shared, ledger, active: RefCell::default(), next: Cell::new(1), seed, path })
+        let (active, next) = (RefCell::default(), Cell::new(1));
+        let front = Rc::new(Front { shared, ledger, active, next, seed, work: work.clone(), once, path });
+        if let Some(work) = work {
+            let moved = Rc::downgrade(&front);
+            work.on_moved(move |name| {
+                if let Some(front) = moved.upgrade() {
+                    front.end(name, Stop::Moved);
+                }
+            });
+        }
+        front
+    }
+
+    /// A planned stop: ends the connections of what still streams, so that clients ask elsewhere for the rest.
+    pub fn hand_over(&self) {
+        let names: Vec<Rc<str>> = self.active.borrow().keys().cloned().collect();
+        names.iter().for_each(|name| self.end(name, Stop::Moved));
+    }
+
+    fn end(&self, name: &str, stop: Stop) {
+        if let Some(active) = self.active.borrow().get(name) {
+            active.stop.send_replace(stop);
+        }
     }
 
     /// Lets go of what has had its time, also when no call comes any more.
@@ -427,7 +485,20 @@
         }
         match self.begin(message).await {
             Err(fault) => self.fault(id.as_deref(), fault),
-            Ok((job, feed, presence)) => {
+            Ok(Begun::Recorded { id, name, rest, last }) => {
+                let mut body = Vec::new();
+                if !rest.is_empty() {
+                    let text = Some(rest.as_str());
+                    body = notice("delta", Notice { request: &name, text, ordinal: None, state: None });
+                    body.push(b'\n');
+                }
+                body.extend(last.line(id.as_deref(), &name, None));
+                let mut response = fixed(StatusCode::OK, body);
+                let kind = HeaderValue::from_static("application/x-ndjson");
+                response.headers_mut().insert("content-type", kind);
+                response
+            }
+            Ok(Begun::Streams(job, feed, presence)) => {
                 let (lines, body) = mpsc::channel(LINES);
                 tokio::task::spawn_local(async move {
                     let mut sink = Sink::Lines(lines.clone());
@@ -467,7 +538,10 @@
         }
         match self.clone().begin(message).await {
             Err(fault) => faulty(fault),
-            Ok((job, feed, presence)) => {
+            Ok(Begun::Recorded { id, name, rest, last }) => {
+                Some(last.line(id.as_deref(), &name, Some(&rest)))
+            }
+            Ok(Begun::Streams(job, feed, presence)) => {
                 let mut sink = Sink::Text(String::new());
                 self.relay(job, feed, presence, &mut sink).await.map_or_else(|_| faulty(BROKEN), Some)
             }
@@ -492,7 +566,7 @@
     }
 
     /// Checks a request and takes it to its first event.
-    async fn begin(self: &Rc<Self>, message: Message) -> Result<(Job, Feed, Presence), Fault> {
+    async fn begin(self: &Rc<Self>, message: Message) -> Result<Begun, Fault> {
         if !self.shared.classes.contains(&message.method) {
             return Err(NO_METHOD);
         }
@@ -523,11 +597,16 @@
             return Err(Fault::refused(Some(CUT_OFF)));
         }
         let mut in_hand = self.take_in_hand(params.request.as_str().into(), params.resume.is_some())?;
+        let deadline = self.shared.core.clock.now() + params.deadline_ms * 1000;
+        let claim = match self.claim(&message.method, &params, deadline, &mut in_hand).await? {
+            Ok(claim) => claim,
+            Err(answer) => return recorded(message.id, in_hand.name.clone(), &params, answer),
+        };
         // One token is four characters.
         let prompt_tokens = params.prompt_len.unwrap_or(body.len() as u64 / 4);
         let ask = Ask {
             request: RequestId(0),
-            deadline: self.shared.core.clock.now() + params.deadline_ms * 1000,
+            deadline,
             session: params.session.map(Into::into),
             prefix: params.prefix.map(Into::into),
             prefix_tokens: params.prefix_len.min(prompt_tokens),
@@ -540,23 +619,70 @@
         // Fresh for every try, as on the platform; what lasts is the client's name for the request.
         let id = format!("{:016x}", xxh3_64_with_seed(&in_hand.number.to_le_bytes(), self.seed));
         let target = super::platform::PATH.to_owned();
-        let call = Call { id, target, content_type: Some("application/json".into()), body, keeps: None };
+        let call = Call {
+            id,
+            target,
+            content_type: Some("application/json".into()),
+            body,
+            keeps: None,
+            name: claim.as_ref().map(Claim::key),
+        };
         let waiting = self.shared.core.ask(ask, call).answer();
         let (answer, presence) = tokio::select! {
             answered = waiting => answered,
-            _ = in_hand.stop.wait_for(|s| *s != Stop::No) => return Err(CANCELLED),
+            stop = async { in_hand.stop.wait_for(|s| *s != Stop::No).await.map_or(Stop::Moved, |s| *s) } => {
+                if let Some(claim) = claim.filter(|_| stop == Stop::Cancelled) {
+                    claim.ends(Final::Cancelled);
+                }
+                return Err(CANCELLED);
+            }
         };
-        let calls = params.resume.map_or(0, |r| r.calls);
+        let (calls, text) = params.resume.map_or((0, String::new()), |r| (r.calls, r.text));
         match answer {
-            Answer::Refused { retry_after } => Err(Fault::refused(retry_after)),
-            Answer::Failed => Err(FAILED),
+            Answer::Refused { retry_after } => {
+                claim.iter().for_each(Claim::refused);
+                Err(Fault::refused(retry_after))
+            }
+            Answer::Failed => {
+                claim.iter().for_each(|claim| claim.ends(Final::Failed));
+                Err(FAILED)
+            }
             Answer::Stream(feed) => {
                 in_hand.streaming.set(true);
-                Ok((Job { id: message.id, name: in_hand.name.clone(), calls, in_hand }, feed, presence))
+                claim.iter().for_each(Claim::began);
+                let (id, name, text) = (message.id, in_hand.name.clone(), claim.is_some().then_some(text));
+                Ok(Begun::Streams(Job { id, name, calls, claim, text, in_hand }, feed, presence))
             }
         }
     }
 
+    /// Asks the fleet for the request, where it keeps records: a claim, or the answer that it has had already.
+    async fn claim(
+        &self,
+        class: &str,
+        params: &Params,
+        deadline: Micros,
+        in_hand: &mut InHand,
+    ) -> Result<Result<Option<Claim>, Final>, Fault> {
+        let Some(work) = self.work.clone() else { return Ok(Ok(None)) };
+        let (name, resumes) = (params.request.clone(), params.resume.is_some());
+        let once = self.once.iter().any(|c| c == class);
+        // A task of its own: a claim that comes when nobody waits any more has to be let go of.
+        let asking =
+            tokio::task::spawn_local(async move { Claim::ask(&work, &name, once, resumes, deadline).await });
+        let claimed = tokio::select! {
+            claimed = asking => claimed.unwrap_or(Claimed::NotNow),
+            _ = in_hand.stop.wait_for(|s| *s != Stop::No) => return Err(CANCELLED),
+        };
+        match claimed {
+            Claimed::Mine(claim) => Ok(Ok(Some(claim))),
+            Claimed::Ended(answer) => Ok(Err(answer)),
+            Claimed::InHand => Err(IN_HAND),
+            Claimed::Begun => Err(BROKEN),
+            Claimed::NotNow => Err(Fault::refused(Some(CUT_OFF))),
+        }
+    }
+
     fn take_in_hand(self: &Rc<Self>, name: Rc<str>, resumes: bool) -> Result<InHand, Fault> {
         let number = self.next.get();
         self.next.set(number + 1);
@@ -611,14 +737,28 @@
         };
         match ended {
             Ok(()) => {
+                let Progress { finish, usage } = answer;
+                let mut last = Last { finish, calls: job.calls, usage };
+                if let Some(claim) = &job.claim {
+                    // On record before the client hears it: it is the same then at whichever conductor it asks.
+                    let answer = Final::Done { text: job.text.take(), last: encode(&last) };
+                    match claim.end(answer).await {
+                        Some(Final::Done { last: stands, .. }) => {
+                            last = serde_json::from_slice(&stands).map_err(|_| Ended::Broken)?;
+                        }
+                        Some(Final::Failed) => return Ok(error_line(job.id.as_deref(), &FAILED.1)),
+                        Some(Final::Cancelled) => return Ok(error_line(job.id.as_deref(), &CANCELLED.1)),
+                        None => return Err(Ended::Broken),
+                    }
+                }
                 let text = if let Sink::Text(text) = &*sink { Some(text.as_str()) } else { None };
-                let Progress { finish, usage } = &answer;
-                let finished =
-                    Finished { request: &job.name, finish, calls: job.calls, text, usage: usage.as_deref() };
-                Ok(result_line(job.id.as_deref(), finished))
+                Ok(last.line(job.id.as_deref(), &job.name, text))
             }
             // A request taken back has its response all the same.
-            Err(Ended::Cancelled) => Ok(error_line(job.id.as_deref(), &CANCELLED.1)),
+            Err(Ended::Cancelled) => {
+                job.claim.iter().for_each(|claim| claim.ends(Final::Cancelled));
+                Ok(error_line(job.id.as_deref(), &CANCELLED.1))
+            }
             Err(ended) => Err(ended),
         }
     }
@@ -652,6 +792,7 @@
             answer.usage = event.usage.or(answer.usage.take());
             for choice in event.choices {
                 if let Some(text) = choice.delta.content.filter(|t| !t.is_empty()) {
+                    job.keep(&text);
                     if let Sink::Text(all) = sink {
                         if all.len() + text.len() > MOST_TEXT {
                             return Err(Ended::Broken);
@@ -691,7 +832,7 @@
         let gone = sink.gone();
         tokio::pin!(gone);
         // Begun before the client hears of it: a client that stalls must not keep the tool waiting.
-        let calling = self.ledger.call(key, &call.method, call.params.as_deref());
+        let calling = self.ledger.call(key, job.claim.clone(), &call.method, call.params.as_deref());
         tokio::pin!(calling);
         feed.pause(true);
         let mut notify = Some(notice("tool", told("calling")));
@@ -736,6 +877,45 @@
     }
 }
 
+impl Job {
+    /// Keeps a piece of the answer's text for the record, while there is room for the whole.
+    fn keep(&mut self, piece: &str) {
+        let most = self.claim.as_ref().map_or(0, Claim::most_text);
+        if let Some(text) = &mut self.text {
+            if text.len() + piece.len() <= most {
+                text.push_str(piece);
+            } else {
+                self.text = None;
+            }
+        }
+    }
+}
+
+impl Last {
+    fn line(&self, id: Option<&RawValue>, request: &str, text: Option<&str>) -> Vec<u8> {
+        let Last { finish, calls, usage } = self;
+        result_line(id, Finished { request, finish, calls: *calls, text, usage: usage.as_deref() })
+    }
+}
+
+/// What a client gets that asks for an answer on record: the part that it does not have.
+fn recorded(
+    id: Option<Box<RawValue>>,
+    name: Rc<str>,
+    params: &Params,
+    answer: Final,
+) -> Result<Begun, Fault> {
+    let (text, last) = match answer {
+        Final::Failed => return Err(FAILED),
+        Final::Cancelled => return Err(CANCELLED),
+        Final::Done { text, last } => (text, last),
+    };
+    let has = params.resume.as_ref().map_or("", |r| r.text.as_str());
+    let rest = text.as_deref().and_then(|text| text.strip_prefix(has)).ok_or(NOT_KEPT)?.to_owned();
+    let last = serde_json::from_slice(&last).map_err(|_| NOT_KEPT)?;
+    Ok(Begun::Recorded { id, name, rest, last })
+}
+
 fn stopped(stop: &watch::Receiver<Stop>) -> Ended {
     if *stop.borrow() == Stop::Cancelled { Ended::Cancelled } else { Ended::Left }
 }
--- a/src/front/ledger.rs
+++ b/src/front/ledger.rs
@@ -3,6 +3,7 @@
 //! A call's key is its request's lasting name and its ordinal in the answer, never the writer's id. The entry
 //! stands before the first byte goes out and outlives the stream, the writer and the client's connection.
 
+use super::record::Claim;
 use crate::config::ToolSettings;
 use crate::counters::Counters;
 use crate::interface::WorkerId;
@@ -63,6 +64,14 @@
 /// The call's client took its request back while the tool was at it.
 pub const CANCELLED: ToolError = ToolError { code: -32016, message: "cancelled; the call may have run" };
 
+impl ToolError {
+    /// The error of this code; one that says least if there is none.
+    pub fn by_code(code: i32) -> ToolError {
+        let all = [NEVER_RAN, UNKNOWN, REUSED, CALL_TOO_LONG, RESULT_TOO_LONG, NO_ROOM, CANCELLED];
+        all.into_iter().find(|e| e.code == code).unwrap_or(UNKNOWN)
+    }
+}
+
 /// How a call ended.
 #[derive(Clone, Debug)]
 pub enum Outcome {
@@ -128,9 +137,16 @@
 
     /// Answers a call: from the record, with the call in flight, or by running the tool, once for a key.
     /// Dropping the future leaves the call running: its outcome is wanted when the stream resumes.
-    pub async fn call(self: &Rc<Self>, key: CallKey, method: &str, params: Option<&RawValue>) -> Outcome {
+    /// With a claim, the fleet's record goes before this conductor's own.
+    pub async fn call(
+        self: &Rc<Self>,
+        key: CallKey,
+        claim: Option<Claim>,
+        method: &str,
+        params: Option<&RawValue>,
+    ) -> Outcome {
         self.counters.tool_calls.up();
-        let outcome = match self.enter(key, method, params) {
+        let outcome = match self.enter(key, claim, method, params) {
             Ok(mut state) => loop {
                 if let State::Ended(outcome) = &*state.borrow_and_update() {
                     break outcome.clone();
@@ -161,6 +177,7 @@
     fn enter(
         self: &Rc<Self>,
         key: CallKey,
+        claim: Option<Claim>,
         method: &str,
         params: Option<&RawValue>,
     ) -> Result<watch::Receiver<State>, ToolError> {
@@ -198,7 +215,21 @@
         self.bytes.set(self.bytes.get() + ENTRY_BYTES);
         let ledger = self.clone();
         tokio::task::spawn_local(async move {
-            let outcome = ledger.run(id, Bytes::from(body), cancelled).await;
+            let recorded = match &claim {
+                Some(claim) => claim.call(key.ordinal, arguments, ledger.settings.call_timeout()).await,
+                None => None,
+            };
+            let outcome = match recorded {
+                // Made before, by whichever conductor, or not to be made.
+                Some(outcome) => outcome,
+                None => {
+                    let outcome = ledger.run(id, Bytes::from(body), cancelled).await;
+                    if let Some(claim) = &claim {
+                        claim.call_ended(key.ordinal, &outcome).await;
+                    }
+                    outcome
+                }
+            };
             ledger.record(&key, &outcome);
             tell.send_replace(State::Ended(outcome));
         });
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -3,4 +3,5 @@
 pub mod jsonrpc;
 pub mod ledger;
 pub mod platform;
+pub mod record;
 pub mod shared;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -155,6 +155,13 @@
         self.hosts.borrow().get(worker).is_some_and(|h| h.status == Status::Ready)
     }
 
+    /// What a host does, if the list has it.
+    pub fn role(&self, worker: &WorkerId, kinds: &[Kind]) -> Option<Role> {
+        let hosts = self.hosts.borrow();
+        let kind = &hosts.get(worker)?.kind;
+        Some(kinds.iter().find(|k| k.name == *kind).map_or(Role::Mixed, |k| k.role))
+    }
+
     /// All hosts in service, and after them those that drain: any of them takes a release.
     pub fn running(&self) -> Vec<WorkerId> {
         let hosts = self.hosts.borrow();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -131,7 +131,7 @@
         let target = head.uri.path_and_query().map_or(platform::PATH, |p| p.as_str()).to_owned();
         let content_type = head.headers.get("content-type").and_then(|v| v.to_str().ok()).map(str::to_owned);
         let keeps: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, held)));
-        let call = Call { id: intake.id, target, content_type, body, keeps };
+        let call = Call { id: intake.id, target, content_type, body, keeps, name: None };
         let (answer, presence) = shared.core.ask(intake.ask, call).answer().await;
         platform::encode(answer, presence)
     }
--- a/src/run.rs
+++ b/src/run.rs
@@ -8,15 +8,16 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 use whinhaven::config::{Config, ConfigError};
-use whinhaven::core::{Clock, Core, CoreHandle};
+use whinhaven::core::{Clock, Core, CoreHandle, Outbound};
 use whinhaven::counters::Counters;
 use whinhaven::fleet::LeaseName;
+use whinhaven::fleet::net::work::{Recording, Work};
 use whinhaven::fleet::net::{self, Fleet};
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::front::shared::Shared;
-use whinhaven::interface::ListKind;
+use whinhaven::interface::{Class, Effect, Group, ListKind, Role, WorkerId};
 use whinhaven::net::client::Hosts;
 use whinhaven::net::discovery::{Directory, Follower};
 use whinhaven::net::pool::Pool;
@@ -170,7 +171,26 @@
         watch_again: watch_again.clone(),
         fetch_list: fetch_list.clone(),
     };
-    let driver = Core::new(settings.clone(), config.seed, clock, Rc::new(hosts), counters.clone());
+    let fleet = match &config.fleet {
+        Some(settings) => Some(net::start(settings, clock, config.seed).await?),
+        None => None,
+    };
+    let mut outbound: Rc<dyn Outbound> = Rc::new(hosts);
+    let work = match (&fleet, config.fleet.as_ref().and_then(|f| Some((f, f.takeover.clone()?)))) {
+        (Some(fleet), Some((settings, takeover))) => {
+            let work = Work::start(fleet.clone(), clock, takeover);
+            tokio::task::spawn_local(work.clone().adopt(settings.most_members, outbound.clone()));
+            Some(work)
+        }
+        _ => None,
+    };
+    if let Some(work) = &work {
+        let (directory, kinds) = (directory.clone(), settings.kinds.clone());
+        let reads = Box::new(move |worker: &WorkerId| directory.role(worker, &kinds) == Some(Role::Reader));
+        let most = settings.max_attempts;
+        outbound = Recording::start(outbound, work.clone(), core.clone(), reads, most);
+    }
+    let driver = Core::new(settings.clone(), config.seed, clock, outbound, counters.clone());
     let follower = Follower {
         directory: directory.clone(),
         core: core.clone(),
@@ -199,10 +219,6 @@
         let (directory, stopping, kinds) = (directory.clone(), stopping.clone(), settings.kinds.clone());
         move || !stopping.get() && directory.can_serve(&kinds)
     };
-    let fleet = match &config.fleet {
-        Some(settings) => Some(net::start(settings, clock, config.seed).await?),
-        None => None,
-    };
     let may_serve: Box<dyn Fn() -> bool> = match fleet.clone() {
         Some(fleet) => Box::new(move || fleet.may_serve()),
         None => Box::new(|| true),
@@ -221,7 +237,13 @@
         ids: RefCell::default(),
     });
     let seed = config.seed;
-    let tools = config.tools.clone().map(|t| Front::new(shared.clone(), t, connect_timeout, seed));
+    let tools = {
+        let safe = |c: &&Class| matches!(c.effect, Effect::Safe | Effect::Keyed(Group::All));
+        let once: Vec<String> =
+            settings.classes.iter().filter(|c| !safe(c)).map(|c| c.name.clone()).collect();
+        let front = |t| Front::new(shared.clone(), t, connect_timeout, seed, work.clone(), once);
+        config.tools.clone().map(front)
+    };
     let front = tools.clone();
     let (stage, stages) = watch::channel(Stage::Open);
     let open = Rc::new(Connections::default());
@@ -259,20 +281,36 @@
     }
     log::info!("stopping: accepting for {} ms more", ACCEPT_ON.as_millis());
     stopping.set(true);
-    let leaving = async {
+    let leave = async || {
         if let Some(fleet) = &fleet {
             fleet.leave(ACCEPT_ON).await;
         }
     };
     let ending = async {
-        // The others need not wait for leases to run out: they are given back at once.
-        tokio::join!(leaving, tokio::time::sleep(ACCEPT_ON));
+        // The others need not wait for leases to run out: they are given back at once, or, where what is in hand is
+        // recorded under them, when it is done or handed over.
+        let early = async {
+            if work.is_none() {
+                leave().await;
+            }
+        };
+        tokio::join!(early, tokio::time::sleep(ACCEPT_ON));
         accepting.abort();
         let _ = stage.send(Stage::Closing);
         pool.clear();
+        let hand_over = work.as_ref().map(|w| Duration::from_millis(w.settings().hand_over_after_ms));
+        let begun = Instant::now();
         while open.count() > 0 {
+            if hand_over.is_some_and(|after| begun.elapsed() >= after)
+                && let Some(front) = &front
+            {
+                front.hand_over();
+            }
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
+        if work.is_some() {
+            leave().await;
+        }
         // What was just answered may still have a release on its way.
         tokio::time::sleep(Duration::from_millis(50)).await;
     };
