--- /dev/null
+++ b/lab/src/experiments/mod.rs
@@ -0,0 +1,3 @@
+//! Experiments: each prints a table and draws figures.
+
+pub mod view;
--- a/lab/src/sim/views.rs
+++ b/lab/src/sim/views.rs
@@ -144,7 +144,7 @@
     /// Machines, network and time.
     pub world: World<Member>,
     plan: Plan,
-    names: Arc<Vec<MemberName>>,
+    pub(super) names: Arc<Vec<MemberName>>,
     lives: Vec<u64>,
 }
 
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -480,6 +480,8 @@
     place: usize,
     probe: Option<Probe>,
     next_probe: Micros,
+    /// The next period's budgets and pings on hearsay: own bad health does not slow these.
+    next_period: Micros,
     numbers: u32,
     relays: Vec<Relay>,
     suspicions: BTreeMap<MemberName, Suspicion>,
@@ -494,6 +496,8 @@
     next_push_pull: Option<Micros>,
     next_reconnect: Option<Micros>,
     health: u32,
+    /// Whether a refutation has worsened the health since the last answer to a probe: one does, not each.
+    worsened: bool,
     seeds: BTreeMap<MemberName, SocketAddr>,
     /// Whether a table has come in return since the join.
     joined: bool,
@@ -524,6 +528,7 @@
             place: 0,
             probe: None,
             next_probe: 0,
+            next_period: 0,
             numbers: 0,
             relays: Vec::new(),
             suspicions: BTreeMap::new(),
@@ -537,6 +542,7 @@
             next_push_pull: None,
             next_reconnect: None,
             health: 0,
+            worsened: false,
             seeds: BTreeMap::new(),
             joined: false,
             counts: Counts::default(),
@@ -582,7 +588,7 @@
         let relays = self.relays.iter().map(|relay| relay.until);
         let suspicions = self.suspicions.values().map(|suspicion| suspicion.until);
         let others = [probe, self.next_push_pull, self.next_reconnect].into_iter().flatten();
-        others.chain(relays).chain(suspicions).chain([self.next_probe]).min()
+        others.chain(relays).chain(suspicions).chain([self.next_probe, self.next_period]).min()
     }
 
     /// Takes an event and appends what is to be done. `now` never goes back.
@@ -621,6 +627,7 @@
                 own.since = now;
             }
             self.next_probe = now + self.below(period);
+            self.next_period = self.next_probe;
             let later = |ms| Settings::micros(ms);
             if self.settings.push_pull_ms > 0 {
                 let spread = later(self.settings.push_pull_ms);
@@ -661,9 +668,12 @@
         for (name, then) in ended.collect::<Vec<_>>() {
             self.becomes(&name, then, Cause::Expired, out);
         }
-        if self.next_probe <= now {
+        if self.next_period <= now {
             self.period(out);
         }
+        if self.next_probe <= now {
+            self.probe(out);
+        }
         if self.next_push_pull.is_some_and(|at| at <= now) {
             let doubled = (self.living() / 32).max(1).ilog2() + 1;
             let every = Settings::micros(self.settings.push_pull_ms).saturating_mul(u64::from(doubled));
@@ -688,8 +698,21 @@
         }
     }
 
-    /// A new protocol period: ends the last probe and begins the next.
+    /// A new protocol period: budgets anew, and what does not wait for this member's health.
     fn period(&mut self, out: &mut Vec<Action>) {
+        self.next_period = self.now + self.settings.period();
+        self.verify_left = self.settings.verify;
+        self.syncs_left = MOST_SYNCS;
+        self.heal_sync = true;
+        self.forget();
+        if !self.joined && !self.seeds.is_empty() {
+            self.ask_seeds(out);
+        }
+        self.verify(out);
+    }
+
+    /// Ends the last probe and begins the next.
+    fn probe(&mut self, out: &mut Vec<Action>) {
         if let Some(probe) = self.probe.take() {
             self.counts.failed += 1;
             let missing = probe.helpers.len().saturating_sub(probe.nacks.len());
@@ -702,14 +725,6 @@
         }
         let slower = u64::from(self.health) + 1;
         self.next_probe = self.now + self.settings.period().saturating_mul(slower);
-        self.verify_left = self.settings.verify;
-        self.syncs_left = MOST_SYNCS;
-        self.heal_sync = true;
-        self.forget();
-        if !self.joined && !self.seeds.is_empty() {
-            self.ask_seeds(out);
-        }
-        self.verify(out);
         if let Some((target, address)) = self.next_target() {
             self.counts.probes += 1;
             let number = self.ping(&target, address, out);
@@ -759,6 +774,7 @@
 
     /// The member answered, itself or through a helper.
     fn answered(&mut self) {
+        self.worsened = false;
         self.probe = None;
         self.health_changes(-1);
     }
@@ -994,10 +1010,19 @@
         own.refutation = news.refutation.min(own.refutation.saturating_add(MOST_RISE)).saturating_add(1);
         self.counts.refuted += 1;
         let (site, incarnation) = (own.site.clone(), own.incarnation);
-        self.health_changes(1);
+        if !std::mem::replace(&mut self.worsened, true) {
+            self.health_changes(1);
+        }
         let (member, to) = (self.me.clone(), Status::Alive);
         let cause = Cause::Refuted(via.clone());
         out.push(Action::Changed(Change { member, site, incarnation, from: Some(to), to, cause }));
+        // A refutation races the suspicions: some hear it at once, as far as the period's pings on hearsay reach.
+        for (name, address) in self.some(self.settings.indirect, |peer| peer.status == Status::Alive) {
+            if self.verify_left > 0 {
+                self.verify_left -= 1;
+                self.ping(&name, address, out);
+            }
+        }
     }
 
     /// Suspects a member, or confirms that it is suspected. `by` are the one who suspects and the one who told so.
@@ -1051,7 +1076,7 @@
     fn ended_there(&mut self, name: &MemberName, via: &MemberName, then: Status) {
         let (least, _) = self.settings.suspicion(self.living());
         if let Some(suspicion) = self.suspicions.get_mut(name)
-            && !suspicion.by.iter().any(|(_, v)| v == via)
+            && !suspicion.by.iter().any(|(b, v)| b == via || v == via)
         {
             suspicion.then = suspicion.then.max(then);
             suspicion.until = suspicion.until.min(suspicion.begun + least);
@@ -1150,7 +1175,9 @@
         let from = self.below(names.len() as u64) as usize;
         names.rotate_left(from);
         for name in names {
-            if self.rumours.get(&name).is_some_and(|rumour| rumour.tries < TRIES) {
+            // One that is suspected is told for as long as it is.
+            let suspected = self.peers.get(&name).is_some_and(|peer| peer.status == Status::Suspect);
+            if suspected || self.rumours.get(&name).is_some_and(|rumour| rumour.tries < TRIES) {
                 self.try_rumour(&name, out);
                 continue;
             }
