Lab: stand-in hosts, tool side, discovery, clients, process harness, relay and history

The fleet's promises are judged from outside, by what processes and stand-ins did. This is the ground for it: a history of records on one clock, on which tests wait and faults fire; conductors as processes; a relay with an address for each pair and direction; readers, writers and a tool side that count what they do.

--- /dev/null
+++ b/lab/src/fleet.rs
@@ -0,0 +1,353 @@
+//! A fleet on loopback: conductors by operator's files, stand-in hosts, tool side and discovery, relays in between.
+//!
+//! Each fleet has a block of loopback addresses of its own, so that fleets beside each other do not meet and a process
+//! comes back where it was. Names on the network: the conductors' (`c1`), the hosts' (`reader-1`), `tool`, and
+//! `front` for the clients.
+
+use crate::clients::Client;
+use crate::discovery::{Discovery, Entry};
+use crate::history::{History, NotSeen, Record, STUCK};
+use crate::hosts::{Host, HostRole, HostSettings, States};
+use crate::network::Network;
+use crate::process::{Conductor, Folder, StartError};
+use crate::tools::ToolSide;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// What a fleet's conductors are told besides names and addresses.
+pub const SETTINGS: &str = include_str!("settings.toml");
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// Conductors, named `c1` and so on.
+    pub conductors: usize,
+    /// Sites, named `s1` and so on; conductors and hosts are dealt out to them in turn.
+    pub sites: usize,
+    /// How many of the conductors, from `c1` on, vote. 0 leaves out the fleet's tables: conductors that share nothing.
+    pub voters: usize,
+    /// Readers in all.
+    pub readers: usize,
+    /// Writers in all.
+    pub writers: usize,
+    /// What all hosts can do; name, address, site and role are filled in.
+    pub host: HostSettings,
+    /// Whether the tool side keeps idempotency keys.
+    pub keeps_keys: bool,
+    /// Whether conductors follow discovery; else the list in their files stands.
+    pub discovery: bool,
+    /// More of each operator's file: tables of the fleet, by their TOML.
+    pub more: String,
+    /// Drawn from for all that is random in the lab.
+    pub seed: u64,
+    /// Where files go and stay, the history among them; else they are temporary.
+    pub folder: Option<PathBuf>,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        FleetSettings {
+            conductors: 3,
+            sites: 1,
+            voters: 0,
+            readers: 2,
+            writers: 3,
+            host: HostSettings::quick("", HostRole::Reader, ([127, 0, 0, 1], 0).into()),
+            keeps_keys: false,
+            discovery: false,
+            more: String::new(),
+            seed: 1,
+            folder: None,
+        }
+    }
+}
+
+/// A fleet can't be started.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    /// A file, an address or a thread is not to be had.
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    /// A conductor does not start.
+    #[error("{0}")]
+    Start(#[from] StartError),
+}
+
+/// A block of loopback addresses that no other lab on this machine uses.
+struct Block {
+    a: u8,
+    b: u8,
+    _kept: TcpListener,
+}
+
+impl Block {
+    fn take() -> std::io::Result<Block> {
+        let mut last = std::io::ErrorKind::AddrNotAvailable.into();
+        for n in 0..4096u32 {
+            let at = (std::process::id().wrapping_mul(37) + n) % (100 * 256);
+            let (a, b) = (100 + (at / 256) as u8, (at % 256) as u8);
+            match TcpListener::bind((Ipv4Addr::new(127, a, b, 254), 65_000)) {
+                Ok(kept) => return Ok(Block { a, b, _kept: kept }),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    fn at(&self, host: usize, port: usize) -> SocketAddr {
+        (Ipv4Addr::new(127, self.a, self.b, host as u8), port as u16).into()
+    }
+}
+
+/// The last part of the address of relays: between peers, to hosts, to the tool side, to clients.
+const RELAYS: [usize; 4] = [201, 202, 203, 204];
+
+/// A running fleet. All of it ends with the value.
+pub struct Fleet {
+    /// The conductors by name.
+    pub conductors: BTreeMap<String, Conductor>,
+    /// The stand-in hosts by name.
+    pub hosts: BTreeMap<String, Host>,
+    /// The stand-in tool side.
+    pub tool: ToolSide,
+    /// Stand-in discovery; only asked where the settings say so.
+    pub discovery: Discovery,
+    /// The network between all of them.
+    pub network: Network,
+    /// What the hosts hold.
+    pub states: std::sync::Arc<States>,
+    /// What happens.
+    pub history: History,
+    settings: FleetSettings,
+    fronts: Vec<(String, SocketAddr)>,
+    folder: Folder,
+    _block: Block,
+}
+
+impl Fleet {
+    /// Starts all of a fleet and returns once every conductor serves.
+    ///
+    /// # Errors
+    /// Something can't be started.
+    pub fn start(settings: FleetSettings) -> Result<Fleet, FleetError> {
+        let folder = settings.folder.as_deref().map_or_else(Folder::temporary, Folder::at)?;
+        let history = History::to_file(&folder.path().join("history.jsonl"))?;
+        let block = Block::take()?;
+        let network = Network::new(settings.seed, history.clone())?;
+        let states = std::sync::Arc::new(States::default());
+        let tool = ToolSide::start(block.at(90, 9300), settings.keeps_keys, history.clone())?;
+        let discovery = Discovery::new(history.clone());
+        let mut hosts = BTreeMap::new();
+        for (i, (role, number)) in roles(&settings).enumerate() {
+            let site = format!("s{}", number % settings.sites.max(1) + 1);
+            let word = if role == HostRole::Reader { "reader" } else { "writer" };
+            let (name, listen) = (format!("{word}-{}", number + 1), block.at(100 + i, 8000));
+            let own = HostSettings { name: name.clone(), listen, site, role, ..settings.host.clone() };
+            let host = Host::start(own, states.clone(), history.clone())?;
+            discovery.set(entry(&host));
+            hosts.insert(name, host);
+        }
+        let names: Vec<String> = (1..=settings.conductors).map(|n| format!("c{n}")).collect();
+        std::fs::write(folder.path().join("key"), format!("{:064x}\n", u128::from(settings.seed) + 1))?;
+        let mut fleet = Fleet {
+            conductors: BTreeMap::new(),
+            hosts,
+            tool,
+            discovery,
+            network,
+            states,
+            history,
+            settings,
+            fronts: Vec::new(),
+            folder,
+            _block: block,
+        };
+        for (i, name) in names.iter().enumerate() {
+            let text = fleet.operator_file(i + 1, name, &names)?;
+            let file = fleet.folder.path().join(format!("{name}.toml"));
+            std::fs::write(&file, text)?;
+            let front = fleet._block.at(RELAYS[3], 10_000 + i + 1);
+            fleet.network.link("front", name, front, fleet._block.at(i + 1, 8080))?;
+            fleet.fronts.push((name.clone(), front));
+            let arguments: &[&str] = if fleet.is_fleet() { &["--log-format", "json"] } else { &[] };
+            let conductor = Conductor::new(name, file, arguments, fleet.history.clone());
+            fleet.conductors.insert(name.clone(), conductor);
+        }
+        fleet.history.note("lab", "lab.fleet", json!({ "members": names, "seed": fleet.settings.seed }));
+        for conductor in fleet.conductors.values() {
+            conductor.start()?;
+        }
+        Ok(fleet)
+    }
+
+    /// Whether its conductors know of each other.
+    pub fn is_fleet(&self) -> bool {
+        self.settings.voters > 0
+    }
+
+    /// Opens the relays of conductor `number` and writes its file.
+    fn operator_file(&self, number: usize, name: &str, names: &[String]) -> Result<String, FleetError> {
+        let (block, settings) = (&self._block, &self.settings);
+        let site = format!("s{}", (number - 1) % settings.sites.max(1) + 1);
+        let mut file = String::new();
+        let _ = writeln!(
+            file,
+            "name = {name:?}\nlisten = \"{}\"\nseed = {}",
+            block.at(number, 8080),
+            settings.seed * 1000 + number as u64
+        );
+        let mut known = String::from("[known]\nseq = 1\nwhole = true\n");
+        let mut dial = BTreeMap::new();
+        for (i, host) in self.hosts.values().enumerate() {
+            let relay = block.at(RELAYS[1], 10_000 + number * 100 + i);
+            self.network.link(name, &host.settings().name, relay, host.address())?;
+            dial.insert(host.settings().name.clone(), relay);
+            let Entry { host, site, class, .. } = entry(host);
+            let _ = writeln!(
+                known,
+                "[[known.hosts]]\nhost = {host:?}\ndial = \"{relay}\"\nsite = {site:?}\nclass = {class:?}\nhealth = \"ready\""
+            );
+        }
+        if settings.discovery {
+            let agent = self.discovery.agent(block.at(number, 8500), dial)?;
+            let _ = writeln!(file, "discovery = \"{agent}\"");
+        }
+        let tool = block.at(RELAYS[2], 10_000 + number);
+        self.network.link(name, "tool", tool, self.tool.address())?;
+        let _ = writeln!(file, "[tools]\ndial = \"{tool}\"");
+        if self.is_fleet() {
+            let voters = &names[..settings.voters.min(names.len())];
+            let mut peers = Vec::new();
+            for (i, other) in names.iter().enumerate().filter(|(_, n)| *n != name) {
+                let relay = block.at(RELAYS[0], 10_000 + number * 100 + i + 1);
+                self.network.link(name, other, relay, block.at(i + 1, 7100))?;
+                peers.push(format!("{other} = \"{relay}\""));
+            }
+            let folder = self.folder.path();
+            let _ = writeln!(
+                file,
+                "[fleet]\nsite = {site:?}\npeer = \"{}\"\nkey_file = {:?}\nvoters = {voters:?}\npeers = {{ {} }}\n[store]\npath = {:?}",
+                block.at(number, 7100),
+                folder.join("key"),
+                peers.join(", "),
+                self.store(name)
+            );
+        }
+        file += &settings.more;
+        file += &SETTINGS.replace("my_zone = \"here\"", &format!("my_zone = {site:?}"));
+        Ok(file + &known)
+    }
+
+    /// Where the files are: each conductor's `NAME.toml`, and `history.jsonl`.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// A conductor's file.
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.toml"))
+    }
+
+    /// The folder of a conductor's store.
+    pub fn store(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}-store"))
+    }
+
+    /// A conductor.
+    ///
+    /// # Panics
+    /// There is none of that name.
+    pub fn conductor(&self, name: &str) -> &Conductor {
+        self.conductors.get(name).unwrap_or_else(|| panic!("no conductor {name}"))
+    }
+
+    /// The conductors' names, in order.
+    pub fn names(&self) -> Vec<String> {
+        self.fronts.iter().map(|(name, _)| name.clone()).collect()
+    }
+
+    /// A client that reaches the conductors through the relays `front` to each.
+    pub fn client(&self) -> Client {
+        Client::new(self.fronts.clone(), self.history.clone())
+    }
+
+    /// Starts a conductor again, from what is on its disk or, with `emptied`, from nothing.
+    ///
+    /// # Errors
+    /// It does not come to serve.
+    pub fn restart(&self, name: &str, emptied: bool) -> Result<Record, FleetError> {
+        self.conductor(name).kill();
+        if emptied {
+            match std::fs::remove_dir_all(self.store(name)) {
+                Err(error) if error.kind() != std::io::ErrorKind::NotFound => return Err(error.into()),
+                _ => self.history.note("lab", "fault.emptied", json!({ "member": name })),
+            }
+        }
+        Ok(self.conductor(name).start()?)
+    }
+
+    /// Cuts a conductor from the other conductors, and from nothing else.
+    pub fn isolate(&self, name: &str) {
+        for other in self.names().iter().filter(|n| *n != name) {
+            self.network.cut(name, other);
+        }
+    }
+
+    /// Cuts all links between conductors of different groups; a conductor in no group is cut from nobody.
+    pub fn split(&self, groups: &[&[&str]]) {
+        for (i, group) in groups.iter().enumerate() {
+            for (a, b) in group
+                .iter()
+                .flat_map(|a| groups[i + 1..].iter().flat_map(move |g| g.iter().map(move |b| (a, b))))
+            {
+                self.network.cut(a, b);
+            }
+        }
+    }
+
+    /// Waits for a record behind the first `after`.
+    ///
+    /// # Errors
+    /// None came in time.
+    pub fn wait_for(&self, after: usize, wanted: impl Fn(&Record) -> bool) -> Result<Record, NotSeen> {
+        self.history.wait_for(after, STUCK, wanted)
+    }
+
+    /// Writes that faults have stopped and who should be seen alive from now on: the checker judges views by it.
+    pub fn quiet(&self, alive: &[&str], within: Duration) {
+        let within_us = within.as_micros() as u64;
+        self.history.note("lab", "lab.quiet", json!({ "alive": alive, "within_us": within_us }));
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for conductor in self.conductors.values() {
+            conductor.kill();
+        }
+        self.history.flush();
+    }
+}
+
+fn roles(settings: &FleetSettings) -> impl Iterator<Item = (HostRole, usize)> {
+    let readers = (0..settings.readers).map(|n| (HostRole::Reader, n));
+    readers.chain((0..settings.writers).map(|n| (HostRole::Writer, n)))
+}
+
+fn entry(host: &Host) -> Entry {
+    let settings = host.settings();
+    Entry {
+        host: settings.name.clone(),
+        dial: host.address(),
+        site: settings.site.clone(),
+        class: settings.role.kind().to_owned(),
+        block: 0,
+        health: "ready".to_owned(),
+        share: 1.0,
+        born_ms: 0,
+    }
+}
--- /dev/null
+++ b/lab/src/hosts.rs
@@ -0,0 +1,528 @@
+//! Stand-in model hosts: readers and writers that speak the platform's protocol.
+//!
+//! What a writer answers follows from the request alone, so that any writer can go on where another broke off, and so
+//! that the checker can tell a whole answer from a wrong one. A [`Plan`] in the prompt says how long the answer is and
+//! where it calls tools: `plan name=order-1 words=12 calls=2`. The answer is that many words, with a call before some
+//! of them; the word behind a call is what the tool said.
+
+use crate::history::History;
+use crate::peer::{Conn, Message, Peer};
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What a stand-in host can do.
+#[derive(Clone, Debug)]
+pub struct HostSettings {
+    /// Its name in the list of hosts, the same at every conductor.
+    pub name: String,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Its site.
+    pub site: String,
+    /// Whether it reads prompts or writes answers.
+    pub role: HostRole,
+    /// Requests at once.
+    pub slots: usize,
+    /// Requests that may wait for a slot; what comes beyond them is turned away.
+    pub waiting: usize,
+    /// Tokens of prompts that fit: read states held and reads under way. What comes beyond them is turned away.
+    pub memory_tokens: u64,
+    /// Tokens read or written a second by each slot once warm; 0 takes no time.
+    pub tokens_per_s: f64,
+    /// Part of the speed right after a start; it rises evenly to the whole over `cold_for`.
+    pub cold_from: f64,
+    /// How long a start is felt; zero for a host that is warm at once.
+    pub cold_for: Duration,
+}
+
+/// What a host is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostRole {
+    /// Reads prompts and holds what it has read.
+    Reader,
+    /// Takes a held state and streams the answer.
+    Writer,
+}
+
+impl HostRole {
+    /// The host's kind in the conductors' settings.
+    pub fn kind(self) -> &'static str {
+        match self {
+            HostRole::Reader => "prompt",
+            HostRole::Writer => "answer",
+        }
+    }
+}
+
+impl HostSettings {
+    /// A warm host with room for everything that takes no time.
+    pub fn quick(name: &str, role: HostRole, listen: SocketAddr) -> HostSettings {
+        HostSettings {
+            name: name.to_owned(),
+            listen,
+            site: "here".to_owned(),
+            role,
+            slots: 64,
+            waiting: 64,
+            memory_tokens: 1_000_000,
+            tokens_per_s: 0.0,
+            cold_from: 1.0,
+            cold_for: Duration::ZERO,
+        }
+    }
+}
+
+/// What the prompt asks the stand-in writer for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The client's lasting name for the request; the request's id where the prompt has no plan.
+    pub name: String,
+    /// Words of the answer.
+    pub words: u32,
+    /// Tool calls in it, spread evenly.
+    pub calls: u32,
+}
+
+impl Plan {
+    /// The words of a prompt that carry this plan.
+    pub fn prompt(&self) -> String {
+        format!("plan name={} words={} calls={}", self.name, self.words, self.calls)
+    }
+
+    /// The plan in a request's body; three words and no call where there is none.
+    pub fn read(body: &str, id: &str) -> Plan {
+        let mut plan = Plan { name: id.to_owned(), words: 3, calls: 0 };
+        let Some(at) = body.find("plan name=") else { return plan };
+        let end = body[at..].find('"').map_or(body.len(), |n| at + n);
+        for (key, value) in body[at..end].split(' ').filter_map(|w| w.split_once('=')) {
+            match key {
+                "name" => plan.name = value.to_owned(),
+                "words" => plan.words = value.parse().unwrap_or(plan.words),
+                "calls" => plan.calls = value.parse().unwrap_or(plan.calls),
+                _ => {}
+            }
+        }
+        plan.words = plan.words.clamp(1, 100_000);
+        plan.calls = plan.calls.min(plan.words);
+        plan
+    }
+
+    /// Calls that stand before the word `word`, counted from 0.
+    pub fn calls_before(&self, word: u32) -> u32 {
+        (0..=word).filter(|w| self.has_call(*w)).count() as u32
+    }
+
+    /// Whether a call stands right before a word.
+    pub fn has_call(&self, word: u32) -> bool {
+        // The calls stand in the middle of equal parts: never before the first word unless every word has one.
+        let part = |w: u32| {
+            (u64::from(w) * u64::from(self.calls) + u64::from(self.words) / 2) / u64::from(self.words)
+        };
+        if self.calls == self.words {
+            return true;
+        }
+        word > 0 && part(word) > part(word - 1)
+    }
+
+    /// A word of the answer that no call stands before.
+    pub fn word(&self, word: u32) -> String {
+        format!("{}.{word} ", self.name)
+    }
+
+    /// The whole answer, if every tool call ran and ran once.
+    pub fn answer(&self) -> String {
+        let mut ordinal = 0;
+        let mut text = String::new();
+        for word in 0..self.words {
+            if self.has_call(word) {
+                text += &format!("[{}] ", crate::tools::said(&format!("{}/{ordinal}", self.name), 1));
+                ordinal += 1;
+            } else {
+                text += &self.word(word);
+            }
+        }
+        text
+    }
+}
+
+/// What hosts hold, in one table of the whole stand-in fleet: a writer takes a state from whichever reader has it, and
+/// every host releases for all.
+#[derive(Default)]
+pub struct States {
+    held: Mutex<HashMap<String, Held>>,
+    results: (Mutex<HashMap<String, String>>, Condvar),
+}
+
+struct Held {
+    host: String,
+    tokens: u64,
+    name: String,
+    /// The read is still going on.
+    reading: bool,
+    /// A release came during the read: what it leaves is let go at once.
+    unwanted: bool,
+}
+
+impl States {
+    /// Ids of the states that are held, in order.
+    pub fn held(&self) -> Vec<String> {
+        let held = lock(&self.held);
+        let mut ids: Vec<String> =
+            held.iter().filter(|(_, h)| !h.reading).map(|(id, _)| id.clone()).collect();
+        ids.sort();
+        ids
+    }
+
+    /// Tokens that a host's memory holds.
+    fn tokens(&self, host: &str) -> u64 {
+        lock(&self.held).values().filter(|h| h.host == host).map(|h| h.tokens).sum()
+    }
+
+    fn begin(&self, id: &str, host: &str, name: &str, tokens: u64) {
+        let (host, name) = (host.to_owned(), name.to_owned());
+        lock(&self.held).insert(id.to_owned(), Held { host, tokens, name, reading: true, unwanted: false });
+    }
+
+    /// Ends a read: whether its state is held from now on.
+    fn end(&self, id: &str) -> bool {
+        let mut held = lock(&self.held);
+        let Some(state) = held.get_mut(id) else { return false };
+        if state.unwanted {
+            held.remove(id);
+            return false;
+        }
+        state.reading = false;
+        true
+    }
+
+    fn take(&self, id: &str) -> Option<Held> {
+        let mut held = lock(&self.held);
+        held.get(id).filter(|h| !h.reading)?;
+        held.remove(id)
+    }
+
+    fn release(&self, id: &str) -> Option<Held> {
+        let mut held = lock(&self.held);
+        let state = held.get_mut(id)?;
+        if state.reading {
+            state.unwanted = true;
+            return None;
+        }
+        held.remove(id)
+    }
+
+    fn forget(&self, host: &str) -> Vec<String> {
+        let mut held = lock(&self.held);
+        let mut gone: Vec<String> =
+            held.iter().filter(|(_, h)| h.host == host).map(|(id, _)| id.clone()).collect();
+        gone.sort();
+        gone.iter().for_each(|id| _ = held.remove(id));
+        gone
+    }
+
+    fn put_result(&self, id: &str, result: String) {
+        lock(&self.results.0).insert(id.to_owned(), result);
+        self.results.1.notify_all();
+    }
+
+    fn has_result(&self, id: &str, patience: Duration) -> Option<String> {
+        let waiting =
+            self.results.1.wait_timeout_while(lock(&self.results.0), patience, |r| !r.contains_key(id));
+        waiting.unwrap_or_else(PoisonError::into_inner).0.remove(id)
+    }
+}
+
+/// Slots and the queue before them.
+#[derive(Default)]
+struct Slots {
+    busy: usize,
+    waiting: usize,
+    closed: bool,
+}
+
+struct Shared {
+    settings: HostSettings,
+    states: Arc<States>,
+    history: History,
+    slots: (Mutex<Slots>, Condvar),
+    started: Instant,
+}
+
+/// A life of a host.
+struct Life {
+    shared: Arc<Shared>,
+    peer: Peer,
+}
+
+/// A stand-in model host.
+pub struct Host {
+    settings: HostSettings,
+    states: Arc<States>,
+    history: History,
+    life: Mutex<Option<Life>>,
+    address: SocketAddr,
+}
+
+impl Host {
+    /// Starts a host.
+    ///
+    /// # Errors
+    /// Its address is taken.
+    pub fn start(settings: HostSettings, states: Arc<States>, history: History) -> std::io::Result<Host> {
+        let address = settings.listen;
+        let mut host = Host { settings, states, history, life: Mutex::default(), address };
+        let life = host.live()?;
+        host.address = life.peer.address;
+        host.life = Mutex::new(Some(life));
+        Ok(host)
+    }
+
+    fn live(&self) -> std::io::Result<Life> {
+        let shared = Arc::new(Shared {
+            settings: self.settings.clone(),
+            states: self.states.clone(),
+            history: self.history.clone(),
+            slots: Default::default(),
+            started: Instant::now(),
+        });
+        let served = shared.clone();
+        let peer = Peer::start_at(self.address, move |message, conn| served.answer(message, conn))?;
+        shared.note("host.started", json!({ "role": self.settings.role.kind() }));
+        Ok(Life { shared, peer })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its settings.
+    pub fn settings(&self) -> &HostSettings {
+        &self.settings
+    }
+
+    /// Whether it runs.
+    pub fn is_running(&self) -> bool {
+        lock(&self.life).is_some()
+    }
+
+    /// Ends it as the death of its process would: connections break, new ones are refused, its states are gone.
+    pub fn kill(&self) {
+        let Some(Life { shared, peer }) = lock(&self.life).take() else { return };
+        lock(&shared.slots.0).closed = true;
+        shared.slots.1.notify_all();
+        peer.close();
+        let lost = self.states.forget(&self.settings.name);
+        shared.note("host.killed", json!({ "lost": lost }));
+    }
+
+    /// Starts it again after [`Host::kill`], cold.
+    ///
+    /// # Errors
+    /// Its address is taken by now.
+    pub fn restart(&self) -> std::io::Result<()> {
+        self.kill();
+        *lock(&self.life) = Some(self.live()?);
+        Ok(())
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if let Some(Life { shared, .. }) = lock(&self.life).take() {
+            lock(&shared.slots.0).closed = true;
+            shared.slots.1.notify_all();
+        }
+    }
+}
+
+const NOT_RUN: &str = "x-not-run: 1\r\n";
+
+impl Shared {
+    fn note(&self, event: &str, fields: Value) {
+        self.history.note(&format!("host/{}", self.settings.name), event, fields);
+    }
+
+    /// Takes the time that so many tokens need.
+    fn work(&self, tokens: f64) {
+        let settings = &self.settings;
+        if settings.tokens_per_s <= 0.0 {
+            return;
+        }
+        let up = self.started.elapsed().as_secs_f64() / settings.cold_for.as_secs_f64().max(1e-9);
+        let part = (settings.cold_from + (1.0 - settings.cold_from) * up.min(1.0)).max(0.01);
+        std::thread::sleep(Duration::from_secs_f64(tokens / settings.tokens_per_s / part));
+    }
+
+    /// Waits for a slot: `None` if the host is full or dies meanwhile.
+    fn slot(self: &Arc<Self>) -> Option<Slot> {
+        let mut slots = lock(&self.slots.0);
+        if slots.busy >= self.settings.slots {
+            if slots.waiting >= self.settings.waiting {
+                return None;
+            }
+            slots.waiting += 1;
+            let full = |s: &mut Slots| s.busy >= self.settings.slots && !s.closed;
+            slots = self.slots.1.wait_while(slots, full).unwrap_or_else(PoisonError::into_inner);
+            slots.waiting -= 1;
+        }
+        if slots.closed {
+            return None;
+        }
+        slots.busy += 1;
+        Some(Slot(self.clone()))
+    }
+
+    fn answer(self: &Arc<Self>, message: &Message, conn: &mut Conn) -> bool {
+        let path = message.path();
+        if let Some(id) = path.strip_prefix("/internal/tool-results/") {
+            self.note("host.result", json!({ "id": id }));
+            self.states.put_result(id, message.text());
+            conn.answer("204 No Content", "", "");
+        } else if let Some(id) = path.strip_prefix("/internal/reservations/") {
+            if message.method() != "DELETE" {
+                conn.answer("404 Not Found", "", "");
+                return true;
+            }
+            if let Some(state) = self.states.release(id) {
+                self.note("state.released", json!({ "id": id, "name": state.name, "at": state.host }));
+            }
+            conn.answer("204 No Content", "", "");
+        } else if message.method() != "POST" {
+            conn.answer("404 Not Found", "", "");
+        } else if let Some(id) = message.header("x-request-id") {
+            let text = message.text();
+            let plan = Plan::read(&text, id);
+            return match self.settings.role {
+                HostRole::Reader => self.read(id, &plan, text.len() as u64 / 4, conn),
+                HostRole::Writer => self.write(id, &plan, &text, conn),
+            };
+        } else {
+            conn.answer("404 Not Found", "", "");
+        }
+        true
+    }
+
+    /// Reads a prompt. A read goes on though its conductor is gone: what it leaves is held until it is let go.
+    fn read(self: &Arc<Self>, id: &str, plan: &Plan, tokens: u64, conn: &mut Conn) -> bool {
+        let slot = self.slot();
+        let fits = self.states.tokens(&self.settings.name) + tokens <= self.settings.memory_tokens;
+        if slot.is_none() || !fits {
+            self.note("host.turned_away", json!({ "id": id, "name": plan.name }));
+            conn.answer("503 Service Unavailable", NOT_RUN, "");
+            return true;
+        }
+        self.note("read.begun", json!({ "id": id, "name": plan.name, "tokens": tokens }));
+        self.states.begin(id, &self.settings.name, &plan.name, tokens);
+        self.work(tokens as f64);
+        if self.states.end(id) {
+            self.note("state.held", json!({ "id": id, "name": plan.name, "tokens": tokens }));
+        }
+        drop(slot);
+        conn.answer("202 Accepted", "", r#"{"cached_tokens":0}"#);
+        true
+    }
+
+    /// Streams an answer, from where the client's text ends.
+    fn write(self: &Arc<Self>, id: &str, plan: &Plan, body: &str, conn: &mut Conn) -> bool {
+        let Some(slot) = self.slot() else {
+            self.note("host.turned_away", json!({ "id": id, "name": plan.name }));
+            conn.answer("503 Service Unavailable", NOT_RUN, "");
+            return true;
+        };
+        let Some(state) = self.states.take(id) else {
+            self.note("host.no_state", json!({ "id": id, "name": plan.name }));
+            conn.answer("410 Gone", NOT_RUN, "");
+            return true;
+        };
+        self.note("state.taken", json!({ "id": id, "name": plan.name, "at": state.host }));
+        let request: Value = serde_json::from_str(body).unwrap_or_default();
+        let class = request["model"].as_str().unwrap_or("");
+        let resume = request.get("resume");
+        let had = resume.and_then(|r| r["text"].as_str()).unwrap_or("");
+        let mut calls = resume.and_then(|r| r["calls"].as_u64()).unwrap_or(0);
+        let first = had.split_whitespace().count() as u32;
+        self.note(
+            "run.begun",
+            json!({ "id": id, "name": plan.name, "class": class, "resumed": resume.is_some(), "word": first }),
+        );
+        conn.begin_stream();
+        for word in first..plan.words {
+            self.work(1.0);
+            let text = if plan.has_call(word) {
+                self.note("run.call", json!({ "id": id, "name": plan.name, "ordinal": calls }));
+                let call = json!({ "jsonrpc": "2.0", "id": format!("w-{calls}"), "method": "annex.fetch",
+                    "params": { "request": plan.name, "ordinal": calls } });
+                calls += 1;
+                if !conn.event(&call.to_string()) {
+                    return self.left(id, plan);
+                }
+                let said = loop {
+                    if let Some(said) = self.states.has_result(id, Duration::from_millis(50)) {
+                        break said;
+                    }
+                    if conn.has_closed() || lock(&self.slots.0).closed {
+                        return self.left(id, plan);
+                    }
+                };
+                let said: Value = serde_json::from_str(&said).unwrap_or_default();
+                match said["result"]["said"].as_str() {
+                    Some(said) => format!("[{said}] "),
+                    None => format!("[error{}] ", said["error"]["code"]),
+                }
+            } else {
+                plan.word(word)
+            };
+            if conn.has_closed() || !conn.delta(&text) {
+                return self.left(id, plan);
+            }
+            if word == first {
+                self.note("run.first", json!({ "id": id, "name": plan.name }));
+            }
+        }
+        conn.event(r#"{"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}"#);
+        self.note("run.done", json!({ "id": id, "name": plan.name }));
+        drop(slot);
+        conn.end_stream();
+        true
+    }
+
+    fn left(&self, id: &str, plan: &Plan) -> bool {
+        self.note("run.left", json!({ "id": id, "name": plan.name }));
+        false
+    }
+}
+
+struct Slot(Arc<Shared>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        lock(&self.0.slots.0).busy -= 1;
+        self.0.slots.1.notify_one();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_plan_has_its_calls_and_is_read_back_from_its_prompt() {
+        for words in 1..40 {
+            for calls in 0..=words {
+                let plan = Plan { name: "n".into(), words, calls };
+                let placed = (0..words).filter(|w| plan.has_call(*w)).count();
+                assert_eq!(placed as u32, calls, "{words} words");
+                let body = json!({ "messages": [{ "content": plan.prompt() }] }).to_string();
+                assert_eq!(Plan::read(&body, "id"), plan);
+            }
+        }
+    }
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,1 +1,12 @@
-//! Stand-ins, faults, a checker of histories and experiments for fleets of conductors.
+//! Stand-ins, faults, a checker of histories and experiments for fleets of conductors. How to use it: `docs/lab.md`.
+
+pub mod clients;
+pub mod discovery;
+pub mod experiments;
+pub mod fleet;
+pub mod history;
+pub mod hosts;
+pub mod network;
+pub mod peer;
+pub mod process;
+pub mod tools;
--- /dev/null
+++ b/lab/src/process.rs
@@ -0,0 +1,244 @@
+//! Conductors as processes: started by an operator's file, signalled, killed, and started again from their disks.
+
+use crate::history::{History, NotSeen, Record, STUCK};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, SystemTime};
+
+/// Names the program to start instead of the one built from these sources.
+pub const PROGRAM: &str = "WHINHAVEN_BIN";
+
+/// The conductor's program: what [`PROGRAM`] names, or the one beside this executable, built first where it is
+/// missing or older than its sources.
+///
+/// # Panics
+/// It can't be built.
+pub fn program() -> &'static Path {
+    static FOUND: OnceLock<PathBuf> = OnceLock::new();
+    FOUND.get_or_init(|| std::env::var_os(PROGRAM).map_or_else(built, PathBuf::from))
+}
+
+fn built() -> PathBuf {
+    let me = std::env::current_exe().expect("an executable knows its path");
+    // Tests lie in `deps`, one below.
+    let folder = me.ancestors().skip(1).find(|d| !d.ends_with("deps")).expect("a folder").to_owned();
+    let program = folder.join(format!("whinhaven{}", std::env::consts::EXE_SUFFIX));
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let changed = |path: &Path| path.metadata().and_then(|m| m.modified()).ok();
+    let built = changed(&program);
+    let newest = newest(&root.join("src")).max(changed(&root.join("Cargo.toml")));
+    if built.is_none() || built < newest {
+        let mut cargo = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
+        cargo.args(["build", "--quiet", "--locked", "--package", "whinhaven", "--bin", "whinhaven"]);
+        cargo.arg("--manifest-path").arg(root.join("Cargo.toml"));
+        cargo.arg("--target-dir").arg(folder.parent().expect("profiles have a folder above"));
+        if folder.ends_with("release") {
+            cargo.arg("--release");
+        }
+        assert!(cargo.status().is_ok_and(|s| s.success()), "the conductor can't be built");
+    }
+    program
+}
+
+fn newest(folder: &Path) -> Option<SystemTime> {
+    let entries = std::fs::read_dir(folder).ok()?.flatten();
+    let time = |e: std::fs::DirEntry| match e.file_type() {
+        Ok(kind) if kind.is_dir() => newest(&e.path()),
+        _ => e.metadata().and_then(|m| m.modified()).ok(),
+    };
+    entries.filter_map(time).max()
+}
+
+/// A folder for the files of one lab, gone with it.
+pub struct Folder {
+    path: PathBuf,
+    kept: bool,
+}
+
+impl Folder {
+    /// A new folder among the temporary ones.
+    ///
+    /// # Errors
+    /// It can't be made.
+    pub fn temporary() -> std::io::Result<Folder> {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("whinhaven-lab-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&path)?;
+        Ok(Folder { path, kept: false })
+    }
+
+    /// A folder of the caller's, which stays.
+    ///
+    /// # Errors
+    /// It can't be made.
+    pub fn at(path: &Path) -> std::io::Result<Folder> {
+        std::fs::create_dir_all(path)?;
+        Ok(Folder { path: path.to_owned(), kept: true })
+    }
+
+    /// Where it is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if !self.kept {
+            let _ = std::fs::remove_dir_all(&self.path);
+        }
+    }
+}
+
+/// A conductor's process can't be started.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The program did not start.
+    #[error("{0}")]
+    Program(#[from] std::io::Error),
+    /// It did not come to serve.
+    #[error("{0}")]
+    Silent(#[from] NotSeen),
+}
+
+/// A conductor as a process. Dropping it kills the process, also when a test panics.
+pub struct Conductor {
+    /// Its name.
+    pub name: String,
+    file: PathBuf,
+    arguments: Vec<String>,
+    history: History,
+    running: Arc<Mutex<Option<Child>>>,
+}
+
+impl Conductor {
+    /// A conductor that is not started yet, by an operator's file; `arguments` go behind `serve FILE`.
+    pub fn new(name: &str, file: PathBuf, arguments: &[&str], history: History) -> Conductor {
+        let arguments = arguments.iter().map(|a| (*a).to_owned()).collect();
+        Conductor { name: name.to_owned(), file, arguments, history, running: Arc::default() }
+    }
+
+    fn child(&self) -> MutexGuard<'_, Option<Child>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Its process's number while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child().as_ref().map(Child::id)
+    }
+
+    /// Starts the process and returns once it serves: the line that says so.
+    ///
+    /// # Errors
+    /// The program can't be started, or does not come to serve.
+    pub fn start(&self) -> Result<Record, StartError> {
+        let before = self.history.len();
+        self.spawn()?;
+        let serves = |r: &Record| {
+            r.source == self.name
+                && (r.text("line").contains(" serves on ") || r.event == "lab.exited" || r.event == "serves")
+        };
+        let line = self.history.wait_for(before, STUCK, serves)?;
+        if line.event == "lab.exited" {
+            return Err(self.history.not_seen(Duration::ZERO).into());
+        }
+        Ok(line)
+    }
+
+    /// Starts the process without waiting for it.
+    ///
+    /// # Errors
+    /// The program can't be started.
+    pub fn spawn(&self) -> std::io::Result<()> {
+        self.kill();
+        let mut command = Command::new(program());
+        command.arg("serve").arg(&self.file).args(&self.arguments);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn()?;
+        let stderr = child.stderr.take().map(BufReader::new);
+        self.history.note("lab", "lab.started", json!({ "member": self.name, "pid": child.id() }));
+        let (history, name, pid) = (self.history.clone(), self.name.clone(), child.id());
+        *self.child() = Some(child);
+        std::thread::spawn(move || {
+            for line in stderr.into_iter().flat_map(BufRead::lines).map_while(Result::ok) {
+                history.line(&name, &line);
+            }
+            history.note(&name, "lab.exited", json!({ "member": name, "pid": pid }));
+        });
+        Ok(())
+    }
+
+    /// Ends the process at once (SIGKILL) and waits until it is gone; nothing if it does not run.
+    pub fn kill(&self) {
+        self.killer()();
+    }
+
+    /// What kills it from wherever it is called, once: for reactions to the history.
+    pub fn killer(&self) -> impl FnOnce() + Send + 'static {
+        let (running, history, name) = (self.running.clone(), self.history.clone(), self.name.clone());
+        move || {
+            let child = running.lock().unwrap_or_else(PoisonError::into_inner).take();
+            if let Some(mut child) = child {
+                let _ = child.kill();
+                let _ = child.wait();
+                history.note("lab", "fault.kill", json!({ "member": name }));
+            }
+        }
+    }
+
+    fn signal(&self, signal: Signal) -> bool {
+        let child = self.child();
+        let pid = child.as_ref().and_then(|c| Pid::from_raw(i32::try_from(c.id()).ok()?));
+        pid.is_some_and(|pid| kill_process(pid, signal).is_ok())
+    }
+
+    /// Stops the process where it is (SIGSTOP).
+    pub fn stop(&self) {
+        if self.signal(Signal::STOP) {
+            self.history.note("lab", "fault.stop", json!({ "member": self.name }));
+        }
+    }
+
+    /// Lets a stopped process run on (SIGCONT).
+    pub fn cont(&self) {
+        // Noted first: what the process does from here on comes after.
+        self.history.note("lab", "fault.cont", json!({ "member": self.name }));
+        self.signal(Signal::CONT);
+    }
+
+    /// Has its configuration read again (SIGHUP).
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Asks for an orderly end (SIGTERM) and waits for it.
+    ///
+    /// # Errors
+    /// The process does not end.
+    pub fn terminate(&self) -> Result<Option<ExitStatus>, NotSeen> {
+        let Some(pid) = self.id() else { return Ok(None) };
+        self.history.note("lab", "fault.term", json!({ "member": self.name }));
+        let before = self.history.len();
+        self.signal(Signal::TERM);
+        let gone = |r: &Record| r.event == "lab.exited" && r.number("pid") == Some(pid.into());
+        if self.history.count(gone) == 0 {
+            self.history.wait_for(before, STUCK, gone)?;
+        }
+        Ok(self.child().take().and_then(|mut child| child.wait().ok()))
+    }
+}
+
+impl Drop for Conductor {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
