--- a/lab/src/hosts.rs
+++ b/lab/src/hosts.rs
@@ -114,20 +114,14 @@
         plan
     }
 
-    /// Calls that stand before the word `word`, counted from 0.
-    pub fn calls_before(&self, word: u32) -> u32 {
-        (0..=word).filter(|w| self.has_call(*w)).count() as u32
-    }
-
-    /// Whether a call stands right before a word.
+    /// Whether a call stands right before a word, counted from 0.
     pub fn has_call(&self, word: u32) -> bool {
-        // The calls stand in the middle of equal parts: never before the first word unless every word has one.
-        let part = |w: u32| {
-            (u64::from(w) * u64::from(self.calls) + u64::from(self.words) / 2) / u64::from(self.words)
-        };
-        if self.calls == self.words {
+        // Spread evenly over all words but the first, unless every word has one.
+        let (calls, rest) = (u64::from(self.calls), u64::from(self.words) - 1);
+        if calls > rest {
             return true;
         }
+        let part = |w: u32| (u64::from(w) * calls + rest / 2).checked_div(rest).unwrap_or(0);
         word > 0 && part(word) > part(word - 1)
     }
 
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, faults, a checker of histories and experiments for fleets of conductors. How to use it: `docs/lab.md`.
 
+pub mod checker;
 pub mod clients;
 pub mod discovery;
 pub mod experiments;
