Lab: play a fleet with load, faults by keyboard or script, a report and a plot

A newcomer's way in: one command starts conductors, stand-in hosts, tool side and load behind relays, takes kill, stop, cut, heal and the like, and ends with counts, the checker's verdict, the history and an SVG.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -77,6 +77,11 @@
     Start(#[from] StartError),
 }
 
+/// Nobody in the fleet has this name.
+#[derive(Debug, thiserror::Error)]
+#[error("nobody is named {0:?}")]
+pub struct UnknownName(pub String);
+
 /// A block of loopback addresses that no other lab on this machine uses.
 struct Block {
     a: u8,
@@ -309,6 +314,19 @@
         }
     }
 
+    /// Ends a conductor's process or a host, by its name, at once.
+    ///
+    /// # Errors
+    /// There is nobody of that name.
+    pub fn kill(&self, name: &str) -> Result<(), UnknownName> {
+        match (self.conductors.get(name), self.hosts.get(name)) {
+            (Some(conductor), _) => conductor.kill(),
+            (None, Some(host)) => host.kill(),
+            (None, None) => return Err(UnknownName(name.to_owned())),
+        }
+        Ok(())
+    }
+
     /// Waits for a record behind the first `after`.
     ///
     /// # Errors
--- a/lab/src/history.rs
+++ b/lab/src/history.rs
@@ -177,6 +177,11 @@
         self.lock().records.clone()
     }
 
+    /// The records behind the first `after`.
+    pub fn since(&self, after: usize) -> Vec<Record> {
+        self.lock().records.get(after..).unwrap_or_default().to_vec()
+    }
+
     /// How many records so far are wanted.
     pub fn count(&self, wanted: impl Fn(&Record) -> bool) -> usize {
         self.lock().records.iter().filter(|r| wanted(r)).count()
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -9,5 +9,8 @@
 pub mod hosts;
 pub mod network;
 pub mod peer;
+pub mod play;
+pub mod plot;
 pub mod process;
+pub mod script;
 pub mod tools;
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -4,6 +4,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use std::io::{BufRead, BufReader};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -160,6 +161,8 @@
         let mut command = Command::new(program());
         command.arg("serve").arg(&self.file).args(&self.arguments);
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        // A group of its own: an interrupt from the keyboard is the lab's to handle.
+        command.process_group(0);
         let mut child = command.spawn()?;
         let stderr = child.stderr.take().map(BufReader::new);
         self.history.note("lab", "lab.started", json!({ "member": self.name, "pid": child.id() }));
