--- a/lab/src/checker/facts.rs
+++ b/lab/src/checker/facts.rs
@@ -84,6 +84,15 @@
     /// It may not any more.
     #[serde(rename = "life.lost")]
     LifeLost {},
+    /// The group has ended a life, as this member learns it.
+    #[serde(rename = "life.ended")]
+    LifeEnded {
+        /// Whose.
+        peer: String,
+        /// Which.
+        #[serde(deserialize_with = "number")]
+        peer_incarnation: u64,
+    },
     /// Messages of a peer, or of somebody in its name, were refused.
     #[serde(rename = "fleet.refused")]
     FleetRefused {
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -86,6 +86,7 @@
                     mark(format!("cont {member}"));
                     self.processes.insert(member.clone(), "up");
                 }
+                Fact::HostKilled { .. } => mark(format!("{} dies", act.source)),
                 Fact::Cut {} => mark("cut".to_owned()),
                 Fact::Links {} => mark("links".to_owned()),
                 Fact::Heal {} => mark("heal".to_owned()),
--- a/lab/tests/checker.rs
+++ b/lab/tests/checker.rs
@@ -77,6 +77,14 @@
     "after it had ended"
 )]
 #[case::an_act_of_the_dead(2, "lease", 2, "life.gained", "life.lost", "c2@12 acted though it may not act")]
+#[case::an_act_of_one_whose_life_was_ended(
+    2,
+    "lease",
+    11,
+    "\"source\": \"lab\", \"event\": \"fault.cont\"",
+    "\"source\": \"c1\", \"event\": \"life.ended\", \"peer\": \"c2\", \"peer_incarnation\": 12",
+    "c2@12 acted after its life was ended"
+)]
 #[case::a_second_run(
     4,
     "takeover",
