Processes: fleets of 3 and 5 real conductors under faults, held against promises 1 and 2

SIGKILL and SIGSTOP of leader, holder, voter and plain member, a conductor cut off, a minority, cuts one way, 30% loss, restarts from disk and with an emptied one, and rounds of faults by seed (LAB_ROUNDS, LAB_SEED for many). The checker reads each history; the tests wait on its records.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -4,6 +4,7 @@
 //! comes back where it was. Names on the network: the conductors' (`c1`), the hosts' (`reader-1`), `tool`, and
 //! `front` for the clients.
 
+use crate::checker::{self, view::Views};
 use crate::clients::Client;
 use crate::discovery::{Discovery, Entry};
 use crate::history::{History, NotSeen, Record, STUCK};
@@ -11,9 +12,12 @@
 use crate::network::Network;
 use crate::process::{Conductor, Folder, StartError};
 use crate::tools::ToolSide;
+use rand::{RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
+use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -40,7 +44,9 @@
     pub keeps_keys: bool,
     /// Whether conductors follow discovery; else the list in their files stands.
     pub discovery: bool,
-    /// More of each operator's file: tables of the fleet, by their TOML.
+    /// More fields of the table `[fleet]`, by their TOML.
+    pub fleet: String,
+    /// More tables of each operator's file, by their TOML.
     pub more: String,
     /// Drawn from for all that is random in the lab.
     pub seed: u64,
@@ -59,6 +65,7 @@
             host: HostSettings::quick("", HostRole::Reader, ([127, 0, 0, 1], 0).into()),
             keeps_keys: false,
             discovery: false,
+            fleet: String::new(),
             more: String::new(),
             seed: 1,
             folder: None,
@@ -82,6 +89,11 @@
 #[error("nobody is named {0:?}")]
 pub struct UnknownName(pub String);
 
+/// Views that do not come to agree.
+#[derive(Debug, thiserror::Error)]
+#[error("views still differ: {0}; {1}")]
+pub struct StillDiffer(String, NotSeen);
+
 /// A block of loopback addresses that no other lab on this machine uses.
 struct Block {
     a: u8,
@@ -157,7 +169,7 @@
             hosts.insert(name, host);
         }
         let names: Vec<String> = (1..=settings.conductors).map(|n| format!("c{n}")).collect();
-        std::fs::write(folder.path().join("key"), format!("{:064x}\n", u128::from(settings.seed) + 1))?;
+        write_key(&folder.path().join("key"), settings.seed)?;
         let mut fleet = Fleet {
             conductors: BTreeMap::new(),
             hosts,
@@ -178,8 +190,7 @@
             let front = fleet._block.at(RELAYS[3], 10_000 + i + 1);
             fleet.network.link("front", name, front, fleet._block.at(i + 1, 8080))?;
             fleet.fronts.push((name.clone(), front));
-            let arguments: &[&str] = if fleet.is_fleet() { &["--log-format", "json"] } else { &[] };
-            let conductor = Conductor::new(name, file, arguments, fleet.history.clone());
+            let conductor = Conductor::new(name, file, &["--log-format", "json"], fleet.history.clone());
             fleet.conductors.insert(name.clone(), conductor);
         }
         fleet.history.note("lab", "lab.fleet", json!({ "members": names, "seed": fleet.settings.seed }));
@@ -235,10 +246,11 @@
             let folder = self.folder.path();
             let _ = writeln!(
                 file,
-                "[fleet]\nsite = {site:?}\npeer = \"{}\"\nkey_file = {:?}\nvoters = {voters:?}\npeers = {{ {} }}\n[store]\npath = {:?}",
+                "[fleet]\nsite = {site:?}\npeer = \"{}\"\nkey_file = {:?}\nvoters = {voters:?}\npeers = {{ {} }}\n{}\n[store]\npath = {:?}",
                 block.at(number, 7100),
                 folder.join("key"),
                 peers.join(", "),
+                settings.fleet,
                 self.store(name)
             );
         }
@@ -335,6 +347,44 @@
         self.history.wait_for(after, STUCK, wanted)
     }
 
+    /// Where the views of `alive` differ from what is so, by the history: nothing once they agree.
+    pub fn views_differ(&self, alive: &[&str]) -> Option<String> {
+        let mut views = Views::default();
+        checker::acts(&self.history.records()).0.iter().for_each(|act| views.take(act));
+        views.difference(&alive.iter().map(|n| (*n).to_owned()).collect())
+    }
+
+    /// Waits until the views of `alive` agree.
+    ///
+    /// # Errors
+    /// They do not; where they differ, and the last records.
+    pub fn wait_for_views(&self, alive: &[&str]) -> Result<(), StillDiffer> {
+        let wanted = alive.iter().map(|n| (*n).to_owned()).collect();
+        let (mut views, mut seen) = (Views::default(), 0);
+        let agreed = self.history.wait_until(STUCK * 2, |records| {
+            checker::acts(&records[seen..]).0.iter().for_each(|act| views.take(act));
+            seen = records.len();
+            views.difference(&wanted).is_none().then_some(())
+        });
+        let how =
+            || StillDiffer(views.difference(&wanted).unwrap_or_default(), self.history.not_seen(STUCK * 2));
+        agreed.ok_or_else(how)
+    }
+
+    /// Who acted last under a lease, by the history.
+    pub fn holder(&self, lease: &str) -> Option<String> {
+        let records = self.history.records();
+        let acted = records.iter().rev().find(|r| r.event == "lease.act" && r.text("lease") == lease);
+        acted.map(|r| r.source.clone())
+    }
+
+    /// Who leads in the highest term that any member knows a leader of, by the history.
+    pub fn leader(&self) -> Option<String> {
+        let records = self.history.records();
+        let leading = records.iter().filter(|r| r.event == "group.leading" && !r.text("leader").is_empty());
+        leading.max_by_key(|r| (r.number("term"), r.order)).map(|r| r.text("leader").to_owned())
+    }
+
     /// Writes that faults have stopped and who should be seen alive from now on: the checker judges views by it.
     pub fn quiet(&self, alive: &[&str], within: Duration) {
         let within_us = within.as_micros() as u64;
@@ -351,6 +401,17 @@
     }
 }
 
+/// Writes a shared key that follows from a seed, for its owner alone to read.
+fn write_key(path: &Path, seed: u64) -> std::io::Result<()> {
+    use std::os::unix::fs::OpenOptionsExt;
+    let mut key = [0u8; 32];
+    ChaCha8Rng::seed_from_u64(seed).fill_bytes(&mut key);
+    let hex: String = key.iter().map(|b| format!("{b:02x}")).collect();
+    let mut options = std::fs::OpenOptions::new();
+    let mut file = options.write(true).create(true).truncate(true).mode(0o600).open(path)?;
+    writeln!(file, "{hex}")
+}
+
 fn roles(settings: &FleetSettings) -> impl Iterator<Item = (HostRole, usize)> {
     let readers = (0..settings.readers).map(|n| (HostRole::Reader, n));
     readers.chain((0..settings.writers).map(|n| (HostRole::Writer, n)))
--- /dev/null
+++ b/lab/tests/processes_ground.rs
@@ -0,0 +1,258 @@
+//! Real conductors as one fleet, behind relays that fail: promises 1 and 2, by the checker.
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::time::Duration;
+use whinhaven_lab::checker::{Limits, check};
+use whinhaven_lab::fleet::{Fleet, FleetSettings};
+use whinhaven_lab::history::{Record, STUCK};
+
+const DUTY: &str = "discovery-refresh";
+
+/// Everything faster than in service, so that a story takes seconds.
+const QUICK: &str = "[fleet.view]\nperiod_ms = 200\nprobe_timeout_ms = 70\nreconnect_ms = 500\n\
+    [fleet.group]\nelection_us = 500000\nheartbeat_us = 60000\n\
+    [fleet.lease]\ngranted_for_ms = 1500\nmargin_ms = 100\noffer_ms = 400\n";
+
+/// A fleet whose holder, leader and views are known.
+struct Ground {
+    fleet: Fleet,
+    names: Vec<String>,
+    voters: usize,
+}
+
+impl Ground {
+    fn start(conductors: usize, voters: usize, seed: u64) -> Ground {
+        let settings = FleetSettings {
+            conductors,
+            voters,
+            seed,
+            readers: 1,
+            writers: 1,
+            fleet: "refresh_period_ms = 20\n".to_owned(),
+            more: QUICK.to_owned(),
+            ..FleetSettings::default()
+        };
+        let fleet = Fleet::start(settings).unwrap();
+        let names = fleet.names();
+        let ground = Ground { fleet, names, voters };
+        ground.settled(&[]);
+        ground
+    }
+
+    /// Waits until all but the `gone` agree and one of them has acted.
+    fn settled(&self, gone: &[&str]) {
+        let alive: Vec<&str> = self.names.iter().map(String::as_str).filter(|n| !gone.contains(n)).collect();
+        let before = self.fleet.history.len();
+        self.fleet.quiet(&alive, STUCK * 2);
+        self.fleet.wait_for_views(&alive).unwrap();
+        let acts = |r: &Record| r.event == "lease.act" && alive.contains(&r.source.as_str());
+        self.fleet.wait_for(before, acts).unwrap();
+    }
+
+    /// Whoever has a part now: `leader`, `holder`, `voter` (of neither part) or `plain` (no voter, of neither part).
+    fn who(&self, part: &str) -> String {
+        let (leader, holder) = (self.fleet.leader().unwrap(), self.fleet.holder(DUTY).unwrap());
+        let (voters, plain) = self.names.split_at(self.voters);
+        let free = |names: &[String]| names.iter().find(|n| **n != leader && **n != holder).cloned();
+        match part {
+            "leader" => leader,
+            "holder" => holder,
+            "voter" => free(voters).unwrap(),
+            // Where the only plain member holds the lease, that one.
+            _ => free(plain).unwrap_or_else(|| plain[0].clone()),
+        }
+    }
+
+    /// Waits for the next act of anybody but one.
+    fn another_acts(&self, than: &str) {
+        let acts = |r: &Record| r.event == "lease.act" && r.source != than;
+        self.fleet.wait_for(self.fleet.history.len(), acts).unwrap();
+    }
+
+    fn end(self) {
+        let records = self.fleet.history.records();
+        let report = check(&records, &Limits::default());
+        let judged = report.verdict(1).checked > 0 && report.verdict(2).checked > 0;
+        if !report.is_kept() || !judged {
+            let kept = std::env::temp_dir().join(format!("whinhaven-broken-{}.jsonl", std::process::id()));
+            self.fleet.history.save(&kept).unwrap();
+            panic!("{report}history: {}", kept.display());
+        }
+    }
+}
+
+#[rstest]
+#[case::three(3, 3, &["leader", "holder", "voter"])]
+#[case::five(5, 3, &["leader", "plain"])]
+fn whoever_is_killed_is_found_dead_its_lease_moves_and_it_comes_back_from_its_disk(
+    #[case] conductors: usize,
+    #[case] voters: usize,
+    #[case] parts: &[&str],
+) {
+    let ground = Ground::start(conductors, voters, 1);
+    for part in parts {
+        let victim = ground.who(part);
+        ground.fleet.conductor(&victim).kill();
+        ground.another_acts(&victim);
+        ground.settled(&[&victim]);
+        ground.fleet.restart(&victim, false).unwrap();
+        ground.settled(&[]);
+    }
+    ground.end();
+}
+
+/// Guards against zombies: stopped past its lease, a conductor runs on where it was, and must do nothing more.
+#[rstest]
+#[case::leader("leader")]
+#[case::holder("holder")]
+fn whoever_is_stopped_past_its_lease_runs_on_and_does_nothing_under_it(#[case] part: &str) {
+    let ground = Ground::start(3, 3, 2);
+    let victim = ground.who(part);
+    ground.fleet.conductor(&victim).stop();
+    ground.another_acts(&victim);
+    ground.settled(&[&victim]);
+    ground.fleet.conductor(&victim).cont();
+    ground.settled(&[]);
+    ground.end();
+}
+
+#[rstest]
+#[case::the_leader_alone("leader")]
+#[case::the_holder_alone("holder")]
+fn a_cut_off_conductor_stops_acting_before_another_starts(#[case] part: &str) {
+    let ground = Ground::start(5, 5, 3);
+    let victim = ground.who(part);
+    ground.fleet.isolate(&victim);
+    ground.another_acts(&victim);
+    ground.settled(&[&victim]);
+    ground.fleet.network.heal();
+    ground.settled(&[]);
+    ground.end();
+}
+
+/// The holder is in the minority: it stops, the majority goes on, and all agree after the heal.
+#[test]
+fn a_majority_goes_on_and_a_minority_does_not() {
+    let ground = Ground::start(5, 5, 4);
+    let holder = ground.who("holder");
+    let other = ground.names.iter().find(|n| **n != holder).unwrap().clone();
+    let rest: Vec<&str> =
+        ground.names.iter().map(String::as_str).filter(|n| **n != holder && **n != *other).collect();
+    ground.fleet.split(&[&[&holder, &other], &rest]);
+    let acts = |r: &Record| r.event == "lease.act" && rest.contains(&r.source.as_str());
+    ground.fleet.wait_for(ground.fleet.history.len(), acts).unwrap();
+    ground.fleet.network.heal();
+    ground.settled(&[]);
+    ground.end();
+}
+
+#[rstest]
+#[case::nothing_reaches_the_leader(true)]
+#[case::nothing_comes_from_the_leader(false)]
+fn a_cut_one_way_ends_with_one_holder(#[case] inwards: bool) {
+    let ground = Ground::start(3, 3, 5);
+    let leader = ground.who("leader");
+    for other in ground.names.iter().filter(|n| **n != leader) {
+        let (from, to) = if inwards { (other, &leader) } else { (&leader, other) };
+        ground.fleet.network.cut_one_way(from, to);
+    }
+    ground.another_acts(&leader);
+    ground.fleet.network.heal();
+    ground.settled(&[]);
+    ground.end();
+}
+
+#[test]
+fn with_three_of_ten_messages_lost_there_is_one_holder_and_afterwards_one_view() {
+    let ground = Ground::start(3, 3, 6);
+    ground.fleet.history.note("lab", "fault.links", serde_json::json!({ "loss": 0.3 }));
+    for (a, b) in
+        ground.names.iter().flat_map(|a| ground.names.iter().map(move |b| (a, b))).filter(|(a, b)| a != b)
+    {
+        ground.fleet.network.set(a, b, |f| f.loss = 0.3);
+    }
+    let holder = ground.who("holder");
+    ground.fleet.conductor(&holder).kill();
+    ground.another_acts(&holder);
+    ground.fleet.restart(&holder, false).unwrap();
+    ground.fleet.network.heal();
+    ground.settled(&[]);
+    ground.end();
+}
+
+/// An emptied disk: the member is another voter, and does not vote as if it remembered.
+#[test]
+fn a_voter_with_an_emptied_disk_comes_back_as_another() {
+    let ground = Ground::start(3, 3, 7);
+    let victim = ground.who("voter");
+    ground.fleet.conductor(&victim).kill();
+    ground.settled(&[&victim]);
+    ground.fleet.restart(&victim, true).unwrap();
+    ground.settled(&[]);
+    ground.end();
+}
+
+/// Faults drawn from a seed, some of them at once. More rounds: `LAB_ROUNDS=200 cargo test --release -p whinhaven-lab
+/// --test processes_ground rounds`, from the seed `LAB_SEED` on.
+#[test]
+fn rounds_of_faults_by_seed() {
+    let number = |name: &str, default| std::env::var(name).map_or(default, |v| v.parse::<u64>().unwrap());
+    let first = number("LAB_SEED", 1);
+    for seed in first..first + number("LAB_ROUNDS", 1) {
+        round(seed);
+    }
+}
+
+fn round(seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let (conductors, voters) = *[(3, 3), (5, 3), (5, 5)].choose(&mut random).unwrap();
+    println!("round {seed}: {conductors} conductors, {voters} voters");
+    let ground = Ground::start(conductors, voters, seed);
+    let fleet = &ground.fleet;
+    for _ in 0..random.random_range(1..4) {
+        let mut struck: Vec<(String, u32)> = Vec::new();
+        for _ in 0..random.random_range(1..3) {
+            let part = *["leader", "holder", "voter"].choose(&mut random).unwrap();
+            let victim = ground.who(part);
+            if struck.iter().any(|(name, _)| *name == victim) {
+                continue;
+            }
+            let what = random.random_range(0..5);
+            println!("  {part} {victim}: fault {what}");
+            match what {
+                0 => fleet.conductor(&victim).kill(),
+                1 => fleet.conductor(&victim).stop(),
+                2 => fleet.isolate(&victim),
+                3 => {
+                    let other = ground.names.choose(&mut random).unwrap();
+                    fleet.network.cut_one_way(&victim, other);
+                }
+                _ => {
+                    let loss = random.random_range(0.1..0.5);
+                    fleet.history.note(
+                        "lab",
+                        "fault.links",
+                        serde_json::json!({ "to": victim, "loss": loss }),
+                    );
+                    fleet.network.set_both(&victim, "*", |f| f.loss = loss);
+                }
+            }
+            struck.push((victim, what));
+        }
+        // Some last until all has been noticed, some less; no verdict hangs on it.
+        std::thread::sleep(Duration::from_millis(random.random_range(0..4000)));
+        fleet.network.heal();
+        for (victim, what) in struck {
+            match what {
+                0 => _ = fleet.restart(&victim, false).unwrap(),
+                1 => fleet.conductor(&victim).cont(),
+                _ => {}
+            }
+        }
+        ground.settled(&[]);
+    }
+    ground.end();
+}
