--- a/lab/src/checker/bounds.rs
+++ b/lab/src/checker/bounds.rs
@@ -11,7 +11,11 @@
     let mut forging = false;
     let mut refusals: BTreeMap<(&str, u64, &str), u64> = BTreeMap::new();
     for act in acts {
-        let stranger = |name: &str| strangers.contains(name) && !strangers.contains(act.source.as_str());
+        let stranger = |name: &str| strangers.contains(name);
+        // What a stranger makes of the silence is its own affair, unless it believes to hold something.
+        if stranger(&act.source) && !matches!(act.fact, Fact::LeaseGranted(_) | Fact::LifeGained {}) {
+            continue;
+        }
         match &act.fact {
             Fact::Stranger { name } => {
                 verdict.checked += 1;
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -120,6 +120,9 @@
     }
 }
 
+/// What each conductor may have; its file says so.
+const MEMORY_MB: u64 = 192;
+
 /// The last part of the address of relays: between peers, to hosts, to the tool side, to clients.
 const RELAYS: [usize; 4] = [201, 202, 203, 204];
 
@@ -142,7 +145,7 @@
     settings: FleetSettings,
     fronts: Vec<(String, SocketAddr)>,
     folder: Folder,
-    _block: Block,
+    block: Block,
 }
 
 impl Fleet {
@@ -181,14 +184,16 @@
             settings,
             fronts: Vec::new(),
             folder,
-            _block: block,
+            block: block,
         };
         for (i, name) in names.iter().enumerate() {
+            // A folder of the caller's may hold the disks of an earlier fleet.
+            let _ = std::fs::remove_dir_all(fleet.store(name));
             let text = fleet.operator_file(i + 1, name, &names)?;
             let file = fleet.folder.path().join(format!("{name}.toml"));
             std::fs::write(&file, text)?;
-            let front = fleet._block.at(RELAYS[3], 10_000 + i + 1);
-            fleet.network.link("front", name, front, fleet._block.at(i + 1, 8080))?;
+            let front = fleet.block.at(RELAYS[3], 10_000 + i + 1);
+            fleet.network.link("front", name, front, fleet.block.at(i + 1, 8080))?;
             fleet.fronts.push((name.clone(), front));
             let conductor = Conductor::new(name, file, &["--log-format", "json"], fleet.history.clone());
             fleet.conductors.insert(name.clone(), conductor);
@@ -207,7 +212,7 @@
 
     /// Opens the relays of conductor `number` and writes its file.
     fn operator_file(&self, number: usize, name: &str, names: &[String]) -> Result<String, FleetError> {
-        let (block, settings) = (&self._block, &self.settings);
+        let (block, settings) = (&self.block, &self.settings);
         let site = format!("s{}", (number - 1) % settings.sites.max(1) + 1);
         let mut file = String::new();
         let _ = writeln!(
@@ -216,6 +221,7 @@
             block.at(number, 8080),
             settings.seed * 1000 + number as u64
         );
+        let _ = writeln!(file, "[limits]\nmemory_mb = {MEMORY_MB}\nsockets = 1024");
         let mut known = String::from("[known]\nseq = 1\nwhole = true\n");
         let mut dial = BTreeMap::new();
         for (i, host) in self.hosts.values().enumerate() {
@@ -228,9 +234,10 @@
                 "[[known.hosts]]\nhost = {host:?}\ndial = \"{relay}\"\nsite = {site:?}\nclass = {class:?}\nhealth = \"ready\""
             );
         }
+        let mut head = String::new();
         if settings.discovery {
             let agent = self.discovery.agent(block.at(number, 8500), dial)?;
-            let _ = writeln!(file, "discovery = \"{agent}\"");
+            head = format!("discovery = \"{agent}\"\n");
         }
         let tool = block.at(RELAYS[2], 10_000 + number);
         self.network.link(name, "tool", tool, self.tool.address())?;
@@ -256,7 +263,7 @@
         }
         file += &settings.more;
         file += &SETTINGS.replace("my_zone = \"here\"", &format!("my_zone = {site:?}"));
-        Ok(file + &known)
+        Ok(head + &file + &known)
     }
 
     /// Where the files are: each conductor's `NAME.toml`, and `history.jsonl`.
@@ -292,6 +299,16 @@
         Client::new(self.fronts.clone(), self.history.clone())
     }
 
+    /// The address at which conductor `from` reaches conductor `to`: the relay between them.
+    ///
+    /// # Panics
+    /// There is no conductor of such a name.
+    pub fn peer_link(&self, from: &str, to: &str) -> SocketAddr {
+        let place = |name: &str| self.fronts.iter().position(|(n, _)| n == name);
+        let (Some(from), Some(to)) = (place(from), place(to)) else { panic!("no link {from} to {to}") };
+        self.block.at(RELAYS[0], 10_000 + (from + 1) * 100 + to + 1)
+    }
+
     /// Starts a conductor again, from what is on its disk or, with `emptied`, from nothing.
     ///
     /// # Errors
@@ -347,6 +364,39 @@
         self.history.wait_for(after, STUCK, wanted)
     }
 
+    /// Writes how much memory each conductor has, and how much it may have.
+    pub fn note_memory(&self) {
+        for conductor in self.conductors.values() {
+            if let Some(bytes) = conductor.memory() {
+                let fields =
+                    json!({ "member": conductor.name, "bytes": bytes, "limit": MEMORY_MB * 1024 * 1024 });
+                self.history.note("lab", "lab.memory", fields);
+            }
+        }
+    }
+
+    /// Starts one more conductor `name` that knows all others and has a key of its own, and notes it as a stranger. The
+    /// others know nothing of it.
+    ///
+    /// # Errors
+    /// It does not start.
+    pub fn stranger(&mut self, name: &str) -> Result<(), FleetError> {
+        let mut names = self.names();
+        names.push(name.to_owned());
+        let text = self.operator_file(names.len(), name, &names)?;
+        let key = self.folder.path().join(format!("{name}-key"));
+        write_key(&key, self.settings.seed.wrapping_add(1))?;
+        let own = self.folder.path().join("key");
+        let text = text.replace(&format!("{own:?}"), &format!("{key:?}"));
+        let file = self.file(name);
+        std::fs::write(&file, text)?;
+        self.history.note("lab", "lab.stranger", json!({ "name": name }));
+        let conductor = Conductor::new(name, file, &["--log-format", "json"], self.history.clone());
+        conductor.start()?;
+        self.conductors.insert(name.to_owned(), conductor);
+        Ok(())
+    }
+
     /// Where the views of `alive` differ from what is so, by the history: nothing once they agree.
     pub fn views_differ(&self, alive: &[&str]) -> Option<String> {
         let mut views = Views::default();
--- a/lab/src/network.rs
+++ b/lab/src/network.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -32,6 +32,8 @@
 const PIECES: usize = 64;
 /// Datagrams that a held link keeps; those beyond are lost.
 const MOST_HELD: usize = 4096;
+/// Datagrams that are kept to be sent again.
+const MOST_EARLIER: usize = 64;
 /// What the loss of a segment costs a TCP connection: the least time before it is sent again.
 const SENT_AGAIN: Duration = Duration::from_millis(200);
 
@@ -50,6 +52,10 @@
     pub reorder: f64,
     /// Part of the datagrams in which one bit is flipped.
     pub garble: f64,
+    /// Part of the datagrams beside which a copy with flipped bits is sent.
+    pub forge: f64,
+    /// Part of the datagrams beside which an earlier one is sent again.
+    pub replay: f64,
     /// How long everything is under way.
     pub delay: Duration,
     /// Up to how much longer, drawn for each datagram or piece.
@@ -67,6 +73,8 @@
             duplicate: 0.0,
             reorder: 0.0,
             garble: 0.0,
+            forge: 0.0,
+            replay: 0.0,
             delay: Duration::ZERO,
             jitter: Duration::ZERO,
             drip: 0,
@@ -101,6 +109,14 @@
         self.random.lock().unwrap_or_else(PoisonError::into_inner).random()
     }
 
+    /// Flips one bit.
+    fn flip(&self, datagram: &mut [u8]) {
+        let bit = (self.draw() * (datagram.len() * 8) as f64) as usize;
+        if let Some(byte) = datagram.get_mut(bit / 8) {
+            *byte ^= 1 << (bit % 8);
+        }
+    }
+
     /// How long something is under way now.
     fn way(&self, faults: &Faults) -> Duration {
         if faults.jitter.is_zero() { faults.delay } else { faults.delay + faults.jitter.mul_f64(self.draw()) }
@@ -256,6 +272,7 @@
     let (udp, out) = (Arc::new(udp), Arc::new(out));
     let mut faults = direction.faults.subscribe();
     let mut held: Vec<Vec<u8>> = Vec::new();
+    let mut earlier: VecDeque<Vec<u8>> = VecDeque::new();
     let mut buffer = vec![0; MOST_DATAGRAM];
     let up = |n: &AtomicU64, by: u64| n.fetch_add(by, Ordering::Relaxed);
     loop {
@@ -286,9 +303,23 @@
             continue;
         }
         let mut datagram = buffer[..length].to_vec();
-        if length > 0 && now.garble > 0.0 && direction.draw() < now.garble {
-            let bit = (direction.draw() * (length * 8) as f64) as usize;
-            datagram[bit / 8] ^= 1 << (bit % 8);
+        if now.garble > 0.0 && direction.draw() < now.garble {
+            direction.flip(&mut datagram);
+        }
+        if now.forge > 0.0 && direction.draw() < now.forge {
+            let mut forged = datagram.clone();
+            direction.flip(&mut forged);
+            let _ = out.send_to(&forged, dest).await;
+        }
+        if now.replay > 0.0 {
+            if direction.draw() < now.replay && !earlier.is_empty() {
+                let which = (direction.draw() * earlier.len() as f64) as usize;
+                let _ = out.send_to(&earlier[which.min(earlier.len() - 1)], dest).await;
+            }
+            earlier.push_back(datagram.clone());
+            if earlier.len() > MOST_EARLIER {
+                earlier.pop_front();
+            }
         }
         if now.held {
             held.push(datagram);
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -5,7 +5,7 @@
 use crate::checker::{Limits, acts, check};
 use crate::clients::{Counts, Load};
 use crate::fleet::{Fleet, FleetSettings};
-use crate::history::Record;
+use crate::history::{Record, STUCK};
 use crate::hosts::{HostRole, HostSettings};
 use crate::plot::Chart;
 use crate::script::{self, Command, Line};
@@ -184,10 +184,21 @@
         let load =
             Load::start(&fleet.client(), (self.load * 4.0).clamp(1.0, 64.0) as usize, self.load, self.seed);
         let inputs = inputs(&fleet, script);
-        let (board, samples, begun_us) = self.watch(&fleet, &load, &inputs);
+        let (mut board, samples, begun_us) = self.watch(&fleet, &load, &inputs);
         println!("ending: the load finishes what it has in hand");
         fleet.tool.release();
         let counts = load.stop();
+        board.take(&fleet.history.since(board.seen));
+        if fleet.is_fleet() {
+            println!("links are healed; waiting for the views to agree");
+            fleet.network.heal();
+            let up = board.up();
+            let up: Vec<&str> = up.iter().map(String::as_str).collect();
+            fleet.quiet(&up, STUCK * 2);
+            // The verdict says it too, with the reason.
+            let _ = fleet.wait_for_views(&up);
+        }
+        fleet.note_memory();
         fleet.history.note("lab", "lab.end", serde_json::json!({}));
         self.report(&fleet, &counts, &board, &samples, begun_us)
     }
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -9,7 +9,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::{Duration, SystemTime};
+use std::time::SystemTime;
 
 /// Names the program to start instead of the one built from these sources.
 pub const PROGRAM: &str = "WHINHAVEN_BIN";
@@ -80,7 +80,8 @@
     /// It can't be made.
     pub fn at(path: &Path) -> std::io::Result<Folder> {
         std::fs::create_dir_all(path)?;
-        Ok(Folder { path: path.to_owned(), kept: true })
+        // Whole: conductors take the paths in their files as from where those are.
+        Ok(Folder { path: path.canonicalize()?, kept: true })
     }
 
     /// Where it is.
@@ -106,6 +107,9 @@
     /// It did not come to serve.
     #[error("{0}")]
     Silent(#[from] NotSeen),
+    /// It ended before it served; its lines.
+    #[error("{0} ended before it served: {1}")]
+    Ended(String, String),
 }
 
 /// A conductor as a process. Dropping it kills the process, also when a test panics.
@@ -147,7 +151,10 @@
         };
         let line = self.history.wait_for(before, STUCK, serves)?;
         if line.event == "lab.exited" {
-            return Err(self.history.not_seen(Duration::ZERO).into());
+            let records = self.history.since(before);
+            let lines: Vec<&str> =
+                records.iter().filter(|r| r.source == self.name).map(|r| r.text("line")).collect();
+            return Err(StartError::Ended(self.name.clone(), lines.join("; ")));
         }
         Ok(line)
     }
@@ -195,6 +202,13 @@
         }
     }
 
+    /// Its resident memory in bytes while it runs.
+    pub fn memory(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()?)).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        line.split_whitespace().next()?.parse::<u64>().ok().map(|kb| kb * 1024)
+    }
+
     fn signal(&self, signal: Signal) -> bool {
         let child = self.child();
         let pid = child.as_ref().and_then(|c| Pid::from_raw(i32::try_from(c.id()).ok()?));
--- a/lab/tests/network.rs
+++ b/lab/tests/network.rs
@@ -84,6 +84,15 @@
     }
 }
 
+#[test]
+fn forged_and_replayed_datagrams_come_beside_the_real_ones() {
+    let link = link(7);
+    link.network.set("a", "b", |f| (f.forge, f.replay) = (1.0, 1.0));
+    let came = link.send(20);
+    let real = |n: &u32| came.contains(&n.to_be_bytes().to_vec());
+    assert!((0..20).filter(real).count() == 20 && came.len() == 59, "{came:?}");
+}
+
 /// Guards against runs that can't be told again: what is lost follows from the seed.
 #[test]
 fn the_same_seed_loses_the_same_datagrams() {
--- a/lab/tests/processes_ground.rs
+++ b/lab/tests/processes_ground.rs
@@ -195,6 +195,48 @@
     ground.end();
 }
 
+/// A conductor with another key, forged and replayed datagrams on every link, and noise on the peers' listeners: each
+/// is refused and told of, and nobody's view, leader or lease changes.
+#[test]
+fn forgers_and_strangers_change_nothing() {
+    let mut ground = Ground::start(3, 3, 8);
+    let names = ground.names.clone();
+    ground.fleet.history.note("lab", "lab.forging", serde_json::json!({}));
+    let before = ground.fleet.history.len();
+    ground.fleet.stranger("c9").unwrap();
+    for (a, b) in names.iter().flat_map(|a| names.iter().map(move |b| (a, b))).filter(|(a, b)| a != b) {
+        ground.fleet.network.set(a, b, |f| (f.forge, f.replay) = (1.0, 1.0));
+        let mut noise = std::net::TcpStream::connect(ground.fleet.peer_link(a, b)).unwrap();
+        let _ = std::io::Write::write_all(&mut noise, &[0x5a; 4096]);
+    }
+    for name in &names {
+        ground.fleet.wait_for(before, |r| r.is(name, "fleet.refused")).unwrap();
+        // Their own work goes on while the stranger knocks at their doors.
+        while ground.fleet.network.carried("c9", name)[0] < 4 {
+            ground.another_acts("c9");
+        }
+    }
+    ground.fleet.note_memory();
+    ground.fleet.history.note("lab", "lab.forged", serde_json::json!({}));
+    let report = check(&ground.fleet.history.records(), &Limits::default());
+    assert!(report.verdict(7).checked >= 9, "{report}");
+    ground.end();
+}
+
+/// A deployment broken on purpose: two conductors, each the only voter of a group of its own, so that both hold what one
+/// should. The checker has to see it in what real processes wrote.
+#[test]
+fn two_groups_where_one_should_be_are_caught() {
+    let both = [Ground::start(1, 1, 9), Ground::start(1, 1, 10)];
+    both[0].another_acts("");
+    let mut records = both[0].fleet.history.records();
+    let others = both[1].fleet.history.records().into_iter();
+    records.extend(others.map(|r| Record { source: r.source.replace("c1", "c2"), ..r }));
+    let report = check(&records, &Limits::default());
+    let caught = |what: &str| report.verdict(2).violations.iter().any(|v| v.what.contains(what));
+    assert!(caught("two holders at a time") && caught("was granted to c1@"), "{report}");
+}
+
 /// Faults drawn from a seed, some of them at once. More rounds: `LAB_ROUNDS=200 cargo test --release -p whinhaven-lab
 /// --test processes_ground rounds`, from the seed `LAB_SEED` on.
 #[test]
