--- a/lab/src/checker/facts.rs
+++ b/lab/src/checker/facts.rs
@@ -114,7 +114,7 @@
     #[serde(rename = "state.released")]
     StateReleased(HeldFact),
     /// A host died, and states with it.
-    #[serde(rename = "host.killed")]
+    #[serde(rename = "host.killed", alias = "host.fell")]
     HostKilled {
         /// Their ids.
         #[serde(default)]
--- a/lab/src/hosts.rs
+++ b/lab/src/hosts.rs
@@ -8,9 +8,9 @@
 use crate::history::History;
 use crate::peer::{Conn, Message, Peer};
 use serde_json::{Value, json};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -40,6 +40,11 @@
     pub cold_from: f64,
     /// How long a start is felt; zero for a host that is warm at once.
     pub cold_for: Duration,
+    /// Sent more than so many times what it can do at the moment, all over `fall_after`, it falls over and stays down
+    /// until it is started again; 0 for never.
+    pub fall_multiple: f64,
+    /// See there.
+    pub fall_after: Duration,
 }
 
 /// What a host is for.
@@ -75,6 +80,8 @@
             tokens_per_s: 0.0,
             cold_from: 1.0,
             cold_for: Duration::ZERO,
+            fall_multiple: 0.0,
+            fall_after: Duration::from_secs(3),
         }
     }
 }
@@ -96,9 +103,10 @@
         format!("plan name={} words={} calls={}", self.name, self.words, self.calls)
     }
 
-    /// The plan in a request's body; three words and no call where there is none.
+    /// The plan in a request's body. Where there is none, six words, with a call among them for the class `send`.
     pub fn read(body: &str, id: &str) -> Plan {
-        let mut plan = Plan { name: id.to_owned(), words: 3, calls: 0 };
+        let calls = u32::from(body.contains(r#""model":"send""#));
+        let mut plan = Plan { name: id.to_owned(), words: 6, calls };
         let Some(at) = body.find("plan name=") else { return plan };
         let end = body[at..].find('"').map_or(body.len(), |n| at + n);
         for (key, value) in body[at..end].split(' ').filter_map(|w| w.split_once('=')) {
@@ -247,12 +255,9 @@
     history: History,
     slots: (Mutex<Slots>, Condvar),
     started: Instant,
-}
-
-/// A life of a host.
-struct Life {
-    shared: Arc<Shared>,
-    peer: Peer,
+    /// Tokens it was sent lately, and when.
+    sent: Mutex<VecDeque<(Instant, f64)>>,
+    peer: OnceLock<Peer>,
 }
 
 /// A stand-in model host.
@@ -260,7 +265,7 @@
     settings: HostSettings,
     states: Arc<States>,
     history: History,
-    life: Mutex<Option<Life>>,
+    life: Mutex<Option<Arc<Shared>>>,
     address: SocketAddr,
 }
 
@@ -273,23 +278,26 @@
         let address = settings.listen;
         let mut host = Host { settings, states, history, life: Mutex::default(), address };
         let life = host.live()?;
-        host.address = life.peer.address;
+        host.address = life.peer.get().map_or(address, |p| p.address);
         host.life = Mutex::new(Some(life));
         Ok(host)
     }
 
-    fn live(&self) -> std::io::Result<Life> {
+    fn live(&self) -> std::io::Result<Arc<Shared>> {
         let shared = Arc::new(Shared {
             settings: self.settings.clone(),
             states: self.states.clone(),
             history: self.history.clone(),
             slots: Default::default(),
             started: Instant::now(),
+            sent: Mutex::default(),
+            peer: OnceLock::new(),
         });
         let served = shared.clone();
         let peer = Peer::start_at(self.address, move |message, conn| served.answer(message, conn))?;
         shared.note("host.started", json!({ "role": self.settings.role.kind() }));
-        Ok(Life { shared, peer })
+        let _ = shared.peer.set(peer);
+        Ok(shared)
     }
 
     /// Where it listens.
@@ -302,19 +310,16 @@
         &self.settings
     }
 
-    /// Whether it runs.
+    /// Whether it runs: neither killed nor fallen over.
     pub fn is_running(&self) -> bool {
-        lock(&self.life).is_some()
+        lock(&self.life).as_ref().is_some_and(|life| !lock(&life.slots.0).closed)
     }
 
     /// Ends it as the death of its process would: connections break, new ones are refused, its states are gone.
     pub fn kill(&self) {
-        let Some(Life { shared, peer }) = lock(&self.life).take() else { return };
-        lock(&shared.slots.0).closed = true;
-        shared.slots.1.notify_all();
-        peer.close();
-        let lost = self.states.forget(&self.settings.name);
-        shared.note("host.killed", json!({ "lost": lost }));
+        if let Some(life) = lock(&self.life).take() {
+            life.end("host.killed");
+        }
     }
 
     /// Starts it again after [`Host::kill`], cold.
@@ -330,9 +335,8 @@
 
 impl Drop for Host {
     fn drop(&mut self) {
-        if let Some(Life { shared, .. }) = lock(&self.life).take() {
-            lock(&shared.slots.0).closed = true;
-            shared.slots.1.notify_all();
+        if let Some(life) = lock(&self.life).take() {
+            life.close();
         }
     }
 }
@@ -344,15 +348,57 @@
         self.history.note(&format!("host/{}", self.settings.name), event, fields);
     }
 
+    /// Takes nothing more; whether it did until now.
+    fn close(&self) -> bool {
+        let closed = std::mem::replace(&mut lock(&self.slots.0).closed, true);
+        self.slots.1.notify_all();
+        if let Some(peer) = self.peer.get() {
+            peer.close();
+        }
+        !closed
+    }
+
+    fn end(&self, event: &str) {
+        if self.close() {
+            let lost = self.states.forget(&self.settings.name);
+            self.note(event, json!({ "lost": lost }));
+        }
+    }
+
+    /// Tokens a second that each slot does now.
+    fn speed(&self) -> f64 {
+        let settings = &self.settings;
+        let up = self.started.elapsed().as_secs_f64() / settings.cold_for.as_secs_f64().max(1e-9);
+        let part = settings.cold_from + (1.0 - settings.cold_from) * up.min(1.0);
+        settings.tokens_per_s * part.max(0.01)
+    }
+
     /// Takes the time that so many tokens need.
     fn work(&self, tokens: f64) {
-        let settings = &self.settings;
-        if settings.tokens_per_s <= 0.0 {
-            return;
+        if self.settings.tokens_per_s > 0.0 {
+            std::thread::sleep(Duration::from_secs_f64(tokens / self.speed()));
         }
-        let up = self.started.elapsed().as_secs_f64() / settings.cold_for.as_secs_f64().max(1e-9);
-        let part = (settings.cold_from + (1.0 - settings.cold_from) * up.min(1.0)).max(0.01);
-        std::thread::sleep(Duration::from_secs_f64(tokens / settings.tokens_per_s / part));
+    }
+
+    /// Counts what it is sent; whether that was too much and it falls over.
+    fn falls(&self, tokens: f64) -> bool {
+        let HostSettings { fall_multiple, fall_after, tokens_per_s, slots, .. } = self.settings;
+        if fall_multiple <= 0.0 || tokens_per_s <= 0.0 {
+            return false;
+        }
+        let mut sent = lock(&self.sent);
+        let now = Instant::now();
+        sent.push_back((now, tokens));
+        while sent.front().is_some_and(|(at, _)| now.duration_since(*at) > fall_after) {
+            sent.pop_front();
+        }
+        let all: f64 = sent.iter().map(|(_, tokens)| tokens).sum();
+        let falls = all > fall_multiple * self.speed() * slots as f64 * fall_after.as_secs_f64();
+        drop(sent);
+        if falls {
+            self.end("host.fell");
+        }
+        falls
     }
 
     /// Waits for a slot: `None` if the host is full or dies meanwhile.
@@ -394,6 +440,10 @@
         } else if let Some(id) = message.header("x-request-id") {
             let text = message.text();
             let plan = Plan::read(&text, id);
+            let reads = self.settings.role == HostRole::Reader;
+            if self.falls(if reads { text.len() as f64 / 4.0 } else { f64::from(plan.words) }) {
+                return false;
+            }
             return match self.settings.role {
                 HostRole::Reader => self.read(id, &plan, text.len() as u64 / 4, conn),
                 HostRole::Writer => self.write(id, &plan, &text, conn),
