Lab: the experiment ground, real conductors' times and costs against size and loss

Time to suspect, to be dead at all, to a new holder, to be back, to agree after a heal; datagrams and bytes a second of one member; false deaths.

--- a/lab/src/experiments/mod.rs
+++ b/lab/src/experiments/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! `whinhaven-lab experiment NAME` runs one. A new experiment is a module here and a line in [`ALL`].
 
+pub mod ground;
+
 use std::path::{Path, PathBuf};
 
 /// What an experiment is told.
@@ -37,4 +39,8 @@
 }
 
 /// All experiments, by name.
-pub const ALL: &[Experiment] = &[];
+pub const ALL: &[Experiment] = &[Experiment {
+    name: "ground",
+    about: "real conductors: time to see a death, to move a lease, to agree after a heal; cost of the fleet's messages",
+    run: ground::run,
+}];
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -149,7 +149,7 @@
 }
 
 impl Fleet {
-    /// Starts all of a fleet and returns once every conductor serves.
+    /// Starts all of a fleet and returns once every conductor serves and, in a fleet, may act.
     ///
     /// # Errors
     /// Something can't be started.
@@ -202,6 +202,11 @@
         for conductor in fleet.conductors.values() {
             conductor.start()?;
         }
+        if fleet.is_fleet() {
+            for name in &names {
+                fleet.wait_for(0, |r| r.is(name, "life.gained")).map_err(StartError::Silent)?;
+            }
+        }
         Ok(fleet)
     }
 
