--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod plot;
 pub mod process;
 pub mod script;
+pub mod sim;
 pub mod tools;
--- a/src/fleet/net/drive.rs
+++ b/src/fleet/net/drive.rs
@@ -10,13 +10,14 @@
 use super::seal::{Bucket, Refused, Sealer, most_frame};
 use super::{Fleet, MESSAGE, admin, bounds, store_settings};
 use crate::fleet::config::FleetConfig;
+use crate::fleet::group::{MOST_VOTERS, Role};
 use crate::fleet::lease::{Standing, What, life};
 use crate::fleet::message::Message;
-use crate::fleet::node::{Action, Event, Node, Start};
-use crate::fleet::state::Effect;
-use crate::fleet::{LeaseName, MemberName, Who, group, view};
+use crate::fleet::node::{Action, Event, Lost, Node, Start};
+use crate::fleet::state::{Answer, Command, Effect, FleetState};
+use crate::fleet::{Index, LeaseName, MemberName, Who, group, view};
 use crate::interface::Micros;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,12 +36,34 @@
 /// Datagrams that are looked at in a second, for each member there may be: checking a seal takes time.
 const LOOKS: u32 = 1_000;
 
+/// A life that ends sooner than this is followed by a pause from the second one on, each twice as long as the last.
+const SHORT_LIFE: Micros = 10_000_000;
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(10);
+
 /// What the program asks of its member.
 pub enum Ask {
     /// Hold this lease whenever it can be had.
     Want(LeaseName),
     /// A planned stop.
     Leave(oneshot::Sender<()>),
+    /// Put a command into the log.
+    Propose(Command, oneshot::Sender<Result<Answer, Lost>>),
+}
+
+/// What parts of the program are told of the fleet, in the order in which it happens. What the log did is told when it
+/// is on this member's disk.
+pub enum Told<'a> {
+    /// A life begins: nothing that was told of the state before counts any more.
+    Life(&'a Who),
+    /// A belief about a member changed.
+    View(&'a view::Change),
+    /// The conductor gained or lost its right to act as itself.
+    MayAct(bool),
+    /// The log did something.
+    Effect(Index, &'a Effect),
+    /// The state was replaced by a snapshot: this is it, or a later one.
+    Restored(&'a FleetState),
 }
 
 /// Drives one member for as long as the program runs.
@@ -63,8 +86,8 @@
 
 /// Why a life is over.
 enum Over {
-    /// The log has ended it: another one may begin.
-    Ended,
+    /// The log has ended it: another one may begin, from this incarnation on.
+    Ended(u64),
     /// The disk failed.
     Failed(DiskError),
     /// The program has dropped its end.
@@ -73,8 +96,8 @@
 
 /// The store, at hand or at the thread that writes.
 enum Writing {
-    Idle(Disk),
-    Busy(JoinHandle<(Disk, Result<(), DiskError>)>),
+    Idle(Box<Disk>),
+    Busy(JoinHandle<(Box<Disk>, Result<(), DiskError>)>),
     Gone,
 }
 
@@ -91,51 +114,80 @@
     left: Option<oneshot::Sender<()>>,
     leaving: bool,
     ended: bool,
+    /// The program's proposals that wait for their answers.
+    proposals: BTreeMap<u64, oneshot::Sender<Result<Answer, Lost>>>,
+    tickets: u64,
 }
 
 impl Driver {
     /// Runs until the program ends. Where the store fails, the member is silent from then on.
     pub async fn run(mut self, mut found: Found) {
         let mut wants = vec![];
+        let mut short = 0;
         loop {
+            let begun = self.now();
             let over = self.live(found, &mut wants).await;
             // Whatever comes next, this life acts no more.
+            let acted = self.fleet.may_act(&self.fleet.0.life);
             self.fleet.0.rights.take();
+            let history = History(self.fleet.who());
             let failed = match over {
                 Over::Dropped => return,
-                Over::Ended => match self.reopen().await {
-                    Ok(again) => {
-                        found = again;
-                        continue;
+                Over::Ended(least) => {
+                    short = if self.now() - begun < SHORT_LIFE { short + 1 } else { 0 };
+                    if short > 1 {
+                        history.note(
+                            "lives end soon after their beginning: is there another process of this name?",
+                        );
+                        let wait = FIRST_PAUSE.saturating_mul(1 << short.min(8)).min(LONGEST_PAUSE);
+                        let pause = self.silent("between two lives", &mut wants);
+                        if tokio::time::timeout(wait, pause).await.is_ok() {
+                            return;
+                        }
                     }
-                    Err(error) => error,
-                },
+                    match self.reopen(least).await {
+                        Ok(again) => {
+                            found = again;
+                            continue;
+                        }
+                        Err(error) => error,
+                    }
+                }
                 Over::Failed(error) => error,
             };
-            History(self.fleet.who()).failed(&failed.to_string());
+            if let Some(token) = acted {
+                history.life(Some(token), false);
+                self.fleet.tell(&Told::MayAct(false));
+            }
+            history.failed(&failed.to_string());
             self.fleet.0.stopped.set(true);
-            return self.silent(&failed.to_string()).await;
+            return self.silent(&format!("the store failed: {failed}"), &mut wants).await;
         }
     }
 
-    async fn reopen(&self) -> Result<Found, DiskError> {
+    async fn reopen(&self, least: u64) -> Result<Found, DiskError> {
         let (path, settings) = (self.config.store.path.clone(), store_settings(&self.config));
-        let opening = tokio::task::spawn_blocking(move || Disk::open(&path, settings, history::unix_us()));
+        let now = history::unix_us().max(least);
+        let opening = tokio::task::spawn_blocking(move || Disk::open(&path, settings, now));
         opening.await.unwrap_or(Err(DiskError::Gone))
     }
 
-    /// Answers administrators, and nobody else.
-    async fn silent(&mut self, why: &str) {
+    /// Answers administrators, and nobody else, until the program stops.
+    async fn silent(&mut self, why: &str, wants: &mut Vec<LeaseName>) {
         loop {
             tokio::select! {
                 came = self.came.recv() => match came {
                     Some(Came::Asked(_, answer)) => {
-                        let _ = answer.send(admin::Reply::Refused(format!("the store failed: {why}")));
+                        let _ = answer.send(admin::Reply::Refused(why.to_owned()));
                     }
                     Some(Came::Message(..)) => {}
                     None => return,
                 },
-                asked = self.asked.recv() => if asked.is_none() { return },
+                asked = self.asked.recv() => match asked {
+                    Some(Ask::Want(name)) if !wants.contains(&name) => wants.push(name),
+                    Some(Ask::Want(_) | Ask::Propose(..)) => {}
+                    Some(Ask::Leave(_)) | None => return,
+                },
             }
         }
     }
@@ -150,6 +202,7 @@
         history.start(self.config.site.as_str(), self.config.peer, store_id, fresh);
         self.fleet.0.who.replace(who.clone());
         self.reception.me.replace(who.clone());
+        self.fleet.tell(&Told::Life(&who));
         let key = [who.incarnation.0.to_le_bytes(), store_id.to_le_bytes()].concat();
         let seed = xxh3_64_with_seed(&key, self.seed);
         let me = view::Me {
@@ -172,11 +225,13 @@
             node: Node::new(start, self.config.settings.clone(), self.now()),
             sealer: Sealer::new(who.clone(), keys, &bounds),
             links: Links::new(terms, self.fleet.0.counters.clone()),
-            writing: Writing::Idle(disk),
+            writing: Writing::Idle(Box::new(disk)),
             waiting: VecDeque::new(),
             left: None,
             leaving: false,
             ended: false,
+            proposals: BTreeMap::new(),
+            tickets: 0,
             who,
             history,
         };
@@ -204,7 +259,10 @@
                 && matches!(life.writing, Writing::Idle(_))
                 && life.waiting.is_empty()
             {
-                return Over::Ended;
+                let name = &life.who.name;
+                let known =
+                    life.node.state().leases().life(name).map_or(0, |grant| grant.holder.incarnation.0);
+                return Over::Ended(known.saturating_add(1));
             }
             let next = life.node.timeout().map(|at| self.fleet.0.clock.instant(at));
             let full = life.waiting.len() >= MOST_WAITING;
@@ -244,6 +302,12 @@
                         }
                         self.event(&mut life, Event::Want(name));
                     }
+                    Next::Asked(Some(Ask::Propose(command, answer))) => {
+                        life.tickets += 1;
+                        life.proposals.insert(life.tickets, answer);
+                        let ticket = life.tickets;
+                        self.event(&mut life, Event::Propose { ticket, command });
+                    }
                     Next::Asked(Some(Ask::Leave(left))) => {
                         life.leaving = true;
                         life.left = Some(left);
@@ -253,7 +317,7 @@
                         self.event(&mut life, Event::Message { from, message });
                     }
                     Next::Came(Some(Came::Asked(request, answer))) => {
-                        let _ = answer.send(self.answer(&life, request));
+                        let _ = answer.send(self.answer(&mut life, request));
                     }
                     Next::Datagram(Ok((length, from))) => {
                         self.datagram(&mut life, &buffer[..length], from, &mut looks);
@@ -285,14 +349,16 @@
                 Action::View(change) => {
                     self.fleet.0.counters.view_changes.up();
                     life.history.view(&change);
+                    self.fleet.tell(&Told::View(&change));
                 }
                 other => life.waiting.push_back(other),
             }
         }
-        if life.leaving && life.node.left() {
-            if let Some(left) = life.left.take() {
-                let _ = left.send(());
-            }
+        if life.leaving
+            && life.node.left()
+            && let Some(left) = life.left.take()
+        {
+            let _ = left.send(());
         }
     }
 
@@ -329,9 +395,14 @@
             return life.links.send(to, address, payload);
         }
         let sent = life.sealer.seal(to, MESSAGE, &payload).ok();
-        let sent = sent.and_then(|frame| self.socket.try_send_to(&frame, address).ok());
         let counters = &self.fleet.0.counters;
-        if sent.is_some() { counters.datagrams_out.up() } else { counters.datagrams_lost.up() }
+        match sent.and_then(|frame| self.socket.try_send_to(&frame, address).ok()) {
+            Some(bytes) => {
+                counters.datagrams_out.up();
+                counters.bytes_out.add(bytes);
+            }
+            None => counters.datagrams_lost.up(),
+        }
     }
 
     /// Carries out what waits, up to a write that is not done yet.
@@ -389,28 +460,58 @@
                 let table = life.node.state().leases();
                 let token = table.life(&life.who.name).filter(|grant| grant.holder == life.who);
                 life.history.life(token.map(|grant| grant.token), gained);
+                self.fleet.tell(&Told::MayAct(gained));
             }
             Action::LifeEnded => life.ended = true,
-            Action::Effect { index, effect: Effect::Lease(change) } => {
-                let of_life = self::life(&change.holder.name).is_some_and(|name| name == change.name);
-                if of_life && matches!(change.what, What::Expired | What::Released) {
-                    shared.counters.deaths.up();
-                    life.history.death(&change.holder, index);
+            Action::Effect { index, effect } => {
+                if let Effect::Lease(change) = &effect {
+                    let of_life = self::life(&change.holder.name).is_some_and(|name| name == change.name);
+                    if of_life && matches!(change.what, What::Expired | What::Released) {
+                        shared.counters.deaths.up();
+                        life.history.death(&change.holder, index);
+                    }
                 }
+                self.fleet.tell(&Told::Effect(index, &effect));
             }
             Action::Refused(group::Refusal::FirstVotersDiffer) => {
                 life.history.note("another first voter names other first voters: the group can't start");
             }
             Action::Refused(refusal) => log::debug!("fleet: the group refused: {refusal:?}"),
-            // Of use to the parts that put commands into the log.
-            Action::Done { .. } | Action::Effect { .. } | Action::Restored { .. } => {}
+            Action::Done { ticket, result } => {
+                if let Some(answer) = life.proposals.remove(&ticket) {
+                    let _ = answer.send(result);
+                }
+            }
+            Action::Restored { .. } => self.fleet.tell(&Told::Restored(life.node.state())),
             Action::Persist(_) | Action::View(_) => {}
         }
     }
 
-    fn answer(&self, life: &Life, request: admin::Request) -> admin::Reply {
+    fn answer(&self, life: &mut Life, request: admin::Request) -> admin::Reply {
         match request {
-            admin::Request::Status => admin::Reply::Status(Box::new(life.node.status(self.now()))),
+            admin::Request::Status => {
+                let group = life.node.group();
+                let voters = group.voters();
+                admin::Reply::Status(Box::new(admin::Report {
+                    status: life.node.status(self.now()),
+                    role: match group.role() {
+                        Role::Leader => "leader",
+                        Role::Candidate => "candidate",
+                        Role::Follower => "follower",
+                        Role::Learner => "learner",
+                    }
+                    .to_owned(),
+                    voters: voters.map(|v| v.now.iter().cloned().collect()).unwrap_or_default(),
+                    wanted: voters.map(|v| v.wanted.iter().cloned().collect()).unwrap_or_default(),
+                }))
+            }
+            admin::Request::Voters(names) if names.is_empty() || names.len() > MOST_VOTERS => {
+                admin::Reply::Refused(format!("1 to {MOST_VOTERS} voters are needed"))
+            }
+            admin::Request::Voters(names) => {
+                self.event(life, Event::ChangeVoters(names));
+                admin::Reply::Asked
+            }
         }
     }
 
@@ -437,7 +538,7 @@
 }
 
 /// Waits for the write that is under way.
-async fn written(writing: &mut Writing) -> Result<Disk, DiskError> {
+async fn written(writing: &mut Writing) -> Result<Box<Disk>, DiskError> {
     let Writing::Busy(task) = writing else { return std::future::pending().await };
     match task.await {
         Ok((disk, Ok(()))) => Ok(disk),
