--- a/lab/src/experiments/view.rs
+++ b/lab/src/experiments/view.rs
@@ -29,6 +29,20 @@
     pub figures: PathBuf,
 }
 
+/// The same by the lab's options: seconds with `quick`.
+///
+/// # Errors
+/// One line for the user.
+pub fn experiment(options: &super::Options) -> Result<(), String> {
+    let figures = options.folder().map_err(|e| e.to_string())?.to_owned();
+    let (sizes, losses, runs) = if options.quick {
+        (vec![5, 30], vec![0, 30], 5)
+    } else {
+        (vec![5, 10, 30, 100, 300, 1000], vec![0, 10, 20, 30], 30)
+    };
+    run(&ViewArgs { sizes, losses, runs, figures }).map_err(|e| e.to_string())
+}
+
 /// Whose members.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Whose {
--- a/src/config.rs
+++ b/src/config.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// The longest result of a tool that fits into an entry of the fleet's log.
-const MOST_RECORDED: usize = 32 * 1024;
+const MOST_RECORDED: usize = 80 * 1024;
 
 /// Why a configuration can't be used; one line for the operators.
 #[derive(Debug, thiserror::Error)]
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -92,7 +92,7 @@
 const AROUND: usize = 8 * 1024;
 const ROW: usize = 2 * MOST_NAME + 64;
 /// The longest payload of an entry, and bytes of entries in a message, unless the file says otherwise.
-const PAYLOAD: usize = 64 * 1024;
+const PAYLOAD: usize = 96 * 1024;
 
 impl TakeoverConfig {
     fn read(value: Value) -> Result<Self, ConfigError> {
