Hold no state beyond its time while connections to writers fail to come up

Cause: after each outcome `ended` in src/policy.rs restarted the time that a state may be held, so every connection that failed to come up granted another half second; the protocol counts it from the last attempt that reached a running host. `NoState` made the module forget a state without a release. In src/net/client.rs the release of what an unanswered read may have left was stopped after 100 ms, before the next read had a connection: if that one never came up, or was turned away, nobody released it.

Change: the time runs from the last attempt that reached a running host, in the module and in the core; no connect for a request with a state takes more than half of the time that is left; once one failed, writers go first in zones that something just came from; past the time the state is released and read anew at once. `NoState` releases. A release lives until the next read is about to be written and is begun anew if that read left nothing new; its calls end with it; each next host is chosen by what is known then.

Tests: both sequences seen (tests/policy.rs), a release that outlives the next read and the time a state is held while all writers are silent (tests/conductor.rs), and random ends of attempts on a clock of their own (tests/held.rs).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -57,7 +57,11 @@
     pub call: Rc<Call>,
     /// When to stop waiting for the first event.
     pub until: Micros,
-    /// A release to wait for: one that comes while this is out would take what it leaves.
+    /// When its connection has to be up, where a state is held for the request: the time that it may be held
+    /// runs on while connections fail to come up.
+    pub connect_by: Option<Micros>,
+    /// A release to wait for: one that comes while this is out would take what it leaves. It goes on until this
+    /// is about to be written, and is to be stopped then.
     pub after: Option<Rc<Releasing>>,
     /// Resolves, or its other end is dropped, when the attempt is to be dropped.
     pub cancelled: oneshot::Receiver<()>,
@@ -75,11 +79,7 @@
     /// Ends it: going on would do harm.
     pub fn stop(&self) {
         self.stopped.set(true);
-    }
-
-    /// Whether it was ended.
-    pub fn is_stopped(&self) -> bool {
-        self.stopped.get()
+        self.changed.notify_waiters();
     }
 
     /// Some model host has taken it.
@@ -88,10 +88,20 @@
         self.changed.notify_waiters();
     }
 
-    /// Waits until some model host has taken it.
-    pub async fn done(&self) {
+    /// Whether it was neither stopped nor taken yet.
+    pub fn is_going(&self) -> bool {
+        !self.stopped.get() && !self.done.get()
+    }
+
+    /// Whether it was stopped before any model host had taken it.
+    pub fn is_cut_short(&self) -> bool {
+        self.stopped.get() && !self.done.get()
+    }
+
+    /// Waits until some model host has taken it, or it was stopped.
+    pub async fn over(&self) {
         let changed = self.changed.notified();
-        if !self.done.get() {
+        if self.is_going() {
             changed.await;
         }
     }
@@ -217,7 +227,10 @@
     answer: Option<AnswerHandle>,
     class_safe: bool,
     attempts: Vec<Slot>,
+    /// The last release, from its order until a read has ended well or a stream has begun.
     releasing: Option<Rc<Releasing>>,
+    /// While a state is known to be held: when the last attempt ended that reached a running host.
+    held_since: Option<Micros>,
 }
 
 struct Slot {
@@ -348,8 +361,8 @@
         let class_safe = class.is_some_and(|c| matches!(c.effect, Effect::Safe | Effect::Keyed(Group::All)));
         let (request, deadline) = (ask.request, ask.deadline);
         log::debug!("request {}: {ask:?}", call.id);
-        let open =
-            Open { call, deadline, answer: Some(answer), class_safe, attempts: Vec::new(), releasing: None };
+        let (answer, attempts, releasing, held_since) = (Some(answer), Vec::new(), None, None);
+        let open = Open { call, deadline, answer, class_safe, attempts, releasing, held_since };
         self.open.insert(request, open);
         self.due.push(Reverse((deadline + self.settings.answer_slack, Due::Guard(request))));
         // Guards stand until their deadline, minutes away if the client says so, though most requests end long
@@ -400,6 +413,20 @@
             attempt.0
         );
         let settled = open.answer.is_none();
+        let now = self.clock.now();
+        let mut again = false;
+        match outcome {
+            Outcome::Read => (open.held_since, open.releasing) = (Some(now), None),
+            Outcome::Served => open.releasing = None,
+            _ => {
+                // What reached no running host gives what is held no more time.
+                if !matches!(outcome, Outcome::NoConnection | Outcome::NotSent) {
+                    open.held_since = open.held_since.map(|_| now);
+                }
+                // Stopped for this attempt before any host took it: what it was to let go may be held yet.
+                again = open.releasing.as_ref().is_some_and(|r| r.is_cut_short());
+            }
+        }
         let c = &self.counters;
         let count = match outcome {
             Outcome::Read => &c.ended_read,
@@ -413,6 +440,9 @@
             Outcome::NotSent => &c.ended_not_sent,
         };
         count.up();
+        if again {
+            self.release(request);
+        }
         self.handle(Event::Ended(Ended { request, attempt, outcome, elapsed, settled, kept, report }));
         self.forget(request);
     }
@@ -526,12 +556,21 @@
             worker.0,
             until.saturating_sub(now)
         );
-        let after = open.releasing.take();
-        self.outbound.send(Attempt { request, attempt, worker, call, until, after, cancelled });
+        // No connect takes more than half of the time left to hold: then there is some for another writer, and
+        // in the end for the release.
+        let release_by = open.held_since.map(|at| at + self.settings.release);
+        let connect_by = release_by.map(|by| now + by.saturating_sub(now) / 2);
+        let after = open.releasing.clone().filter(|r| r.is_going());
+        self.outbound.send(Attempt { request, attempt, worker, call, until, connect_by, after, cancelled });
     }
 
     fn release(&mut self, request: RequestId) {
         let Some(open) = self.open.get_mut(&request) else { return };
+        open.held_since = None;
+        // Nothing was written for the request since it began: it lets go of all that there is.
+        if open.releasing.as_ref().is_some_and(|r| r.is_going()) {
+            return;
+        }
         let releasing = Rc::<Releasing>::default();
         self.counters.releases.up();
         self.outbound.release(open.call.clone(), releasing.clone());
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -38,8 +38,9 @@
 const RELEASE_HEDGE: Duration = Duration::from_millis(60);
 /// How long a new send waits for it.
 const RELEASE_FIRST: Duration = Duration::from_millis(100);
-/// Model hosts are asked for so long: what is held must be let go some 0.4 s after the module says so.
-const RELEASE_WITHIN: Duration = Duration::from_millis(350);
+/// No further model host is asked then. What is held must be let go within some 0.3 s, and that takes a host that
+/// can be reached; later is still better than never.
+const RELEASE_WITHIN: Duration = Duration::from_secs(2);
 /// After a host that did not take it.
 const RELEASE_PAUSE: Duration = Duration::from_millis(10);
 /// Bytes at the end of a stream in which the report of kept tokens is looked for.
@@ -117,7 +118,7 @@
 
 impl Hosts {
     fn target(&self, worker: &WorkerId) -> Option<Target> {
-        Some(Target { worker: worker.clone(), address: self.directory.address(worker)? })
+        Some(Target { worker: worker.clone(), address: self.directory.address(worker)?, within: None })
     }
 
     async fn connect(&self, target: &Target) -> Result<Connection, ConnectError> {
@@ -132,20 +133,20 @@
 
     async fn carry_out(&self, attempt: &mut Attempt) -> End {
         let clock: Clock = self.core.clock;
-        let Some(target) = self.target(&attempt.worker) else { return Outcome::NotSent.into() };
+        let Some(mut target) = self.target(&attempt.worker) else { return Outcome::NotSent.into() };
         let deadline = tokio::time::sleep_until(clock.instant(attempt.until));
         tokio::pin!(deadline);
-        if let Some(releasing) = attempt.after.take() {
+        if let Some(releasing) = &attempt.after {
             // A release that arrives while a read is out takes the state that this read will leave: the writer
-            // would find nothing. So it goes first, and no more of it is tried once the read is sent.
+            // would find nothing. So it goes first.
             tokio::select! {
                 biased;
                 _ = &mut attempt.cancelled => return Outcome::Dropped.into(),
-                () = releasing.done() => {}
+                () = releasing.over() => {}
                 () = tokio::time::sleep(RELEASE_FIRST) => {}
             }
-            releasing.stop();
         }
+        target.within = attempt.connect_by.map(|by| Duration::from_micros(by.saturating_sub(clock.now())));
         let connecting = self.connect(&target);
         let connected = tokio::select! {
             biased;
@@ -168,6 +169,10 @@
         }
         let left = attempt.until.saturating_sub(clock.now());
         let Some(request) = passed_on(&attempt.call, left) else { return Outcome::NotSent.into() };
+        // Only now: an attempt that isn't written ends no release, or nobody would let go of what is held.
+        if let Some(releasing) = attempt.after.take() {
+            releasing.stop();
+        }
         self.counters.sent.up();
         let meter = connection.meter();
         // What never left whole has never run.
@@ -281,51 +286,42 @@
     async fn release_now(&self, call: &Call, releasing: &Releasing) {
         tokio::time::sleep(SETTLE).await;
         let path = format!("/internal/reservations/{}", call.id);
-        let (told, mut heard) = tokio::sync::mpsc::channel::<()>(1);
-        let begun = tokio::time::Instant::now();
-        let mut hosts = Vec::new();
-        while begun.elapsed() < RELEASE_WITHIN {
-            if releasing.is_stopped() {
-                return;
-            }
-            if hosts.is_empty() {
-                // All have been asked in vain, or none has yet: the list may have changed meanwhile. Hosts just
-                // heard from first: a cut-off zone's hosts cost a connect time-out each and would spend the limit.
-                hosts = self.pool.by_reach(self.directory.running());
-                hosts.reverse();
-            }
-            let Some(worker) = hosts.pop() else {
+        // The calls end with this: one that arrives later would take what the next read leaves.
+        let mut calls = tokio::task::JoinSet::new();
+        let begun = Instant::now();
+        let mut asked: Vec<WorkerId> = Vec::new();
+        while releasing.is_going() && begun.elapsed() < RELEASE_WITHIN {
+            // Hosts just heard from first: a cut-off zone's hosts cost a connect time-out each and would spend the
+            // limit. Which those are may change meanwhile, and so may the list.
+            let hosts = self.pool.by_reach(self.directory.running());
+            let Some(worker) = hosts.into_iter().find(|h| !asked.contains(h)) else {
+                // All have been asked in vain, or there are none.
+                asked.clear();
                 tokio::time::sleep(RELEASE_PAUSE).await;
                 continue;
             };
+            asked.push(worker.clone());
             let request = Request::delete(&path).header("host", "model-host").body(Full::new(Bytes::new()));
             let Ok(request) = request else { return };
-            let (mut caller, told) = (self.clone(), told.clone());
-            let trying = tokio::task::spawn_local(async move {
-                let call = caller.call(SmallCall { worker, request, body: 0 });
-                match tokio::time::timeout(Duration::from_secs(2), call).await {
-                    Ok(Ok(_)) => _ = told.send(()).await,
-                    // A host that can't be reached is worth no waiting: the next one is asked at once.
-                    Ok(Err(error)) => log::debug!("release: {error}"),
-                    Err(_) => {}
-                }
-            });
+            let mut caller = self.clone();
+            calls.spawn_local(
+                async move { caller.call(SmallCall { worker, request, body: 0 }).await.is_ok() },
+            );
             // A second call does no harm; a state held too long does.
+            let hedge = tokio::time::sleep(RELEASE_HEDGE);
+            tokio::pin!(hedge);
             tokio::select! {
-                Some(()) = heard.recv() => return releasing.set_done(),
-                _ = trying => {
-                    if heard.try_recv().is_ok() {
-                        return releasing.set_done();
-                    }
-                    tokio::time::sleep(RELEASE_PAUSE).await;
-                }
-                () = tokio::time::sleep(RELEASE_HEDGE) => {}
+                biased;
+                () = releasing.over() => return,
+                Some(call) = calls.join_next() => match call {
+                    Ok(true) => return releasing.set_done(),
+                    // A host that can't be reached is worth no waiting: the next one is asked at once.
+                    _ => tokio::time::sleep(RELEASE_PAUSE).await,
+                },
+                () = hedge => {}
             }
         }
-        drop(told);
-        if heard.recv().await.is_some() {
-            releasing.set_done();
-        } else {
+        if releasing.is_going() {
             self.counters.releases_failed.up();
             log::warn!("request {}: no model host took the release of its state", call.id);
         }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -274,6 +274,8 @@
     pub worker: WorkerId,
     /// Its address.
     pub address: SocketAddr,
+    /// The longest that a new connection may take to come up, if that is to be less than for others.
+    pub within: Option<Duration>,
 }
 
 struct Idle {
@@ -393,7 +395,8 @@
             }
         };
         self.counters.connections_out.up();
-        let connecting = tokio::time::timeout(self.connect_timeout, TcpStream::connect(target.address));
+        let within = target.within.map_or(self.connect_timeout, |w| w.min(self.connect_timeout));
+        let connecting = tokio::time::timeout(within, TcpStream::connect(target.address));
         let connected = connecting.await.map_err(|_| ConnectError::TimedOut).and_then(|c| Ok(c?));
         match &connected {
             Ok(_) => self.reach.borrow_mut().reached(&target.worker, Instant::now()),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -208,12 +208,12 @@
             Phase::Waiting => self.begin(id, out),
             Phase::Held => {
                 let release_by = r.quiet_since + self.set.release.saturating_sub(margin + self.set.tick);
-                let reader = r.state.clone();
-                if let Some(writer) = self.pick_writer(id, reader.as_ref()) {
-                    self.send(id, &writer, None, out);
-                } else if self.now >= release_by {
+                if self.now >= release_by {
                     self.release(id, out);
                     self.requests.entry(id).and_modify(|r| r.phase = Phase::Waiting);
+                    self.begin(id, out);
+                } else if let Some(writer) = self.pick_writer(id, r.state.as_ref()) {
+                    self.send(id, &writer, None, out);
                 }
             }
         }
@@ -656,12 +656,9 @@
 
     fn ended(&mut self, end: Ended, out: &mut Vec<Action>) {
         let Ended { request: id, attempt, outcome, elapsed, settled, kept, report } = end;
-        let now = self.now;
+        let (now, i) = (self.now, attempt.0 as usize);
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(a) = r.attempts.get_mut(attempt.0 as usize) else { return };
-        if a.outcome.is_some() {
-            return;
-        }
+        let Some(a) = r.attempts.get_mut(i).filter(|a| a.outcome.is_none()) else { return };
         a.outcome = Some(outcome);
         match outcome {
             Outcome::Read => self.patience[0] = self.patience[0].saturating_sub(1),
@@ -671,27 +668,23 @@
             }
             _ => {}
         }
-        r.quiet_since = now;
+        // What reached no running worker gives what is held no more time.
+        if !matches!(outcome, Outcome::NoConnection | Outcome::NotSent) {
+            r.quiet_since = now;
+        }
         let (worker, writes, work, sent) = (a.worker.clone(), a.writes, a.work, a.sent);
-        let (far, first) = (a.far, a.first);
+        let (far, first, tokens) = (a.far, a.first, a.tokens);
         let unread = r.ask.prompt_tokens.saturating_sub(kept) as f64;
-        let tokens = a.tokens;
         let (class, kind) = (r.class, (r.class, r.ask.tenant.clone()));
-        match outcome {
-            Outcome::Read if r.phase != Phase::Done => r.state = Some(worker.clone()),
-            Outcome::NoState => r.state = None,
-            _ => {}
+        if outcome == Outcome::Read && r.phase != Phase::Done {
+            r.state = Some(worker.clone());
+        } else if outcome == Outcome::NoState || !writes && !outcome.never_ran() {
+            // A read may have ended well as it was given up or broke; what this writer doesn't find may be
+            // elsewhere. What is left is held like any state.
+            r.state = None;
+            out.push(Action::Release { request: id });
         }
         self.heard(&worker, report);
-        if !writes {
-            // It may have read to its end as it was given up or broke: what it left is held like any state.
-            if matches!(
-                outcome,
-                Outcome::NoAnswer | Outcome::ConnectionLost | Outcome::Dropped | Outcome::Error
-            ) {
-                out.push(Action::Release { request: id });
-            }
-        }
         if let (Some(at), Some(w)) = (first, self.workers.get_mut(&worker)) {
             let ended = f64::from(u8::from(outcome == Outcome::Served));
             w.streams[0].add(now, STREAMS_HALF_LIFE, (now - at) as f64);
@@ -849,6 +842,13 @@
         let lost = self.lost_zones();
         prefer(&mut ready, |(_, w)| !lost.contains(&*w.zone));
         prefer(&mut ready, |(id, _)| request.is_none_or(|r| !r.failed_at(id)));
+        if request.is_some_and(Request::is_pressed) {
+            // Where something just came from, as from the state's reader: a zone may be cut off.
+            let just = self.workers.values().filter(|w| w.answered_within(self.now, self.set.release));
+            let zones: BTreeSet<&str> = just.map(|w| &*w.zone).collect();
+            prefer(&mut ready, |(_, w)| zones.contains(&*w.zone));
+            prefer(&mut ready, |(_, w)| w.answered_within(self.now, 2 * HALF_LIFE));
+        }
         let healthy: Vec<WorkerId> = (ready.iter())
             .filter(|(id, w)| {
                 // A trial is out, or an answer is overdue and nothing good has come since: hung, cut off.
--- a/src/state.rs
+++ b/src/state.rs
@@ -118,6 +118,11 @@
         self.full.insert(kind, until);
     }
 
+    /// Whether it answered within that time, and could be reached ever since.
+    pub fn answered_within(&self, now: Micros, time: Micros) -> bool {
+        self.last_good + time > now && self.unreached.is_none_or(|at| at < self.last_good)
+    }
+
     /// Whether it is taken to be full for such a request.
     pub fn is_full(&self, kind: &(usize, Option<String>), now: Micros) -> bool {
         self.full.get(kind).is_some_and(|until| *until > now)
@@ -152,7 +157,7 @@
     pub attempts: Vec<Attempt>,
     /// The reader where a state may wait.
     pub state: Option<WorkerId>,
-    /// The last outcome: the release limit counts from here.
+    /// The last outcome of an attempt that reached a running worker: the release limit counts from here.
     pub quiet_since: Micros,
 }
 
@@ -180,6 +185,12 @@
         self.attempts.iter().any(|a| a.worker == *worker && failed(a))
     }
 
+    /// Whether time is short for what is held: it ran on while the last connection failed to come up.
+    pub fn is_pressed(&self) -> bool {
+        let failed = |a: &Attempt| a.outcome == Some(Outcome::NoConnection);
+        self.state.is_some() && self.attempts.last().is_some_and(failed)
+    }
+
     pub fn new(ask: Ask, class: usize, now: Micros, over_share: bool) -> Self {
         let (arrived, quiet_since, phase) = (now, now, Phase::Waiting);
         let (attempts, state) = (Vec::new(), None);
--- a/tests/conductor.rs
+++ b/tests/conductor.rs
@@ -3,13 +3,18 @@
 mod support;
 
 use rstest::rstest;
+use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::Shutdown;
 use std::process::Command;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
+use std::time::{Duration, Instant};
 use support::*;
 
+/// What is held must be taken or let go by then: the settings' time and the platform's slack.
+const HELD_FOR: Duration = Duration::from_millis(800);
+
 /// A channel that scripts may share.
 fn news() -> (Arc<dyn Fn(String) + Send + Sync>, mpsc::Receiver<String>) {
     let (tx, rx) = mpsc::channel();
@@ -194,7 +199,7 @@
     let slow = Peer::start(move |message, conn| {
         if message.line.starts_with("POST") && count.fetch_add(1, Ordering::SeqCst) % 2 == 1 {
             // Longer than a head may take once it has begun; this one has not.
-            std::thread::sleep(std::time::Duration::from_millis(600));
+            std::thread::sleep(Duration::from_millis(600));
         }
         conn.answer("202 Accepted", "", r#"{"cached_tokens":4}"#);
         true
@@ -309,23 +314,69 @@
 }
 
 /// Guards against a state left held when a zone is cut off: the release went to hosts in the list's order, and
-/// connections to silent ones each took the connect time-out, so the limit passed before a live one was asked.
+/// connections to silent ones each took the connect time-out, so the limit passed before a live one was asked. And
+/// against writers tried one after the other, each failure giving the state its time anew.
 #[test]
 fn a_release_goes_first_to_the_host_just_heard_from_though_most_are_silent() {
-    let (reader, told) = noting(|_, conn| {
-        conn.answer("202 Accepted", "", r#"{"cached_tokens":0}"#);
+    let (tell, told) = mpsc::channel();
+    let last = Mutex::new((tell, Instant::now()));
+    let reader = Peer::start(move |message, conn| {
+        let mut last = last.lock().unwrap();
+        let after = std::mem::replace(&mut last.1, Instant::now()).elapsed();
+        let _ = last.0.send((message.line.clone(), after));
+        if message.line.starts_with("DELETE") {
+            conn.answer("204 No Content", "", "");
+        } else {
+            conn.answer("202 Accepted", "", r#"{"cached_tokens":0}"#);
+        }
         true
     });
     let silent: Vec<Silent> = (0..40).map(|_| Silent::start()).collect();
     let writers: Vec<_> = silent.iter().map(|s| s.address).collect();
     let conductor = Conductor::start(&operator_file(&[reader.address], &writers, ""));
     assert_ne!(conductor.ask("id-1", "send").status(), 200);
-    assert!(told.recv_timeout(STUCK).unwrap().starts_with("POST /v1/chat"));
-    let next = told.recv_timeout(STUCK).expect("the reader was never asked to let the state go");
+    assert!(told.recv_timeout(STUCK).unwrap().0.starts_with("POST /v1/chat"));
+    let (next, after) = told.recv_timeout(STUCK).expect("the reader was never asked to let the state go");
     assert!(next.starts_with("DELETE /internal/reservations/id-1"), "{next}");
+    assert!(after < HELD_FOR, "held for {after:?}, while connections to writers failed to come up");
     drop(silent);
 }
 
+/// Guards against what a broken read may have left staying held since its release ended for a read that let go of
+/// nothing: it was stopped after 100 ms, before the next read had a connection, and not begun anew.
+#[test]
+fn a_release_that_no_host_has_taken_outlives_the_next_read() {
+    let (tell, told) = news();
+    let (broken, told_of) = (Mutex::new(HashMap::<String, Instant>::new()), Mutex::new(tell));
+    let reader = Peer::start(move |message, conn| {
+        let mut broken = broken.lock().unwrap();
+        if let Some(id) = message.line.split("reservations/").nth(1).and_then(|l| l.split(' ').next()) {
+            // No host takes a release so soon.
+            let after = broken.get(id).map_or(Duration::ZERO, Instant::elapsed);
+            if after < Duration::from_millis(200) {
+                return false;
+            }
+            told_of.lock().unwrap()(format!("{id} {}", after < HELD_FOR));
+            conn.answer("204 No Content", "", "");
+            return true;
+        }
+        let again = broken.insert(message.header("x-request-id").unwrap().to_owned(), Instant::now());
+        if again.is_some() {
+            conn.answer("503 Service Unavailable", "x-not-run: 1\r\n", "");
+        }
+        again.is_some()
+    });
+    let (silent, writer) = (Silent::start(), Silent::start());
+    let conductor =
+        Conductor::start(&operator_file(&[reader.address, silent.address], &[writer.address], ""));
+    for i in 0..6 {
+        let id = format!("id-{i}");
+        assert_ne!(conductor.ask(&id, "explain").status(), 200);
+        assert_eq!(told.recv_timeout(STUCK).expect("nobody was asked to let go"), format!("{id} true"));
+        while told.recv_timeout(Duration::from_millis(50)).is_ok() {}
+    }
+}
+
 /// Guards against a second copy sent under the id of a request whose stream still runs: other clients may name it.
 #[test]
 fn an_id_is_in_hand_until_its_stream_has_ended() {
@@ -501,7 +552,7 @@
             return false;
         }
         // Its turn comes after longer than an agent on the same machine is waited for.
-        std::thread::sleep(std::time::Duration::from_millis(1_500));
+        std::thread::sleep(Duration::from_millis(1_500));
         conn.begin_stream();
         conn.chunk(&format!("{{\"seq\":7,\"hosts\":[{{\"host\":\"answer-0\",\"health\":\"gone\",\"class\":\"answer\",\"site\":\"here\"}},{{\"host\":\"answer-9\",\"dial\":\"{address}\",\"health\":\"ready\",\"class\":\"answer\",\"site\":\"here\"}}]}}\n"));
         conn.is_closed();
@@ -675,7 +726,7 @@
         let mut dripping = client.try_clone().unwrap();
         std::thread::spawn(move || {
             while dripping.write_all(b"x").is_ok() {
-                std::thread::sleep(std::time::Duration::from_millis(100));
+                std::thread::sleep(Duration::from_millis(100));
             }
         });
     }
--- /dev/null
+++ b/tests/held.rs
@@ -0,0 +1,250 @@
+//! What is held for requests, over random ends of their attempts: the module and its driver on a clock of their own,
+//! between a client side that plays hosts and connections. No host, no socket, no bench.
+
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, sleep_until, timeout};
+use whinhaven::core::{Attempt, Clock, Core, CoreHandle, Input, Outbound, Releasing};
+use whinhaven::exchange::{Answer, Call, Frame, feed};
+use whinhaven::interface::*;
+
+const MS: Micros = 1_000;
+const RELEASE: Micros = 500 * MS;
+/// What the platform allows beyond the settings.
+const SLACK: Micros = 300 * MS;
+
+/// What hosts may hold for one request.
+#[derive(Default)]
+struct Held {
+    /// A read has ended there, or may have.
+    some: bool,
+    /// Attempts that have reached a host and not ended.
+    out: u32,
+    /// The last end of one of those.
+    since: Micros,
+}
+
+struct World {
+    core: CoreHandle,
+    held: RefCell<BTreeMap<String, Held>>,
+    random: Cell<u64>,
+    /// How many of ten connections don't come up.
+    silent: u64,
+    broken: RefCell<Vec<String>>,
+    releases: Cell<u32>,
+    served: Cell<u32>,
+}
+
+impl World {
+    fn draw(&self, of: u64) -> u64 {
+        let mut x = self.random.get();
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^= x << 17;
+        self.random.set(x);
+        x % of
+    }
+
+    /// What is held for a request, after a look whether that has been for too long.
+    fn look(&self, id: &str, change: impl FnOnce(&mut Held)) {
+        let (mut all, now) = (self.held.borrow_mut(), self.core.clock.now());
+        let held = all.entry(id.to_owned()).or_default();
+        if held.some && held.out == 0 && now > held.since + RELEASE + SLACK {
+            self.broken.borrow_mut().push(format!("{id}: held for {} ms", (now - held.since) / MS));
+            held.some = false;
+        }
+        change(held);
+    }
+
+    async fn attempt(&self, attempt: &mut Attempt) -> Outcome {
+        let clock = self.core.clock;
+        if let Some(releasing) = &attempt.after {
+            let _ = timeout(Duration::from_millis(100), releasing.over()).await;
+        }
+        let by = attempt.connect_by.map_or(250 * MS, |by| by.saturating_sub(clock.now()).min(250 * MS));
+        if self.draw(10) < self.silent {
+            sleep(Duration::from_micros(by)).await;
+            return Outcome::NoConnection;
+        }
+        sleep(Duration::from_micros((1 + self.draw(20)) * MS)).await;
+        if self.draw(20) == 0 {
+            return Outcome::NotSent;
+        }
+        if let Some(releasing) = attempt.after.take() {
+            releasing.stop();
+        }
+        let id = attempt.call.id.clone();
+        self.look(&id, |held| held.out += 1);
+        let reads = attempt.worker.0.starts_with('r');
+        let until = sleep_until(clock.instant(attempt.until));
+        let work = sleep(Duration::from_millis(20 + self.draw(200)));
+        let outcome = match self.draw(8) {
+            0 => Outcome::NoAnswer,
+            1 => Outcome::ConnectionLost,
+            2 => Outcome::Error,
+            3 => Outcome::TurnedAway,
+            4 if !reads => Outcome::NoState,
+            _ if reads => Outcome::Read,
+            _ => Outcome::Served,
+        };
+        let outcome = tokio::select! {
+            biased;
+            _ = &mut attempt.cancelled => Outcome::Dropped,
+            () = until => Outcome::NoAnswer,
+            () = work, if outcome != Outcome::NoAnswer => outcome,
+        };
+        if outcome == Outcome::Served {
+            let (source, feed) = feed(None);
+            self.look(&id, |held| held.some = false);
+            self.core.tell(Input::First { request: attempt.request, attempt: attempt.attempt, feed });
+            let _ = source.frames.send(Frame::End).await;
+        }
+        let now = clock.now();
+        self.look(&id, |held| {
+            (held.out, held.since) = (held.out - 1, now);
+            // A read may have ended well however its connection did.
+            held.some |= reads && !matches!(outcome, Outcome::TurnedAway);
+        });
+        outcome
+    }
+}
+
+#[derive(Clone)]
+struct Hosts(Rc<World>);
+
+impl Outbound for Hosts {
+    fn send(&self, mut attempt: Attempt) {
+        let world = self.0.clone();
+        tokio::task::spawn_local(async move {
+            let outcome = world.attempt(&mut attempt).await;
+            let (request, attempt) = (attempt.request, attempt.attempt);
+            world.core.tell(Input::Ended { request, attempt, outcome, kept: 0, report: None });
+        });
+    }
+
+    fn release(&self, call: Rc<Call>, releasing: Rc<Releasing>) {
+        let world = self.0.clone();
+        tokio::task::spawn_local(async move {
+            // The hosts asked first may be silent.
+            let taken = sleep(Duration::from_millis(5 + world.draw(180)));
+            tokio::select! {
+                biased;
+                () = releasing.over() => return,
+                () = taken => {}
+            }
+            // What an attempt still out will leave is not let go.
+            world.look(&call.id, |held| held.some = false);
+            world.releases.set(world.releases.get() + 1);
+            releasing.set_done();
+        });
+    }
+
+    fn hold(&self, _: RequestId, _: Rc<Call>, _: WorkerId) {}
+    fn probe(&self, _: WorkerId) {}
+    fn hang_up(&self, _: &WorkerId) {}
+    fn ask_list(&self, _: bool) {}
+}
+
+fn settings() -> Settings {
+    let kind = |name: &str, role| Kind { name: name.into(), role, memory_tokens: Some(150_000) };
+    let class = |name: &str, effect| Class {
+        name: name.into(),
+        effect,
+        aim: 1_500 * MS,
+        token_aim: 60 * MS,
+        give_up: 8_000 * MS,
+        worth: 1.0,
+        ..Class::default()
+    };
+    Settings {
+        routers: 20,
+        zone: "a".into(),
+        kinds: vec![kind("r", Role::Reader), kind("w", Role::Writer)],
+        classes: vec![class("explain", Effect::Safe), class("send", Effect::Unsafe)],
+        max_attempts: 6,
+        may_drop: true,
+        connect_timeout: 250 * MS,
+        tick: 2 * MS,
+        release: RELEASE,
+        answer_slack: 50 * MS,
+        drain_grace: 1_000 * MS,
+        cold_from: 0.3,
+        cold: 10_000 * MS,
+        fall_multiple: 2.5,
+        fall: 1_000 * MS,
+        ..Settings::default()
+    }
+}
+
+/// Guards against whatever may be held staying so beyond its time, by whichever ways a request's attempts end and
+/// while whichever part of the hosts can't be reached.
+#[tokio::test(start_paused = true)]
+async fn whatever_may_be_held_is_taken_or_let_go_in_time() {
+    let mut totals = [0; 2];
+    for seed in 1..=60u64 {
+        let local = tokio::task::LocalSet::new();
+        let clock = Clock::start();
+        let (core, queue) = CoreHandle::channel(clock);
+        let world = Rc::new(World {
+            core: core.clone(),
+            held: RefCell::default(),
+            random: Cell::new(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            silent: [2, 5, 8][seed as usize % 3],
+            broken: RefCell::default(),
+            releases: Cell::new(0),
+            served: Cell::new(0),
+        });
+        let driver = Core::new(settings(), seed, clock, Rc::new(Hosts(world.clone())), Rc::default());
+        let run = async {
+            tokio::task::spawn_local(driver.run(queue));
+            let entries = (0..6).map(|i| Entry {
+                worker: WorkerId(Arc::from(format!("{}{i}", if i < 3 { "r" } else { "w" }))),
+                zone: ["a", "b", "c"][i % 3].into(),
+                kind: if i < 3 { "r".into() } else { "w".into() },
+                cell: i as u64 % 3,
+                status: Status::Ready,
+                weight: 1.0,
+                started: None,
+            });
+            core.tell(Input::List { kind: ListKind::Full, entries: entries.collect() });
+            for i in 0..40 {
+                let ask = Ask {
+                    request: RequestId(0),
+                    deadline: clock.now() + (1_000 + world.draw(6_000)) * MS,
+                    session: None,
+                    prefix: None,
+                    prefix_tokens: 0,
+                    prompt_tokens: 2_000,
+                    max_tokens: 300,
+                    hint: None,
+                    class: if world.draw(2) == 0 { "explain".into() } else { "send".into() },
+                    tenant: None,
+                };
+                let (id, target, body) = (format!("{seed}-{i}"), String::new(), Bytes::new());
+                let server = core.ask(ask, Call { id, target, content_type: None, body, keeps: None });
+                // Some clients leave early.
+                let patience = if world.draw(8) == 0 { 100 + world.draw(900) } else { 20_000 };
+                let served = world.clone();
+                tokio::task::spawn_local(async move {
+                    let answered = timeout(Duration::from_millis(patience), server.answer()).await;
+                    if let Ok((Answer::Stream(mut feed), _presence)) = answered {
+                        while feed.next().await.is_some() {}
+                        served.served.set(served.served.get() + 1);
+                    }
+                });
+                sleep(Duration::from_millis(world.draw(400))).await;
+            }
+            sleep(Duration::from_secs(30)).await;
+        };
+        local.run_until(run).await;
+        let ids: Vec<String> = world.held.borrow().keys().cloned().collect();
+        ids.iter().for_each(|id| world.look(id, |_| {}));
+        assert!(world.broken.borrow().is_empty(), "seed {seed}: {:?}", world.broken.borrow());
+        totals = [totals[0] + world.releases.get(), totals[1] + world.served.get()];
+    }
+    assert!(totals.iter().all(|n| *n > 200), "too little happened: {totals:?}");
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1,5 +1,6 @@
 //! The module's behaviour, one failure at a time, without any bench.
 
+use rstest::rstest;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use whinhaven::Policy;
@@ -411,6 +412,64 @@
     assert_eq!(releases(&within), 1, "not released by {} us", rig.now - read_at);
 }
 
+/// Guards against a state held for as long as connections fail to come up, each of which gave it its time anew, and
+/// against one forgotten since a writer that could not find it said so.
+#[rstest]
+#[case::connections_that_fail_from_the_read_on(&[], 3)]
+#[case::and_from_a_writer_without_an_answer_on(&[(Outcome::NoAnswer, 570)], 3)]
+#[case::and_to_a_writer_that_finds_no_state(&[(Outcome::NoAnswer, 570), (Outcome::NoConnection, 250)], 0)]
+fn the_time_that_a_state_is_held_runs_on_while_connections_fail(
+    #[case] before: &[(Outcome, Micros)],
+    #[case] failures: u32,
+) {
+    let mut rig = Rig::fleet(Settings { max_attempts: 9, ..settings() });
+    let deadline = rig.now + 9 * SECOND;
+    rig.ask_with(Ask { request: RequestId(1), deadline, ..ask(rig.now, "safe") });
+    rig.end(1, 0, Outcome::Read);
+    let mut quiet_since = rig.now;
+    let (mut attempt, mut done) = (0, Vec::new());
+    let mut end = |rig: &mut Rig, outcome, after| {
+        let mut done = rig.pass(after);
+        attempt += 1;
+        done.extend(rig.end(1, attempt, outcome));
+        done
+    };
+    for (outcome, after) in before {
+        assert_eq!(releases(&end(&mut rig, *outcome, after * MS)), 0, "{outcome:?}");
+        quiet_since = if *outcome == Outcome::NoConnection { quiet_since } else { rig.now };
+    }
+    // As the core has it: no connect may take more than half of the time that is left.
+    for _ in 0..failures {
+        let left = (quiet_since + settings().release).saturating_sub(rig.now);
+        done.extend(end(&mut rig, Outcome::NoConnection, left / 2));
+    }
+    if failures == 0 {
+        done = end(&mut rig, Outcome::NoState, 2 * MS);
+    }
+    done.extend(rig.pass((quiet_since + settings().release).saturating_sub(rig.now)));
+    let release = done.iter().position(|a| matches!(a, Action::Release { .. })).expect("no release in time");
+    assert!(sends(&done[release..]).iter().all(|w| w.starts_with('r')), "read anew: {done:?}");
+}
+
+/// Guards against the time that a state may be held being spent on one writer after the other of a zone that is cut
+/// off: what has just been heard from comes next.
+#[test]
+fn after_a_connection_failed_a_state_goes_to_where_something_just_came_from() {
+    let zone = |w: &str| if ["r1", "w1"].contains(&w) { "near" } else { "far" };
+    for seed in 0..20 {
+        let mut rig = Rig::new(settings());
+        rig.policy = Policy::new(settings(), seed);
+        let list = ["r1", "w1", "w2", "w3", "w4", "w5", "w6"];
+        let entry = |w: &&str| Entry { zone: zone(w).into(), ..entry(w, 0, Status::Ready, None) };
+        rig.list(ListKind::Saved, list.iter().map(entry).collect());
+        rig.ask(1, "safe");
+        if sends(&rig.end(1, 0, Outcome::Read)) != ["w1"] {
+            rig.pass(200 * MS);
+            assert_eq!(sends(&rig.end(1, 1, Outcome::NoConnection)), ["w1"], "seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn a_read_that_ends_after_the_client_left_is_released() {
     let mut rig = Rig::fleet(settings());
