--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -302,11 +302,12 @@
             };
             asked.push(worker.clone());
             let request = Request::delete(&path).header("host", "model-host").body(Full::new(Bytes::new()));
-            let Ok(request) = request else { return };
+            let Ok(request) = request else { break };
             let mut caller = self.clone();
-            calls.spawn_local(
-                async move { caller.call(SmallCall { worker, request, body: 0 }).await.is_ok() },
-            );
+            calls.spawn_local(async move {
+                let answer = caller.call(SmallCall { worker, request, body: 0 }).await;
+                answer.inspect_err(|error| log::debug!("release: {error}")).is_ok()
+            });
             // A second call does no harm; a state held too long does.
             let hedge = tokio::time::sleep(RELEASE_HEDGE);
             tokio::pin!(hedge);
@@ -322,6 +323,8 @@
             }
         }
         if releasing.is_going() {
+            // No longer waited for, and begun anew with the next attempt that ends and leaves nothing new.
+            releasing.stop();
             self.counters.releases_failed.up();
             log::warn!("request {}: no model host took the release of its state", call.id);
         }
