--- a/src/fleet/net/work.rs
+++ b/src/fleet/net/work.rs
@@ -28,6 +28,8 @@
 const AGAIN: Duration = Duration::from_millis(200);
 /// The span from which each member draws how long it waits before it adopts, for each member that there may be.
 const ADOPT_SPAN_US: u64 = 4_000;
+/// Tries at all hosts, of some 0.4 s each.
+const RELEASE_TRIES: u32 = 10;
 /// Releases of adopted sends that are out at once.
 const MOST_RELEASES: usize = 32;
 
@@ -312,20 +314,19 @@
         }
     }
 
+    /// Asks hosts until one has taken it; a host that runs drops by itself what nobody asks for in the end.
     async fn release(&self, id: &str, worker: &str, outbound: &dyn Outbound) {
-        let (target, body) = (String::new(), Bytes::new());
-        let call = Rc::new(Call { id: id.into(), target, content_type: None, body, keeps: None, name: None });
-        let alive = Rc::downgrade(&call);
-        let releasing = Rc::new(Releasing::default());
-        outbound.release(call, releasing.clone());
-        // Over when a host has taken it, or when none has in the time that there is for it.
-        while alive.upgrade().is_some() {
-            tokio::select! {
-                () = releasing.done() => break,
-                () = tokio::time::sleep(SWEEP) => {}
+        for _ in 0..RELEASE_TRIES {
+            let (target, body) = (String::new(), Bytes::new());
+            let call = Call { id: id.into(), target, content_type: None, body, keeps: None, name: None };
+            let releasing = Rc::new(Releasing::default());
+            outbound.release(Rc::new(call), releasing.clone());
+            releasing.over().await;
+            if !releasing.is_cut_short() {
+                return self.history().released(id, worker);
             }
         }
-        self.history().released(id, worker);
+        log::warn!("takeover: no model host took the release of {id}, last sent to {worker}");
     }
 }
 
