--- a/tests/store.rs
+++ b/tests/store.rs
@@ -123,7 +123,7 @@
         start(&scratch.0, "export WHINHAVEN_STORE_FILL=1; trap '' XFSZ; ulimit -f 40; exec \"$@\"");
     let lines: Vec<_> = out.lines().map(Result::unwrap).collect();
     assert!(child.wait().unwrap().success());
-    let told = lines.iter().filter_map(|line| acknowledged(line)).last().unwrap();
+    let told = lines.iter().rev().find_map(|line| acknowledged(line)).unwrap();
     assert!(lines.iter().any(|line| line.starts_with("refused, full: true")), "{lines:?}");
     assert_eq!(holds(&scratch.0, told), told);
 }
