--- a/lab/tests/sim_view.rs
+++ b/lab/tests/sim_view.rs
@@ -1,8 +1,11 @@
 //! Promise 1 in simulation: once faults stop all views agree, whatever the faults were.
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use whinhaven::fleet::view::Status;
-use whinhaven_lab::sim::views::{Broken, Fleet, Plan, promise};
+use whinhaven::fleet::view::{Action, Claim, Event, Kind, Me, Message, News, Record, Settings, Status, View};
+use whinhaven::fleet::{Incarnation, SiteName};
+use whinhaven_lab::sim::views::{Broken, Fleet, Plan, address, name, promise};
 
 /// Seeds from an environment variable by hand (`VIEW_SEEDS=1000`), a few in the usual run.
 fn seeds(usual: u64) -> u64 {
@@ -73,3 +76,54 @@
     };
     assert_eq!((probes(5), probes(40)), (40, 40));
 }
+
+/// Whatever comes, at whatever time: no panic, no table above its bound, no datagram above its.
+#[test]
+fn any_message_is_borne() {
+    for seed in 0..seeds(30) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let settings = Settings { most_members: 8, most_bytes: 600, ..Settings::default() };
+        let site = SiteName::try_from("s".repeat(64)).expect("a name");
+        let me = Me { name: name(0), site: site.clone(), address: address(0), incarnation: Incarnation(5) };
+        let mut view = View::new(me, settings, seed);
+        let mut now: u64 = 0;
+        for _ in 0..2000 {
+            let mut number = || [0, 1, 5, 6, 1030, u64::MAX][rng.random_range(0..6)];
+            let (incarnation, refutation) = (Incarnation(number()), number() as u32);
+            let probe = number() as u32;
+            let mut node = || name(rng.random_range(0..40));
+            let (from, target, by) = (node(), node(), node());
+            let sender = Record { site: site.clone(), address: address(1), incarnation, refutation };
+            let alive = Claim::Alive { site: site.clone(), address: address(2) };
+            let claim =
+                [alive, Claim::Suspect { by }, Claim::Dead, Claim::Left][rng.random_range(0..4)].clone();
+            let news = vec![News { member: target.clone(), incarnation, refutation, claim }; 3];
+            let kind = match rng.random_range(0..6) {
+                0 => Kind::Ping { probe },
+                1 => Kind::PingRequest { probe, target, address: address(3) },
+                2 => Kind::Ack { probe },
+                3 => Kind::Nack { probe },
+                4 => Kind::Sync { table: news.clone(), answer: true },
+                _ => Kind::Leave,
+            };
+            let message = Message { sender, kind, news };
+            let event = match rng.random_range(0..20) {
+                0 => Event::Reached(from),
+                1 => Event::Join { seeds: vec![(from, address(4))] },
+                2..8 => Event::Tick,
+                _ => Event::Message { from, message },
+            };
+            now += [0, 1_000, 400_000, 1 << 40][rng.random_range(0..4)];
+            let mut actions = Vec::new();
+            view.handle(now, event, &mut actions);
+            for action in actions {
+                if let Action::Send { message, reliable: false, .. } = action {
+                    let bytes = postcard::to_allocvec(&message).expect("encodes").len();
+                    assert!(bytes <= 600, "seed {seed}: {bytes} bytes");
+                }
+            }
+            assert!(view.peers().count() <= 8, "seed {seed}");
+            assert_eq!((view.me().status, view.me().incarnation), (Status::Alive, Incarnation(5)));
+        }
+    }
+}
