--- a/lab/tests/sim_group.rs
+++ b/lab/tests/sim_group.rs
@@ -431,7 +431,7 @@
         let logs: Vec<_> =
             self.members.iter().filter_map(|m| m.group.as_ref()).map(|g| g.entries()).collect();
         for (i, a) in logs.iter().enumerate() {
-            logs[i + 1..].iter().try_for_each(|b| logs_match(a, b))?;
+            logs[i + 1..].iter().try_for_each(|b| logs_match(a, b).map_err(String::from))?;
         }
         Ok(())
     }
