--- a/lab/tests/sim_lease.rs
+++ b/lab/tests/sim_lease.rs
@@ -406,3 +406,69 @@
     }
     println!("{seeds} seeds: {grants} grants, {acts} times somebody could act, never two");
 }
+
+/// Figures for `docs/design/leases.md`, in simulated time with the default settings.
+#[test]
+#[ignore = "figures, in a release build"]
+fn figures() {
+    let spread = |title: &str, mut times: Vec<Micros>| {
+        times.sort_unstable();
+        let at = |part: usize| times[(times.len() - 1) * part / 100] as f64 / 1e6;
+        println!(
+            "{title}: median {:.3} s, 95% {:.3} s, most {:.3} s ({} runs)",
+            at(50),
+            at(95),
+            at(100),
+            times.len()
+        );
+    };
+    let duty = lease_name("duty-0");
+    let ready = |seed, members, voters| {
+        let mut sim = Sim::new(seed, members, voters, 1, Settings::default());
+        assert!(sim.run(60 * SECOND, |sim| sim.all_act()), "seed {seed}: not all act");
+        // Faults come at any moment between two renewals.
+        let more = sim.rng.random_range(10 * SECOND..13 * SECOND);
+        let until = sim.now + more;
+        sim.run(until, |_| false);
+        let holder = sim.actor(&duty).expect("a holder");
+        (sim, holder)
+    };
+    for (members, voters) in [(5, 3), (9, 5)] {
+        let mut times: BTreeMap<&str, Vec<Micros>> = BTreeMap::new();
+        for seed in 0..100 {
+            for fault in ["crash", "cut", "stop as planned"] {
+                let (mut sim, holder) = ready(seed, members, voters);
+                let from = sim.now;
+                match fault {
+                    "crash" => sim.places[holder].body = None,
+                    "cut" => sim.cut(holder, true),
+                    _ => sim.tell(holder, Event::Leave),
+                }
+                if fault == "cut" {
+                    assert!(sim.run(from + 60 * SECOND, |sim| sim.actor(&duty) != Some(holder)));
+                    times.entry("cut, until the holder stops").or_default().push(sim.now - from);
+                }
+                let other = |sim: &Sim| sim.actor(&duty).is_some_and(|actor| actor != holder);
+                assert!(sim.run(from + 60 * SECOND, other), "seed {seed}: nobody else after {fault}");
+                times.entry(fault).or_default().push(sim.now - from);
+            }
+        }
+        for (fault, times) in times {
+            spread(&format!("{members} members, {voters} voters, new holder after {fault}"), times);
+        }
+        let (mut sim, _) = ready(1000, members, voters);
+        let (begun, sent, wall) = (sim.now, sim.sent, std::time::Instant::now());
+        let mut hands = 0;
+        while sim.run(begun + 20 * SECOND, |sim| sim.actor(&duty).is_some()) {
+            let holder = sim.actor(&duty).expect("a holder");
+            sim.tell(holder, Event::Unwant(duty.clone()));
+            sim.tell(holder, Event::Want(duty.clone()));
+            hands += 1;
+        }
+        let (rate, sent) = (hands / 20, (sim.sent - sent) / hands.max(1));
+        println!(
+            "{members} members: {rate} hand-overs a second of one lease, {sent} messages each, {:.1?}",
+            wall.elapsed()
+        );
+    }
+}
