Lab: conductors end with their lab even when that is killed

A shell beside the lab is told of each start and end and kills whoever is left once the lab's end of the pipe closes.

--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -3,7 +3,7 @@
 use crate::history::{History, NotSeen, Record, STUCK};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -98,6 +98,37 @@
     }
 }
 
+/// Ends conductors whose lab was itself ended before it could: a shell that is told of each start and end, and kills
+/// whoever is left once the lab's end of the pipe closes.
+fn watched(change: char, pid: u32) {
+    const SCRIPT: &str = r#"all=""
+        while read -r line; do
+            pid=${line#?}; rest=""
+            for p in $all; do [ "$p" = "$pid" ] || rest="$rest $p"; done
+            all=$rest
+            case $line in +*) all="$all $pid";; esac
+        done
+        [ -z "$all" ] || kill -9 $all"#;
+    static WATCH: OnceLock<Mutex<Option<Child>>> = OnceLock::new();
+    let watch = WATCH.get_or_init(|| {
+        let mut shell = Command::new("sh");
+        shell.args(["-c", SCRIPT]).stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::null());
+        Mutex::new(shell.process_group(0).spawn().ok())
+    });
+    let mut watch = watch.lock().unwrap_or_else(PoisonError::into_inner);
+    // Without the shell all works, except for that.
+    if let Some(pipe) = watch.as_mut().and_then(|w| w.stdin.as_mut()) {
+        let _ = writeln!(pipe, "{change}{pid}");
+    }
+}
+
+/// Kills a child and waits until it is gone.
+fn end(mut child: Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    watched('-', child.id());
+}
+
 /// A conductor's process can't be started.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -171,6 +202,7 @@
         // A group of its own: an interrupt from the keyboard is the lab's to handle.
         command.process_group(0);
         let mut child = command.spawn()?;
+        watched('+', child.id());
         let stderr = child.stderr.take().map(BufReader::new);
         self.history.note("lab", "lab.started", json!({ "member": self.name, "pid": child.id() }));
         let (history, name, pid) = (self.history.clone(), self.name.clone(), child.id());
@@ -194,9 +226,8 @@
         let (running, history, name) = (self.running.clone(), self.history.clone(), self.name.clone());
         move || {
             let child = running.lock().unwrap_or_else(PoisonError::into_inner).take();
-            if let Some(mut child) = child {
-                let _ = child.kill();
-                let _ = child.wait();
+            if let Some(child) = child {
+                end(child);
                 history.note("lab", "fault.kill", json!({ "member": name }));
             }
         }
@@ -247,15 +278,16 @@
         if self.history.count(gone) == 0 {
             self.history.wait_for(before, STUCK, gone)?;
         }
-        Ok(self.child().take().and_then(|mut child| child.wait().ok()))
+        let status = self.child().take().and_then(|mut child| child.wait().ok());
+        watched('-', pid);
+        Ok(status)
     }
 }
 
 impl Drop for Conductor {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child().take() {
-            let _ = child.kill();
-            let _ = child.wait();
+        if let Some(child) = self.child().take() {
+            end(child);
         }
     }
 }
