--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -163,7 +163,7 @@
         let discovery = Discovery::new(history.clone());
         let mut hosts = BTreeMap::new();
         for (i, (role, number)) in roles(&settings).enumerate() {
-            let site = format!("s{}", number % settings.sites.max(1) + 1);
+            let site = site(&settings, number);
             let word = if role == HostRole::Reader { "reader" } else { "writer" };
             let (name, listen) = (format!("{word}-{}", number + 1), block.at(100 + i, 8000));
             let own = HostSettings { name: name.clone(), listen, site, role, ..settings.host.clone() };
@@ -218,7 +218,7 @@
     /// Opens the relays of conductor `number` and writes its file.
     fn operator_file(&self, number: usize, name: &str, names: &[String]) -> Result<String, FleetError> {
         let (block, settings) = (&self.block, &self.settings);
-        let site = format!("s{}", (number - 1) % settings.sites.max(1) + 1);
+        let site = self.site(number - 1);
         let mut file = String::new();
         let _ = writeln!(
             file,
@@ -336,6 +336,30 @@
         }
     }
 
+    fn site(&self, number: usize) -> String {
+        site(&self.settings, number)
+    }
+
+    /// The conductors and hosts of a site.
+    pub fn site_names(&self, site: &str) -> Vec<String> {
+        let conductors = self.names().into_iter().enumerate().filter(|(i, _)| self.site(*i) == site);
+        let hosts = self.hosts.values().map(Host::settings).filter(|s| s.site == site);
+        conductors.map(|(_, name)| name).chain(hosts.map(|s| s.name.clone())).collect()
+    }
+
+    /// Cuts all that is in a site from all that is not, the clients and the tool side included.
+    pub fn lose_site(&self, site: &str) {
+        let inside = self.site_names(site);
+        let all = self.names().into_iter().chain(self.hosts.keys().cloned());
+        let outside: Vec<String> = all.chain(["front".to_owned(), "tool".to_owned()]).collect();
+        for (a, b) in inside.iter().flat_map(|a| outside.iter().map(move |b| (a, b))) {
+            if !inside.contains(b) {
+                self.network.set_both(a, b, |f| f.cut = true);
+            }
+        }
+        self.history.note("lab", "fault.cut", json!({ "site": site }));
+    }
+
     /// Cuts all links between conductors of different groups; a conductor in no group is cut from nobody.
     pub fn split(&self, groups: &[&[&str]]) {
         for (i, group) in groups.iter().enumerate() {
@@ -467,6 +491,11 @@
     writeln!(file, "{hex}")
 }
 
+/// The site of the conductor, reader or writer `number`, counted from 0.
+fn site(settings: &FleetSettings, number: usize) -> String {
+    format!("s{}", number % settings.sites.max(1) + 1)
+}
+
 fn roles(settings: &FleetSettings) -> impl Iterator<Item = (HostRole, usize)> {
     let readers = (0..settings.readers).map(|n| (HostRole::Reader, n));
     readers.chain((0..settings.writers).map(|n| (HostRole::Writer, n)))
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -35,7 +35,8 @@
     let newest = newest(&root.join("src")).max(changed(&root.join("Cargo.toml")));
     if built.is_none() || built < newest {
         let mut cargo = Command::new(std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into()));
-        cargo.args(["build", "--quiet", "--locked", "--package", "whinhaven", "--bin", "whinhaven"]);
+        // All of the workspace: its features are those that this lab was built with, so that nothing is built twice.
+        cargo.args(["build", "--quiet", "--locked", "--workspace", "--bin", "whinhaven"]);
         cargo.arg("--manifest-path").arg(root.join("Cargo.toml"));
         cargo.arg("--target-dir").arg(folder.parent().expect("profiles have a folder above"));
         if folder.ends_with("release") {
--- a/lab/src/script.rs
+++ b/lab/src/script.rs
@@ -6,6 +6,7 @@
 //! | `restart NAME`, `restart NAME emptied` | starts it again from its disk, or from an emptied one |
 //! | `cut A B`, `cut A B one-way` | cuts the links between two names, or from the first to the second; `*` is all |
 //! | `isolate NAME` | cuts a conductor from the other conductors |
+//! | `lose SITE` | cuts all of a site from all else |
 //! | `loss P A B`, `delay MS A B`, `jitter MS A B`, `duplicate P A B`, `reorder P A B`, `garble P A B`, `drip BYTES A B` | makes links bad, both ways; without names all links between conductors |
 //! | `hold A B`, `release A B` | holds all on its way, and lets it go in a burst |
 //! | `heal` | ends all faults of links |
@@ -121,6 +122,8 @@
     Cut(String, String, bool),
     /// A cut from all other conductors.
     Isolate(String),
+    /// A cut of a site from all else.
+    Lose(String),
     /// Bad links, between two or between all conductors.
     Links(Change, Option<(String, String)>),
     /// All links are good.
@@ -161,6 +164,7 @@
             ["cut", a, b] => Command::Cut(own(a), own(b), false),
             ["cut", a, b, "one-way"] => Command::Cut(own(a), own(b), true),
             ["isolate", name] => Command::Isolate(own(name)),
+            ["lose", site] => Command::Lose(own(site)),
             ["loss", part, between @ ..] => links(Change::Loss, part, between)?,
             ["duplicate", part, between @ ..] => links(Change::Duplicate, part, between)?,
             ["reorder", part, between @ ..] => links(Change::Reorder, part, between)?,
@@ -209,6 +213,10 @@
                 conductor(name)?;
                 fleet.isolate(name);
             }
+            Command::Lose(site) if fleet.site_names(site).is_empty() => {
+                return Err(ScriptError::Failed(format!("no site {site:?}")));
+            }
+            Command::Lose(site) => fleet.lose_site(site),
             Command::Links(change, between) => {
                 fleet.history.note(
                     "lab",
