--- a/lab/src/experiments/view.rs
+++ b/lab/src/experiments/view.rs
@@ -49,7 +49,7 @@
     } else {
         (vec![5, 10, 30, 100, 300, 1000], vec![0, 10, 20, 30], 30)
     };
-    run(&ViewArgs { sizes, losses, runs, figures }).map_err(|e| e.to_string())
+    run(&ViewArgs { sizes, losses, runs, figures, most_foca: 300, threads: 4 }).map_err(|e| e.to_string())
 }
 
 /// Whose members.
