--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::mpsc;
 use std::thread;
 pub use whinhaven_lab::history::STUCK;
+#[allow(unused_imports)]
 pub use whinhaven_lab::peer::{Conn, Message, Peer, Silent};
 
 /// An operator's file: readers, writers, and whatever follows.
