--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -10,7 +10,9 @@
 use crate::fleet::message::Message;
 use crate::fleet::state::{Answer, Bounds, Command, Effect, FleetState, Proposal};
 use crate::fleet::view::{self, View};
-use crate::fleet::{Incarnation, Index, LeaseName, MemberName, SiteName, Term, Token, Who, takeover};
+use crate::fleet::{
+    Incarnation, Index, LeaseName, MemberName, SiteName, Term, Token, Who, policy_epoch, takeover,
+};
 use crate::interface::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -45,11 +47,19 @@
     pub give_up_ms: u64,
     /// How long a record of work is remembered that nobody has in hand, in milliseconds; at least.
     pub remember_ms: u64,
+    /// The leader ends a proposal of a policy that is not decided within this, in milliseconds.
+    pub policy_within_ms: u64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { most_wants: 64, most_proposals: 1_024, give_up_ms: 10_000, remember_ms: 900_000 }
+        Limits {
+            most_wants: 64,
+            most_proposals: 1_024,
+            give_up_ms: 10_000,
+            remember_ms: 900_000,
+            policy_within_ms: 30_000,
+        }
     }
 }
 
@@ -254,6 +264,8 @@
     keeper: takeover::Keeper,
     /// When the leader looks next for records that may be forgotten.
     keep_at: Micros,
+    /// The proposal of a policy that this leader has seen under way, and when it ends it.
+    policy_due: Option<(u64, Micros)>,
 }
 
 /// How often the leader looks for records of work that may be forgotten, and the most at once.
@@ -286,6 +298,7 @@
             leaving: false,
             keeper: takeover::Keeper::default(),
             keep_at: now.saturating_add(KEEP),
+            policy_due: None,
         }
     }
 
@@ -301,6 +314,7 @@
                 asks.push_back(group::Event::Tick);
                 self.end_leases(now, &mut asks);
                 self.forget_work(now, &mut asks);
+                self.end_policy(now, &mut asks);
                 self.give_up(now, out);
             }
             Event::Join { seeds } => self.look(now, view::Event::Join { seeds }, out),
@@ -331,6 +345,7 @@
             }
         }
         self.work(now, asks, out);
+        self.watch_policy(now);
         self.say_rights(now, out);
     }
 
@@ -343,6 +358,7 @@
             self.holder.timeout(),
             self.watch.timeout().filter(|_| self.leading),
             Some(self.keep_at).filter(|_| self.leading && !self.state.work().is_empty()),
+            self.policy_due.map(|(_, at)| at),
             give_up,
         ];
         parts.into_iter().flatten().min()
@@ -414,7 +430,7 @@
             applied: self.state.applied(),
             members: self.view.peers().map(member).collect(),
             leases: table.grants().map(lease).collect(),
-            epoch: 0,
+            epoch: self.state.policy().epoch(),
         }
     }
 
@@ -523,7 +539,7 @@
                     self.expiring.retain(|_, seq| *seq != origin.seq);
                     self.hold(now, lease::Event::Answered(origin.seq, answer), asks, out);
                 }
-                Effect::Answered { .. } | Effect::Bounds(_) | Effect::Takeover(_) => {}
+                Effect::Answered { .. } | Effect::Bounds(_) | Effect::Takeover(_) | Effect::Policy(_) => {}
             }
         }
     }
@@ -610,6 +626,26 @@
         }
     }
 
+    /// As leader, counts the time of the proposal of a policy that is under way; a new leader counts it anew.
+    fn watch_policy(&mut self, now: Micros) {
+        let open = self.state.policy().open().filter(|_| self.leading).map(|open| open.proposal);
+        if open != self.policy_due.map(|(proposal, _)| proposal) {
+            let within = self.limits.policy_within_ms.saturating_mul(1000);
+            self.policy_due = open.map(|proposal| (proposal, now.saturating_add(within)));
+        }
+    }
+
+    /// As leader, ends a proposal of a policy whose time is up.
+    fn end_policy(&mut self, now: Micros, asks: &mut VecDeque<group::Event>) {
+        let Some((proposal, _)) = self.policy_due.filter(|(_, at)| *at <= now) else { return };
+        let missing = self.state.policy().missing(&self.state.living());
+        let names: Vec<&str> = missing.iter().map(|who| who.name.as_str()).collect();
+        let cause = format!("not decided in time: no word of {}", names.join(", "));
+        // Proposals are sent again by themselves; this one once more only where it was lost altogether.
+        self.policy_due = Some((proposal, now.saturating_add(self.limits.give_up_ms.saturating_mul(1000))));
+        self.propose(now, Command::Policy(policy_epoch::Command::Abort { proposal, cause }), asks);
+    }
+
     fn give_up(&mut self, now: Micros, out: &mut Vec<Action>) {
         while let Some(entry) = self.tickets.first_entry().filter(|entry| entry.get().1 <= now) {
             let (seq, (ticket, _)) = entry.remove_entry();
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -4,7 +4,7 @@
 //! bound that decides anything is itself in the log ([`Bounds`]). A further part of the fleet adds one variant each
 //! to [`Command`], [`Answer`] and [`Effect`], a field to [`FleetState`], and one arm in [`FleetState::apply`].
 
-use crate::fleet::{Incarnation, Index, MemberName, Who, lease, takeover};
+use crate::fleet::{Incarnation, Index, LeaseName, MemberName, Who, lease, policy_epoch, takeover};
 use crate::interface::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -54,6 +54,8 @@
     Lease(lease::Command),
     /// About work in hand.
     Takeover(takeover::Command),
+    /// About the policy.
+    Policy(policy_epoch::Command),
 }
 
 /// What came of a proposal.
@@ -67,6 +69,8 @@
     Lease(lease::Outcome),
     /// What the records of work in hand say.
     Takeover(takeover::Reply),
+    /// What came of a command about the policy.
+    Policy(policy_epoch::Reply),
 }
 
 /// Why a proposal was not looked at.
@@ -96,6 +100,8 @@
     Lease(lease::Change),
     /// A record of work in hand changed in a way that others wait for.
     Takeover(takeover::Notice),
+    /// The policy, or a proposal of one, went on.
+    Policy(policy_epoch::Notice),
     /// Other bounds are in force.
     Bounds(Bounds),
 }
@@ -139,6 +145,7 @@
     forgotten: Incarnation,
     leases: lease::Table,
     work: takeover::Table,
+    policy: policy_epoch::Table,
     applied: Index,
 }
 
@@ -168,6 +175,19 @@
         &self.work
     }
 
+    /// The policy's epoch and proposals.
+    pub fn policy(&self) -> &policy_epoch::Table {
+        &self.policy
+    }
+
+    /// The members whose life leases are in force.
+    pub fn living(&self) -> BTreeSet<Who> {
+        let of_life = |(name, grant): (&LeaseName, &lease::Grant)| {
+            lease::life(&grant.holder.name).is_some_and(|life| life == *name).then(|| grant.holder.clone())
+        };
+        self.leases.grants().filter_map(of_life).collect()
+    }
+
     /// Whether this proposal has been decided (or would be refused as settled).
     pub fn decided(&self, origin: &Origin) -> bool {
         match self.sessions.get(&origin.who.name) {
@@ -202,9 +222,15 @@
                 Command::Lease(command) => {
                     let mut changes = Vec::new();
                     let outcome = self.leases.apply(index, &origin, command, &self.bounds, &mut changes);
+                    let changed = !changes.is_empty();
                     for change in changes {
                         self.lives(index, change, out);
                     }
+                    if changed && self.policy.open().is_some() {
+                        let mut notices = Vec::new();
+                        self.policy.settle(&self.living(), &mut notices);
+                        out.extend(notices.into_iter().map(Effect::Policy));
+                    }
                     Answer::Lease(outcome)
                 }
                 Command::Takeover(command) => {
@@ -215,6 +241,12 @@
                     out.extend(notices.into_iter().map(Effect::Takeover));
                     Answer::Takeover(reply)
                 }
+                Command::Policy(command) => {
+                    let (living, mut notices) = (self.living(), Vec::new());
+                    let reply = self.policy.apply(&origin.who, &living, command, &mut notices);
+                    out.extend(notices.into_iter().map(Effect::Policy));
+                    Answer::Policy(reply)
+                }
             },
         };
         out.push(Effect::Answered { origin, answer });
