--- a/src/cli.rs
+++ b/src/cli.rs
@@ -44,6 +44,42 @@
         #[command(subcommand)]
         ask: Ask,
     },
+    /// Change or look at the policy that all conductors of a fleet share.
+    Policy {
+        /// What to do.
+        #[command(subcommand)]
+        what: Policy,
+    },
+}
+
+/// What can be done about the policy.
+#[derive(Debug, Subcommand)]
+pub enum Policy {
+    /// Shows what differs, proposes, and waits until it is in force everywhere or nowhere.
+    Propose {
+        /// The new [settings] table: a file with it, or with its fields alone.
+        new: PathBuf,
+        /// The operator's file of any member.
+        file: PathBuf,
+        /// Have all conductors check it, and change nothing.
+        #[arg(long)]
+        only_check: bool,
+    },
+    /// The proposals so far: who, when, what differed, what came of it.
+    History {
+        /// The operator's file of any member.
+        file: PathBuf,
+    },
+    /// Ends the proposal under way: in force nowhere.
+    Abort {
+        /// The operator's file of any member.
+        file: PathBuf,
+    },
+    /// The epoch in force, who holds it, and its content.
+    Show {
+        /// The operator's file of any member.
+        file: PathBuf,
+    },
 }
 
 /// Whose configuration can be imported.
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! What a conductor is told at start: the platform's JSON, or an operator's TOML file of the same shape.
 
 use crate::fleet::config::FleetConfig;
+use crate::fleet::policy_content;
 use crate::interface::Settings;
 use crate::net::discovery::{ListMessage, Listing};
 use crate::wire::read_settings;
@@ -121,6 +122,7 @@
     fleet: Option<Value>,
     store: Option<Value>,
     takeover: Option<Value>,
+    policy: Option<Value>,
 }
 
 /// A conductor's configuration.
@@ -140,6 +142,8 @@
     pub known: Listing,
     /// The module's settings.
     pub settings: Settings,
+    /// The table they were read from.
+    pub settings_table: Value,
     /// When model hosts close idle connections.
     pub idle_close: Duration,
     /// The tool-call front, if configured.
@@ -160,6 +164,7 @@
             fields.remove("fleet");
             fields.remove("store");
             fields.remove("takeover");
+            fields.remove("policy");
         }
         Self::from_value(value, env)
     }
@@ -217,7 +222,12 @@
             return Err(ConfigError("limits.memory_mb: at least 32 are needed".into()));
         }
         let name = if raw.name.is_empty() { env("NODE_NAME").unwrap_or_default() } else { raw.name };
-        let fleet = FleetConfig::read(&name, raw.fleet, raw.store, raw.takeover, &raw.limits)?;
+        let fleet = FleetConfig::read(&name, raw.fleet, raw.store, raw.takeover, raw.policy, &raw.limits)?;
+        if fleet.as_ref().is_some_and(|f| f.policy.is_some()) {
+            let read = policy_content::take(&raw.settings)
+                .and_then(|(content, _)| policy_content::read(&content, &raw.settings));
+            read.map_err(|e| ConfigError(format!("settings: {e}")))?;
+        }
         let recorded = fleet.as_ref().is_some_and(|f| f.takeover.is_some());
         if let Some(tools) = raw.tools.as_ref().filter(|t| recorded && t.max_result_bytes > MOST_RECORDED) {
             let what = format!(
@@ -235,12 +245,23 @@
             limits: raw.limits,
             known: raw.known.map(Listing::from).unwrap_or_default(),
             settings,
+            settings_table: raw.settings,
             idle_close: Duration::from_micros(idle.unwrap_or(30e6) as u64),
             tools: raw.tools,
         })
     }
 }
 
+/// Reads a table of settings as an operator's file has it.
+///
+/// # Errors
+/// Names the field at fault.
+pub(crate) fn read_table(settings: &Value) -> Result<Settings, String> {
+    let mut pairs = Vec::new();
+    flatten("", settings, &mut pairs);
+    read_settings(pairs.iter().map(|(k, v)| (k.as_str(), v.as_str())))
+}
+
 /// Writes nested JSON as the paths and values of the simulator's first message, for its one reader: a list of
 /// objects as `.count` and numbered items, a list of plain values joined by commas.
 fn flatten(path: &str, value: &Value, out: &mut Vec<(String, String)>) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -158,6 +158,8 @@
         /// The model host's load, if told.
         report: Option<Report>,
     },
+    /// New requests begin under these settings; those in hand end under theirs.
+    Settings(Box<Settings>),
     /// News of the list.
     List {
         /// How it came.
@@ -340,6 +342,10 @@
             Input::Ended { request, attempt, outcome, kept, report } => {
                 self.ended(request, attempt, outcome, kept, report);
             }
+            Input::Settings(settings) => {
+                self.policy.set((*settings).clone());
+                self.settings = *settings;
+            }
             Input::List { kind, entries } => {
                 self.counters.lists.up();
                 self.handle(Event::List { kind, entries });
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -1,6 +1,7 @@
-//! The `[fleet]`, `[store]` and `[takeover]` tables of an operator's file.
+//! The `[fleet]`, `[store]`, `[takeover]` and `[policy]` tables of an operator's file.
 
 use super::net::admin::ADMINISTRATOR;
+use super::policy_epoch::MOST_CONTENT;
 use super::{MOST_NAME, MemberName, SiteName, lease, node};
 use crate::config::{ConfigError, Limits};
 use serde::de::DeserializeOwned;
@@ -49,6 +50,30 @@
     pub hand_over_after_ms: u64,
 }
 
+/// How a change of policy goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PolicyConfig {
+    /// A proposal that is not decided within this is in force nowhere, in milliseconds by the leader's clock.
+    pub within_ms: u64,
+    /// How long a new request may wait while a change goes through, in milliseconds.
+    pub hold_ms: u64,
+    /// Most new requests that wait so.
+    pub most_held: usize,
+}
+
+impl PolicyConfig {
+    fn read(value: Value) -> Result<Self, ConfigError> {
+        let mut table = Table::new("policy", value)?;
+        let config = PolicyConfig {
+            within_ms: table.bounded("within_ms", 30_000, 100, 3_600_000)?,
+            hold_ms: table.bounded("hold_ms", 8_000, 10, 600_000)?,
+            most_held: table.bounded("most_held", 256, 1, 100_000)?,
+        };
+        table.end()?;
+        Ok(config)
+    }
+}
+
 /// What a conductor is told of its fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetConfig {
@@ -80,6 +105,8 @@
     pub store: StoreConfig,
     /// How work in hand is recorded, if it is.
     pub takeover: Option<TakeoverConfig>,
+    /// How policies change, if they are the fleet's.
+    pub policy: Option<PolicyConfig>,
 }
 
 /// The part of `limits.memory_mb` that the fleet's tables and queues may take.
@@ -112,7 +139,7 @@
 }
 
 impl FleetConfig {
-    /// Reads the three tables. `name` is the conductor's. `None` without a `[fleet]` table.
+    /// Reads the four tables. `name` is the conductor's. `None` without a `[fleet]` table.
     ///
     /// # Errors
     /// Names the field at fault.
@@ -121,17 +148,20 @@
         fleet: Option<Value>,
         store: Option<Value>,
         takeover: Option<Value>,
+        policy: Option<Value>,
         limits: &Limits,
     ) -> Result<Option<Self>, ConfigError> {
         let Some(fleet) = fleet else {
             let useless = |name| Err(ConfigError(format!("{name}: of no use without a [fleet] table")));
-            return match (store, takeover) {
-                (Some(_), _) => useless("store"),
-                (_, Some(_)) => useless("takeover"),
-                (None, None) => Ok(None),
+            return match (store, takeover, policy) {
+                (Some(_), ..) => useless("store"),
+                (_, Some(_), _) => useless("takeover"),
+                (.., Some(_)) => useless("policy"),
+                (None, None, None) => Ok(None),
             };
         };
         let takeover = takeover.map(TakeoverConfig::read).transpose()?;
+        let policy = policy.map(PolicyConfig::read).transpose()?;
         let (mut fleet, mut store) =
             (Table::new("fleet", fleet)?, Table::new("store", store.unwrap_or_default())?);
         let own = match fleet.optional::<String>("name")? {
@@ -147,6 +177,9 @@
         settings.lease = fleet.settings("lease", settings.lease)?;
         settings.bounds = fleet.settings("bounds", settings.bounds)?;
         settings.node = fleet.settings("node", settings.node)?;
+        if let Some(policy) = &policy {
+            settings.node.policy_within_ms = policy.within_ms;
+        }
         let most_members: usize = fleet.bounded("most_members", 32, 1, 1_000)?;
         settings.view.most_members = most_members.max(2);
         settings.group.most_learners = most_members;
@@ -168,6 +201,7 @@
             settings,
             name,
             takeover,
+            policy,
         };
         fleet.end()?;
         store.end()?;
@@ -199,6 +233,12 @@
                 "must be above 0 and at most a fifth of election_us".into(),
             ));
         }
+        let group_payload = group.most_payload_bytes;
+        if self.policy.is_some() && group_payload < MOST_CONTENT + AROUND {
+            let what =
+                format!("{group_payload} are too few for a [policy]: {} are needed", MOST_CONTENT + AROUND);
+            return Err(("fleet.group.most_payload_bytes", what));
+        }
         let lease = &self.settings.lease;
         if lease.hold() <= lease.renew() {
             let what = "nothing is left to act in after a third, drift_ppm and margin_ms";
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod message;
 pub mod net;
 pub mod node;
+pub mod policy_content;
 pub mod policy_epoch;
 pub mod sites;
 pub mod state;
--- a/src/fleet/net/admin.rs
+++ b/src/fleet/net/admin.rs
@@ -5,7 +5,7 @@
 use crate::fleet::config::FleetConfig;
 use crate::fleet::group::VoterId;
 use crate::fleet::node::Status;
-use crate::fleet::{Incarnation, MemberName, Who};
+use crate::fleet::{Incarnation, MemberName, Who, policy_epoch};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::fmt::Write;
@@ -27,6 +27,10 @@
     Status,
     /// These members shall vote; the leader goes there one voter at a time.
     Voters(BTreeSet<MemberName>),
+    /// Something about the policy, put into the log.
+    Policy(policy_epoch::Command),
+    /// The policy's epochs and proposals.
+    Policies,
 }
 
 /// What is answered. Variants are only ever added at the end.
@@ -38,6 +42,21 @@
     Refused(String),
     /// It was handed on; the status tells what comes of it.
     Asked,
+    /// To [`Request::Policy`].
+    Policy(policy_epoch::Reply),
+    /// To [`Request::Policies`].
+    Policies(Box<Policies>),
+}
+
+/// The policy as a member has it from the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Policies {
+    /// Who tells.
+    pub me: Who,
+    /// Epochs and proposals.
+    pub table: policy_epoch::Table,
+    /// Members that may act.
+    pub living: BTreeSet<Who>,
 }
 
 /// A member's status, and its place in the group.
--- a/src/fleet/net/drive.rs
+++ b/src/fleet/net/drive.rs
@@ -15,7 +15,7 @@
 use crate::fleet::message::Message;
 use crate::fleet::node::{Action, Event, Lost, Node, Start};
 use crate::fleet::state::{Answer, Command, Effect, FleetState};
-use crate::fleet::{Index, LeaseName, MemberName, Who, group, view};
+use crate::fleet::{Index, LeaseName, MemberName, Who, group, policy_epoch, view};
 use crate::interface::Micros;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -316,6 +316,9 @@
                     Next::Came(Some(Came::Message(from, message))) => {
                         self.event(&mut life, Event::Message { from, message });
                     }
+                    Next::Came(Some(Came::Asked(admin::Request::Policy(command), answer))) => {
+                        self.ask_log(&mut life, command, answer);
+                    }
                     Next::Came(Some(Came::Asked(request, answer))) => {
                         let _ = answer.send(self.answer(&mut life, request));
                     }
@@ -487,6 +490,44 @@
         }
     }
 
+    /// Puts an administrator's command about the policy into the log, and answers when that has.
+    fn ask_log(
+        &self,
+        life: &mut Life,
+        command: policy_epoch::Command,
+        answer: oneshot::Sender<admin::Reply>,
+    ) {
+        let refused = match (&self.config.policy, &command) {
+            (None, _) => Some("the asked conductor has no [policy] table"),
+            (_, policy_epoch::Command::Propose { base: 0, .. }) => Some("there is no epoch yet"),
+            (_, policy_epoch::Command::Propose { content, .. })
+                if content.len() > policy_epoch::MOST_CONTENT =>
+            {
+                Some("it is too long")
+            }
+            (_, policy_epoch::Command::Propose { .. } | policy_epoch::Command::Abort { .. }) => None,
+            // Members speak for themselves.
+            _ => Some("not for an administrator"),
+        };
+        if let Some(why) = refused {
+            let _ = answer.send(admin::Reply::Refused(why.to_owned()));
+            return;
+        }
+        let (done, decided) = oneshot::channel();
+        life.tickets += 1;
+        life.proposals.insert(life.tickets, done);
+        let ticket = life.tickets;
+        self.event(life, Event::Propose { ticket, command: Command::Policy(command) });
+        tokio::task::spawn_local(async move {
+            let reply = match decided.await {
+                Ok(Ok(Answer::Policy(reply))) => admin::Reply::Policy(reply),
+                Ok(Err(lost)) => admin::Reply::Refused(lost.to_string()),
+                _ => admin::Reply::Refused("the log has not looked at it".to_owned()),
+            };
+            let _ = answer.send(reply);
+        });
+    }
+
     fn answer(&self, life: &mut Life, request: admin::Request) -> admin::Reply {
         match request {
             admin::Request::Status => {
@@ -508,6 +549,12 @@
             admin::Request::Voters(names) if names.is_empty() || names.len() > MOST_VOTERS => {
                 admin::Reply::Refused(format!("1 to {MOST_VOTERS} voters are needed"))
             }
+            admin::Request::Policy(_) => admin::Reply::Refused("not now".to_owned()),
+            admin::Request::Policies => {
+                let state = life.node.state();
+                let (table, living) = (state.policy().clone(), state.living());
+                admin::Reply::Policies(Box::new(admin::Policies { me: life.who.clone(), table, living }))
+            }
             admin::Request::Voters(names) => {
                 self.event(life, Event::ChangeVoters(names));
                 admin::Reply::Asked
--- a/src/fleet/net/history.rs
+++ b/src/fleet/net/history.rs
@@ -183,12 +183,41 @@
             "fleet: {times} frames of {peer} refused, the last one for {reason}");
     }
 
+    /// A change of policy is looked at.
+    pub fn policy_proposed(&self, proposal: u64, digest: u64) {
+        let digest = format!("{digest:016x}");
+        event!(self, info, TARGET, "policy.proposed", at unix_us(),
+            { proposal = proposal, digest = digest.as_str() },
+            "policy: proposal {proposal}, digest {digest}, is looked at");
+    }
+
+    /// A change of policy is in force nowhere.
+    pub fn policy_refused(&self, proposal: u64, why: &str) {
+        event!(self, info, TARGET, "policy.refused", at unix_us(), { proposal = proposal, why = why },
+            "policy: proposal {proposal} is in force nowhere: {why}");
+    }
+
+    /// This member has gone over.
+    pub fn policy_epoch(&self, epoch: u64, digest: u64) {
+        let digest = format!("{digest:016x}");
+        event!(self, info, TARGET, "policy.epoch", at unix_us(), { epoch = epoch, digest = digest.as_str() },
+            "policy: epoch {epoch}, digest {digest}, is in force here");
+    }
+
+    /// A request begins. `at` was read before it was looked up whether it may.
+    pub fn policy_begin(&self, at: u64, epoch: u64) {
+        event!(self, info, BEGINS, "policy.begin", at at, { epoch = epoch },
+            "policy: a request begins under epoch {epoch}");
+    }
+
     /// Something else that is to be known.
     pub fn note(&self, what: &str) {
         event!(self, warn, TARGET, "fleet.note", at unix_us(), { what = what }, "fleet: {what}");
     }
 }
 
+/// Beginnings of requests come all the time, so they can be turned off by themselves.
+pub const BEGINS: &str = "whinhaven::fleet::begins";
 /// Acts come once a period, so they can be turned off by themselves.
 pub const ACTS: &str = "whinhaven::fleet::acts";
 
--- a/src/fleet/net/mod.rs
+++ b/src/fleet/net/mod.rs
@@ -9,6 +9,7 @@
 mod drive;
 pub mod history;
 mod links;
+pub mod policy;
 mod reception;
 mod refusals;
 pub mod seal;
--- a/src/fleet/net/work.rs
+++ b/src/fleet/net/work.rs
@@ -336,19 +336,19 @@
     work: Rc<Work>,
     core: CoreHandle,
     reads: Box<dyn Fn(&WorkerId) -> bool>,
-    most_attempts: u32,
+    most_attempts: Rc<Cell<u32>>,
     /// Ids on record, and the calls whose end takes them off it.
     noted: RefCell<HashMap<String, Weak<Call>>>,
 }
 
 impl Recording {
-    /// Stands before `inner`; `reads` says whether a host only reads.
+    /// Stands before `inner`; `reads` says whether a host only reads, `most_attempts` follows the settings in force.
     pub fn start(
         inner: Rc<dyn Outbound>,
         work: Rc<Work>,
         core: CoreHandle,
         reads: Box<dyn Fn(&WorkerId) -> bool>,
-        most_attempts: u32,
+        most_attempts: Rc<Cell<u32>>,
     ) -> Rc<Self> {
         let noted = RefCell::default();
         let recording = Rc::new(Recording { inner, work, core, reads, most_attempts, noted });
@@ -419,7 +419,7 @@
             worker: attempt.worker.0.to_string(),
             name: call.name.clone(),
             reads: (self.reads)(&attempt.worker),
-            most_attempts: self.most_attempts,
+            most_attempts: self.most_attempts.get(),
             bounds: self.work.bounds(),
         };
         let going = Going { inner: self.inner.clone(), work: self.work.clone(), core: self.core.clone() };
--- a/src/fleet/policy_epoch.rs
+++ b/src/fleet/policy_epoch.rs
@@ -390,7 +390,10 @@
 
 /// A text within its bound.
 fn cut(mut text: String) -> String {
-    let at = text.floor_char_boundary(MOST_TEXT);
+    let mut at = text.len().min(MOST_TEXT);
+    while !text.is_char_boundary(at) {
+        at -= 1;
+    }
     text.truncate(at);
     text
 }
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -280,8 +280,6 @@
     seed: u64,
     /// The fleet's records, where other conductors take work over.
     work: Option<Rc<Work>>,
-    /// Classes that must not run twice.
-    once: Vec<String>,
     /// Where clients reach it.
     pub path: String,
 }
@@ -364,20 +362,18 @@
 }
 
 impl Front {
-    /// A front over what the server's connections share. With `work`, requests are recorded for other conductors;
-    /// classes in `once` must not run twice.
+    /// A front over what the server's connections share. With `work`, requests are recorded for other conductors.
     pub fn new(
         shared: Rc<Shared>,
         settings: ToolSettings,
         connect_timeout: Duration,
         seed: u64,
         work: Option<Rc<Work>>,
-        once: Vec<String>,
     ) -> Rc<Self> {
         let path = settings.listen_path.clone();
         let ledger = Ledger::new(settings, connect_timeout, shared.counters.clone());
         let (active, next) = (RefCell::default(), Cell::new(1));
-        let front = Rc::new(Front { shared, ledger, active, next, seed, work: work.clone(), once, path });
+        let front = Rc::new(Front { shared, ledger, active, next, seed, work: work.clone(), path });
         if let Some(work) = work {
             let moved = Rc::downgrade(&front);
             work.on_moved(move |name| {
@@ -567,7 +563,8 @@
 
     /// Checks a request and takes it to its first event.
     async fn begin(self: &Rc<Self>, message: Message) -> Result<Begun, Fault> {
-        if !self.shared.classes.contains(&message.method) {
+        // What no epoch names is told at once; what one of two names, when it begins.
+        if self.shared.gate.is_none() && !self.shared.knows(&message.method) {
             return Err(NO_METHOD);
         }
         let params = message.params.as_ref().ok_or(PARAMS)?;
@@ -598,6 +595,13 @@
         }
         let mut in_hand = self.take_in_hand(params.request.as_str().into(), params.resume.is_some())?;
         let deadline = self.shared.core.clock.now() + params.deadline_ms * 1000;
+        let pass = tokio::select! {
+            pass = self.shared.begin(deadline) => pass.map_err(|advice| Fault::refused(Some(advice)))?,
+            _ = in_hand.stop.wait_for(|s| *s != Stop::No) => return Err(CANCELLED),
+        };
+        if !self.shared.knows(&message.method) {
+            return Err(NO_METHOD);
+        }
         let claim = match self.claim(&message.method, &params, deadline, &mut in_hand).await? {
             Ok(claim) => claim,
             Err(answer) => return recorded(message.id, in_hand.name.clone(), &params, answer),
@@ -628,6 +632,7 @@
             name: claim.as_ref().map(Claim::key),
         };
         let waiting = self.shared.core.ask(ask, call).answer();
+        drop(pass);
         let (answer, presence) = tokio::select! {
             answered = waiting => answered,
             stop = async { in_hand.stop.wait_for(|s| *s != Stop::No).await.map_or(Stop::Moved, |s| *s) } => {
@@ -666,7 +671,7 @@
     ) -> Result<Result<Option<Claim>, Final>, Fault> {
         let Some(work) = self.work.clone() else { return Ok(Ok(None)) };
         let (name, resumes) = (params.request.clone(), params.resume.is_some());
-        let once = self.once.iter().any(|c| c == class);
+        let once = self.shared.is_once(class);
         // A task of its own: a claim that comes when nobody waits any more has to be let go of.
         let asking =
             tokio::task::spawn_local(async move { Claim::ask(&work, &name, once, resumes, deadline).await });
--- a/src/front/shared.rs
+++ b/src/front/shared.rs
@@ -2,7 +2,8 @@
 
 use crate::core::CoreHandle;
 use crate::counters::Counters;
-use crate::interface::Micros;
+use crate::fleet::net::policy::{Gate, Pass, Shut, once};
+use crate::interface::{Class, Micros};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -18,8 +19,10 @@
 pub struct Shared {
     /// The core.
     pub core: CoreHandle,
-    /// Classes that the settings name.
-    pub classes: Vec<String>,
+    /// Classes that the settings in force name.
+    pub classes: RefCell<Vec<Class>>,
+    /// Lets requests begin under the fleet's policy, where there is one.
+    pub gate: Option<Rc<Gate>>,
     /// Whether the conductor can serve.
     pub ready: Box<dyn Fn() -> bool>,
     /// Whether new requests may be taken: in a fleet, whether the conductor's right to act stands at this moment.
@@ -32,6 +35,37 @@
     pub ids: RefCell<HashSet<String>>,
 }
 
+impl Shared {
+    /// Whether the settings in force name this class.
+    pub fn knows(&self, class: &str) -> bool {
+        self.classes.borrow().iter().any(|c| c.name == class)
+    }
+
+    /// Whether requests of this class must not run twice.
+    pub fn is_once(&self, class: &str) -> bool {
+        once(&self.classes.borrow()).any(|c| c.name == class)
+    }
+
+    /// Lets a request begin; hold on to the pass until the core has the request.
+    ///
+    /// # Errors
+    /// It can't begin now: the advice when to come back.
+    pub async fn begin(&self, deadline: Micros) -> Result<Option<Pass>, Micros> {
+        let Some(gate) = &self.gate else { return Ok(None) };
+        match gate.begin(deadline).await {
+            Ok(pass) => Ok(Some(pass)),
+            Err(Shut::CutOff) => {
+                self.counters.cut_off.up();
+                Err(CUT_OFF)
+            }
+            Err(Shut::Waited) => {
+                self.counters.over_bound.up();
+                Err(COME_BACK)
+            }
+        }
+    }
+}
+
 /// Bytes of the budget, given back when dropped.
 pub struct Held(Rc<Shared>, usize);
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod logs;
+mod policies;
 mod run;
 
 use cli::{Ask, Command, From, Where};
@@ -24,6 +25,7 @@
         Some(Command::Import { from: From::Haproxy { file } }) => import(&file).map_err(|e| e.to_string()),
         Some(Command::Check { file }) => check(&file).map_err(|e| e.to_string()),
         Some(Command::Fleet { ask: Ask::Status(at) }) => status(&at),
+        Some(Command::Policy { what }) => policies::run(&what),
         Some(Command::Fleet { ask: Ask::Voters { file, names } }) => voters(&file, &names),
     };
     match done {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -110,7 +110,7 @@
             Ok(intake) => intake,
             Err(what) => return self.bad(StatusCode::BAD_REQUEST, what),
         };
-        if !shared.classes.contains(&intake.ask.class) {
+        if shared.gate.is_none() && !shared.knows(&intake.ask.class) {
             return self.bad(StatusCode::BAD_REQUEST, "unknown class\n");
         }
         let (body, held) = match self.body(body, watch).await {
@@ -121,6 +121,14 @@
             // One token is four characters.
             intake.ask.prompt_tokens = body.len() as u64 / 4;
         }
+        let pass = match shared.begin(intake.ask.deadline).await {
+            Ok(pass) => pass,
+            Err(advice) => return platform::refusal(Some(advice)),
+        };
+        // Only now: the classes are those of the epoch it begins under.
+        if !shared.knows(&intake.ask.class) {
+            return self.bad(StatusCode::BAD_REQUEST, "unknown class\n");
+        }
         // Model hosts tell requests apart by their ids: two at once under one would share what is held. An id is in
         // hand until the last attempt and release of its request are over, or another client could send a second
         // copy of a request whose stream still runs.
@@ -132,7 +140,9 @@
         let content_type = head.headers.get("content-type").and_then(|v| v.to_str().ok()).map(str::to_owned);
         let keeps: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, held)));
         let call = Call { id: intake.id, target, content_type, body, keeps, name: None };
-        let (answer, presence) = shared.core.ask(intake.ask, call).answer().await;
+        let asked = shared.core.ask(intake.ask, call);
+        drop(pass);
+        let (answer, presence) = asked.answer().await;
         platform::encode(answer, presence)
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,6 +8,8 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+mod set;
+
 // ---------------------------------------------------------------- constants, each with its reason
 
 /// A prefix not sent to a reader for this long is no longer credited there (the design's value).
@@ -167,7 +169,7 @@
         let class = classes.iter().position(|c| c.name == ask.class).unwrap_or(classes.len() - 1);
         let over_share = self.over_share(ask.tenant.as_deref());
         self.learned.prompt.add(ask.prompt_tokens as f64, LEARN);
-        self.requests.insert(id, Request::new(ask, class, self.now, over_share));
+        self.requests.insert(id, Request::new(ask, class, self.now, over_share, self.set.max_attempts));
         self.step(id, out);
     }
 
@@ -195,7 +197,7 @@
     fn step(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let margin = 2 * self.sweep_every();
-        let spent = r.attempts.len() as u32 >= self.set.max_attempts;
+        let spent = r.attempts.len() as u32 >= r.most_attempts;
         // Of unknown fate, and no worker may repeat it: waiting gains its client nothing.
         let stuck = r.may_have_run() && !self.workers.values().any(|w| self.may_repeat_at(r, w));
         let hopeless = self.now + margin >= r.ask.deadline;
@@ -506,7 +508,7 @@
         let (Some(r), Some(w)) = (self.requests.get(&id), self.workers.get(worker)) else { return };
         let answered = matches!(r.phase, Phase::Done | Phase::Streaming);
         let repeat = r.may_have_run() && !self.may_repeat_at(r, w);
-        let spent = r.attempts.len() as u32 >= self.set.max_attempts;
+        let spent = r.attempts.len() as u32 >= r.most_attempts;
         if answered || repeat || spent || r.out().next().is_some() || w.status != Status::Ready {
             return;
         }
--- a/src/run.rs
+++ b/src/run.rs
@@ -13,11 +13,12 @@
 use whinhaven::core::{Clock, Core, CoreHandle, Outbound};
 use whinhaven::counters::Counters;
 use whinhaven::fleet::LeaseName;
+use whinhaven::fleet::net::policy::Gate;
 use whinhaven::fleet::net::work::{Recording, Work};
 use whinhaven::fleet::net::{self, Fleet};
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::front::shared::Shared;
-use whinhaven::interface::{Class, Effect, Group, ListKind, Role, WorkerId};
+use whinhaven::interface::{ListKind, Role, WorkerId};
 use whinhaven::net::client::Hosts;
 use whinhaven::net::discovery::{Directory, Follower};
 use whinhaven::net::pool::Pool;
@@ -176,6 +177,14 @@
         None => None,
     };
     let mut outbound: Rc<dyn Outbound> = Rc::new(hosts);
+    let gate = match (&fleet, config.fleet.as_ref().and_then(|f| f.policy.clone())) {
+        (Some(fleet), Some(policy)) => {
+            let own = config.settings_table.clone();
+            let gate = Gate::start(fleet.clone(), core.clone(), policy, own);
+            Some(gate.map_err(|e| ConfigError(format!("settings: {e}")))?)
+        }
+        _ => None,
+    };
     let work = match (&fleet, config.fleet.as_ref().and_then(|f| Some((f, f.takeover.clone()?)))) {
         (Some(fleet), Some((settings, takeover))) => {
             let work = Work::start(fleet.clone(), clock, takeover);
@@ -187,7 +196,11 @@
     if let Some(work) = &work {
         let (directory, kinds) = (directory.clone(), settings.kinds.clone());
         let reads = Box::new(move |worker: &WorkerId| directory.role(worker, &kinds) == Some(Role::Reader));
-        let most = settings.max_attempts;
+        let most = Rc::new(Cell::new(settings.max_attempts));
+        if let Some(gate) = &gate {
+            let most = most.clone();
+            gate.on_over(move |settings| most.set(settings.max_attempts));
+        }
         outbound = Recording::start(outbound, work.clone(), core.clone(), reads, most);
     }
     let driver = Core::new(settings.clone(), config.seed, clock, outbound, counters.clone());
@@ -217,7 +230,9 @@
     let stopping = Rc::new(Cell::new(false));
     let ready = {
         let (directory, stopping, kinds) = (directory.clone(), stopping.clone(), settings.kinds.clone());
-        move || !stopping.get() && directory.can_serve(&kinds)
+        let gate = gate.clone();
+        let holds = move || gate.as_ref().is_none_or(|gate| gate.is_ready());
+        move || !stopping.get() && directory.can_serve(&kinds) && holds()
     };
     let may_serve: Box<dyn Fn() -> bool> = match fleet.clone() {
         Some(fleet) => Box::new(move || fleet.may_serve()),
@@ -229,19 +244,25 @@
     }
     let shared = Rc::new(Shared {
         core,
-        classes: settings.classes.iter().map(|c| c.name.clone()).collect(),
+        classes: RefCell::new(settings.classes.clone()),
+        gate: gate.clone(),
         ready: Box::new(ready),
         may_serve,
         counters: counters.clone(),
         budget: Cell::new(config.limits.memory_mb * 1024 * 1024 / 3),
         ids: RefCell::default(),
     });
+    if let Some(gate) = &gate {
+        let shared = Rc::downgrade(&shared);
+        gate.on_over(move |settings| {
+            if let Some(shared) = shared.upgrade() {
+                shared.classes.replace(settings.classes.clone());
+            }
+        });
+    }
     let seed = config.seed;
     let tools = {
-        let safe = |c: &&Class| matches!(c.effect, Effect::Safe | Effect::Keyed(Group::All));
-        let once: Vec<String> =
-            settings.classes.iter().filter(|c| !safe(c)).map(|c| c.name.clone()).collect();
-        let front = |t| Front::new(shared.clone(), t, connect_timeout, seed, work.clone(), once);
+        let front = |t| Front::new(shared.clone(), t, connect_timeout, seed, work.clone());
         config.tools.clone().map(front)
     };
     let front = tools.clone();
--- a/src/state.rs
+++ b/src/state.rs
@@ -153,6 +153,8 @@
     pub class: usize,
     pub arrived: Micros,
     pub over_share: bool,
+    /// Attempts allowed, by the settings it began under.
+    pub most_attempts: u32,
     pub phase: Phase,
     pub attempts: Vec<Attempt>,
     /// The reader where a state may wait.
@@ -191,10 +193,10 @@
         self.state.is_some() && self.attempts.last().is_some_and(failed)
     }
 
-    pub fn new(ask: Ask, class: usize, now: Micros, over_share: bool) -> Self {
+    pub fn new(ask: Ask, class: usize, now: Micros, over_share: bool, most_attempts: u32) -> Self {
         let (arrived, quiet_since, phase) = (now, now, Phase::Waiting);
         let (attempts, state) = (Vec::new(), None);
-        Request { ask, class, arrived, over_share, phase, attempts, state, quiet_since }
+        Request { ask, class, arrived, over_share, most_attempts, phase, attempts, state, quiet_since }
     }
 
     /// The attempts without an outcome.
