--- a/lab/src/checker/facts.rs
+++ b/lab/src/checker/facts.rs
@@ -93,6 +93,22 @@
         #[serde(deserialize_with = "number")]
         peer_incarnation: u64,
     },
+    /// This member holds an epoch of the policy from now on.
+    #[serde(rename = "policy.epoch")]
+    PolicyEpoch {
+        /// Which.
+        #[serde(deserialize_with = "number")]
+        epoch: u64,
+        /// Of its content.
+        digest: String,
+    },
+    /// A request begins.
+    #[serde(rename = "policy.begin")]
+    PolicyBegin {
+        /// Under which epoch.
+        #[serde(deserialize_with = "number")]
+        epoch: u64,
+    },
     /// Messages of a peer, or of somebody in its name, were refused.
     #[serde(rename = "fleet.refused")]
     FleetRefused {
--- a/lab/src/checker/mod.rs
+++ b/lab/src/checker/mod.rs
@@ -7,6 +7,7 @@
 pub mod bounds;
 pub mod facts;
 pub mod lease;
+pub mod policy;
 pub mod takeover;
 pub mod view;
 
@@ -113,6 +114,7 @@
     Promise { number: 1, name: "view", check: view::check },
     Promise { number: 2, name: "lease", check: lease::check },
     Promise { number: 4, name: "takeover", check: takeover::check },
+    Promise { number: 5, name: "policy", check: policy::check },
     Promise { number: 7, name: "bounds", check: bounds::check },
 ];
 
--- a/lab/tests/checker.rs
+++ b/lab/tests/checker.rs
@@ -19,6 +19,7 @@
 #[case(1, "view", 3)]
 #[case(2, "lease", 9)]
 #[case(4, "takeover", 1)]
+#[case(5, "policy", 6)]
 #[case(7, "bounds", 6)]
 fn a_good_history_is_passed_and_was_looked_at(#[case] promise: u8, #[case] name: &str, #[case] checked: u64) {
     let report = report(&text(name));
@@ -119,6 +120,25 @@
 )]
 #[case::a_state_that_stays(4, "takeover", 10, "", "", "order-2: its state was held")]
 #[case::no_answer(4, "takeover", 14, "client.final", "client.gave_up", "order-1 has no final answer")]
+#[case::begun_under_the_old_after_the_new(
+    5,
+    "policy",
+    7,
+    "\"at_us\": 1007000",
+    "\"at_us\": 1010500",
+    "c3 began a request under epoch 1 after c1 had begun one under 2"
+)]
+#[case::begun_without_the_epoch(5, "policy", 11, "", "", "c2@12 began a request under epoch 2 and holds 1")]
+#[case::begun_in_a_new_life_under_the_old(
+    5,
+    "policy",
+    15,
+    "\"policy.epoch\"",
+    "\"policy.begin\"",
+    "c3@23 began a request under epoch 2 and holds 1"
+)]
+#[case::two_contents_of_one_epoch(5, "policy", 11, "bb", "cc", "epoch 2 is bb at c1 and cc at c2")]
+#[case::an_epoch_falls(5, "policy", 15, "\"epoch\": 2", "\"epoch\": 1", "c3@23 went from epoch 1 to 1")]
 #[case::a_stranger_is_let_in(
     7,
     "bounds",
--- a/src/fleet/net/history.rs
+++ b/src/fleet/net/history.rs
@@ -191,6 +191,12 @@
             "policy: proposal {proposal}, digest {digest}, is looked at");
     }
 
+    /// All have voted yes: nothing begins here until the change is decided.
+    pub fn policy_closing(&self, proposal: u64) {
+        event!(self, info, TARGET, "policy.closing", at unix_us(), { proposal = proposal },
+            "policy: proposal {proposal} closes: new requests wait");
+    }
+
     /// A change of policy is in force nowhere.
     pub fn policy_refused(&self, proposal: u64, why: &str) {
         event!(self, info, TARGET, "policy.refused", at unix_us(), { proposal = proposal, why = why },
--- a/src/fleet/net/policy.rs
+++ b/src/fleet/net/policy.rs
@@ -42,6 +42,8 @@
     config: PolicyConfig,
     own: Value,
     own_content: String,
+    /// Where its own file differs from the epoch in force, until it is said.
+    differences: RefCell<Vec<String>>,
     epoch: Cell<u64>,
     /// Whether the epoch in force is held here.
     held: Cell<bool>,
@@ -94,6 +96,7 @@
             config,
             own,
             own_content,
+            differences: RefCell::default(),
             epoch: Cell::new(0),
             held: Cell::new(false),
             staged: RefCell::default(),
@@ -178,16 +181,24 @@
         match notice {
             Notice::Staged { proposal, content } => {
                 let (proposal, content) = (*proposal, content.clone());
-                History(self.fleet.who()).policy_proposed(proposal, digest(&content));
+                // What a new life reads anew in the log is told no second time.
+                if self.fleet.lives() {
+                    History(self.fleet.who()).policy_proposed(proposal, digest(&content));
+                }
                 self.staged.replace(Some(Staged { proposal, content, closing: false }));
             }
             Notice::Closing { proposal } => {
                 if let Some(staged) = self.staged.borrow_mut().as_mut().filter(|s| s.proposal == *proposal) {
                     staged.closing = true;
+                    if self.fleet.lives() {
+                        History(self.fleet.who()).policy_closing(*proposal);
+                    }
                 }
             }
             Notice::Nowhere { proposal, why } => {
-                History(self.fleet.who()).policy_refused(*proposal, why);
+                if self.fleet.lives() {
+                    History(self.fleet.who()).policy_refused(*proposal, why);
+                }
                 self.staged.take();
             }
             Notice::InForce { epoch, content } => {
@@ -218,12 +229,9 @@
                 self.core.tell(Input::Settings(Box::new(settings)));
                 self.held.set(true);
                 history.policy_epoch(epoch, digest(content));
-                let differences = content::differences(content, &self.own_content);
-                if let Some(first) = differences.first() {
-                    let more = differences.len();
-                    log::info!(
-                        "policy: this conductor's own file differs from epoch {epoch} in {more} fields: {first}"
-                    );
+                self.differences.replace(content::differences(content, &self.own_content));
+                if self.fleet.lives() {
+                    self.say_differences();
                 }
                 self.tell(Command::Over { epoch });
             }
@@ -234,11 +242,22 @@
         }
     }
 
+    fn say_differences(&self) {
+        let (epoch, differences) = (self.epoch.get(), self.differences.take());
+        if let Some(first) = differences.first() {
+            let fields = differences.len();
+            log::info!(
+                "policy: this conductor's own file differs from epoch {epoch} in {fields} fields: {first}"
+            );
+        }
+    }
+
     /// Says what has not been said in this life; the first to come proposes its own file's policy.
     fn begin_life(self: &Rc<Self>) {
         let epoch = self.epoch.get();
         if epoch > 0 {
             if self.held.get() {
+                self.say_differences();
                 self.tell(Command::Over { epoch });
             }
             return;
