--- a/lab/tests/processes_policy.rs
+++ b/lab/tests/processes_policy.rs
@@ -4,6 +4,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::process::{Command, Output};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use whinhaven_lab::checker::{Limits, check};
 use whinhaven_lab::clients::Load;
 use whinhaven_lab::fleet::{Fleet, FleetSettings, SETTINGS};
@@ -40,7 +42,19 @@
         let held: Option<Vec<_>> = names.iter().map(last).collect();
         held.filter(|held| held.windows(2).all(|two| two[0] == two[1])).map(|_| ())
     });
-    assert!(agreed.is_some(), "{}", fleet.history.not_seen(STUCK));
+    if agreed.is_none() {
+        let of_note = |r: &&Record| {
+            ["fleet", "life", "fault", "policy"].iter().any(|part| r.event.starts_with(part))
+                && r.event != "policy.begin"
+        };
+        let records = fleet.history.records();
+        let last: Vec<String> = records
+            .iter()
+            .filter(of_note)
+            .map(|r| format!("{} {} {:?}", r.source, r.event, r.fields))
+            .collect();
+        panic!("no agreement: {}", last[last.len().saturating_sub(60)..].join("\n"));
+    }
 }
 
 /// Proposes the lab's settings with a change, by way of a conductor: whether it is in force, and what was said.
@@ -122,7 +136,7 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let fleet = start(seed);
     let load = Load::start(&fleet.client(), 6, 30.0, seed);
-    let mut in_force = 0;
+    let (mut in_force, mut hits) = (0, 0);
     for round in 0..rounds {
         let step = STEPS[(round % 3) as usize];
         let names = fleet.names();
@@ -133,9 +147,17 @@
         let conductor = fleet.conductor(&victim);
         let (kill, stop) = (conductor.killer(), conductor.stopper());
         let struck = victim.clone();
-        let fault = move |_: &Record| if kills { kill() } else { stop() };
+        // A step that this round does not come to must not be struck in a later one.
+        let armed = Arc::new(AtomicBool::new(true));
+        let trigger = armed.clone();
+        let fault = move |_: &Record| match (trigger.swap(false, Ordering::Relaxed), kills) {
+            (true, true) => kill(),
+            (true, false) => stop(),
+            (false, _) => {}
+        };
         fleet.history.once(move |r| r.order > from as u64 && r.is(&struck, step), fault);
         let (done, said) = worth(&fleet, &by, 10 + round);
+        hits += u64::from(!armed.swap(false, Ordering::Relaxed));
         in_force += u64::from(done);
         assert!(done || said.contains("nowhere: "), "seed {seed} round {round} {step} at {victim}: {said}");
         if kills {
@@ -145,6 +167,7 @@
         }
         settled(&fleet);
     }
-    println!("seed {seed}, {rounds} rounds: {in_force} in force");
+    println!("seed {seed}, {rounds} rounds: {in_force} in force, {hits} struck");
+    assert!(hits > 0, "no fault came to its step");
     end(fleet, load);
 }
