--- a/lab/tests/model_policy.rs
+++ b/lab/tests/model_policy.rs
@@ -299,16 +299,21 @@
         .assert_properties();
 }
 
-/// Minutes: by hand, in a release build.
+/// With a new life that goes, too.
 #[test]
-#[ignore = "minutes; run it with --release"]
-fn two_proposals_and_two_ends_in_every_order() {
-    check(Case { proposals: 2, ends: 1, aborts: 1, flaw: Flaw::None }, HasDiscoveries::All)
-        .assert_properties();
+fn one_proposal_with_two_lives_that_end_in_every_order() {
     check(Case { proposals: 1, ends: 2, aborts: 1, flaw: Flaw::None }, HasDiscoveries::All)
         .assert_properties();
 }
 
+/// A quarter of a minute: by hand.
+#[test]
+#[ignore = "a quarter of a minute"]
+fn two_proposals_in_every_order() {
+    check(Case { proposals: 2, ends: 1, aborts: 1, flaw: Flaw::None }, HasDiscoveries::All)
+        .assert_properties();
+}
+
 #[rstest::rstest]
 #[case::begins_while_closing(Flaw::BeginsClosing, "none begins under the old after one under the new")]
 #[case::closes_early(Flaw::ClosesEarly, "none begins under the old after one under the new")]
--- a/src/fleet/group/follow.rs
+++ b/src/fleet/group/follow.rs
@@ -117,9 +117,7 @@
     fn restore(&mut self, snapshot: Snapshot, out: &mut Vec<Action>) {
         let index = snapshot.index;
         self.raise(snapshot.term, out);
-        // A log that ends before the snapshot has nothing behind it to drop, and a store refuses a gap.
-        let tail = self.log.last() > index;
-        if !self.log.restore(snapshot.clone()) && tail {
+        if !self.log.restore(snapshot.clone()) {
             let first = Index(index.0 + 1);
             out.push(Action::Persist(Write::Entries { first, entries: Vec::new() }));
         }
