--- a/lab/tests/processes_takeover.rs
+++ b/lab/tests/processes_takeover.rs
@@ -3,10 +3,10 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::sync::{Arc, Mutex};
 use whinhaven_lab::checker::{Limits, check};
 use whinhaven_lab::clients::{Ask, Final, Tried};
 use whinhaven_lab::fleet::{Fleet, FleetSettings};
-use whinhaven_lab::history::STUCK;
 use whinhaven_lab::steps::{Hits, Step, strike};
 
 /// Everything faster than in service, so that a round takes seconds.
@@ -108,13 +108,20 @@
         let (first, kills) = (random.random_range(0..5usize), random.random_bool(0.7));
         let (name, victim) = (format!("order-{round}"), format!("c{}", first + 1));
         let conductor = fleet.conductor(&victim);
-        if kills {
-            strike(&fleet.history, step, &name, conductor.killer());
-        } else {
-            strike(&fleet.history, step, &name, conductor.stopper());
-        }
+        // A step may come when the client has its answer already, and would then strike the round after.
+        let armed = Arc::new(Mutex::new(true));
+        let (still, kill, stop) = (armed.clone(), conductor.killer(), conductor.stopper());
+        strike(&fleet.history, step, &name, move || {
+            let armed = still.lock().unwrap();
+            if *armed && kills {
+                kill();
+            } else if *armed {
+                stop();
+            }
+        });
         let calls = random.random_range(0..3);
         let ended = client.ask(&Ask::send(&name, 8, calls), first);
+        *armed.lock().unwrap() = false;
         assert!(ended.answer.is_some(), "seed {seed} round {round}: {step:?} at {victim}: {ended:?}");
         if fleet.history.count(|r| step.is(r, &name)) > 0 {
             hits.hit(step);
@@ -128,5 +135,4 @@
     }
     println!("seed {seed}, {rounds} rounds: {hits}");
     end(fleet);
-    let _ = STUCK;
 }
