--- a/src/fleet/group.rs
+++ b/src/fleet/group.rs
@@ -641,20 +641,12 @@
                 self.on_voted(now, from, founded, term, (pre, vote_term, granted), out)
             }
             Body::Append { before, before_term, entries, commit } => {
-<<<<<<< HEAD
-                if self.heeds_leader(now, &from, term, out) {
-=======
                 if self.hear_leader(now, &from, term, out) {
->>>>>>> group
                     self.on_append(&from, before, before_term, entries, commit, out);
                 }
             }
             Body::Install(part) => {
-<<<<<<< HEAD
-                if self.heeds_leader(now, &from, term, out) {
-=======
                 if self.hear_leader(now, &from, term, out) {
->>>>>>> group
                     self.on_install(&from, part, out);
                 }
             }
--- a/src/fleet/group/follow.rs
+++ b/src/fleet/group/follow.rs
@@ -16,11 +16,7 @@
 
 impl Group {
     /// Whether the message comes from the leader of this member's term, to which it may go for that.
-<<<<<<< HEAD
-    pub(super) fn heeds_leader(
-=======
     pub(super) fn hear_leader(
->>>>>>> group
         &mut self,
         now: Micros,
         from: &VoterId,
