--- a/lab/tests/sim_lease.rs
+++ b/lab/tests/sim_lease.rs
@@ -282,6 +282,14 @@
         }
     }
 
+    /// A planned stop.
+    fn leave(&mut self, n: usize) {
+        if let Some(body) = self.places[n].body.as_mut() {
+            body.leaves = true;
+        }
+        self.tell(n, Event::Leave);
+    }
+
     fn cut(&mut self, n: usize, both: bool) {
         for other in (0..self.places.len()).filter(|other| *other != n) {
             self.cut.insert((n, other));
@@ -330,12 +338,7 @@
                 }
             }
             6 if self.places[n].body.is_none() => self.start(n),
-            6 => {
-                if let Some(body) = self.places[n].body.as_mut() {
-                    body.leaves = true;
-                }
-                self.tell(n, Event::Leave);
-            }
+            6 => self.leave(n),
             7 => {
                 let both = self.rng.random_bool(0.5);
                 self.cut(n, both);
@@ -440,7 +443,7 @@
                 match fault {
                     "crash" => sim.places[holder].body = None,
                     "cut" => sim.cut(holder, true),
-                    _ => sim.tell(holder, Event::Leave),
+                    _ => sim.leave(holder),
                 }
                 if fault == "cut" {
                     assert!(sim.run(from + 60 * SECOND, |sim| sim.actor(&duty) != Some(holder)));
--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -830,7 +830,13 @@
         }
         let after = self.mine.get(name).and_then(|mine| mine.held);
         let cause = match (before, after) {
-            (Some((old, _)), Some((new, Some(_)))) if old == new => Cause::Renewed,
+            (Some((old, was)), Some((new, Some(base)))) if old == new => {
+                if base > was {
+                    Cause::Renewed
+                } else {
+                    cause
+                }
+            }
             (_, Some((_, Some(_)))) => Cause::Granted,
             _ => cause,
         };
@@ -909,6 +915,7 @@
             return;
         }
         let cause = match cause {
+            Cause::RanOut if mine.standing == Standing::Out => Cause::Wanted,
             Cause::RanOut if self.ended || !life_good => Cause::Life,
             Cause::RanOut if to == Standing::Acting => Cause::Granted,
             cause => cause,
