--- a/lab/tests/sim_lease.rs
+++ b/lab/tests/sim_lease.rs
@@ -304,8 +304,8 @@
         self.cut.clear();
         for n in 0..self.places.len() {
             self.carry_on(n);
-            // Whoever was told to leave has had its time.
-            self.places[n].body.take_if(|body| body.leaves);
+            // Whoever was told to leave, or was about to die, has had its time.
+            self.places[n].body.take_if(|body| body.leaves || body.dies_after.is_some());
             if self.places[n].body.is_none() {
                 self.start(n);
             }
