--- a/lab/src/experiments/view.rs
+++ b/lab/src/experiments/view.rs
@@ -237,6 +237,7 @@
                 while let Some((whose, size, loss)) = jobs.get(next.fetch_add(1, Ordering::Relaxed)) {
                     let runs = (args.runs * 30 / *size as u64).clamp(1, args.runs.max(1));
                     let point = measure(*whose, *size, *loss, runs);
+                    eprintln!("{}, {size} members, {loss}% loss: done", whose.name());
                     let number = jobs.iter().position(|job| job == &(*whose, *size, *loss));
                     let mut done = done.lock().unwrap_or_else(PoisonError::into_inner);
                     done.insert(number, (*whose, *size, *loss, point));
