--- a/lab/src/experiments/mod.rs
+++ b/lab/src/experiments/mod.rs
@@ -1,46 +1,30 @@
 //! Experiments: each measures one thing by itself, prints its figures as a table and plots them (SVG).
 //!
-//! `whinhaven-lab experiment NAME` runs one. A new experiment is a module here and a line in [`ALL`].
+//! `whinhaven-lab experiment NAME` runs one. A new experiment is a module here and a variant of [`Experiment`].
 
 pub mod ground;
+pub mod view;
 
-use std::path::{Path, PathBuf};
+use std::error::Error;
 
-/// What an experiment is told.
-#[derive(Clone, Debug)]
-pub struct Options {
-    /// For all that is random.
-    pub seed: u64,
-    /// Fewer sizes and rounds: seconds instead of minutes.
-    pub quick: bool,
-    /// Where plots and tables go.
-    pub out: PathBuf,
+/// All experiments, by name.
+#[derive(Clone, Debug, clap::Subcommand)]
+pub enum Experiment {
+    /// Real conductors: time to see a death, to move a lease, to agree after a heal; cost of the fleet's messages.
+    Ground(ground::GroundArgs),
+    /// The view in simulation: time to detect, to settle, false deaths, messages and bytes, against size and loss.
+    View(view::ViewArgs),
 }
 
-impl Options {
-    /// The folder for plots and tables, made if there is none.
+impl Experiment {
+    /// Runs it.
     ///
     /// # Errors
-    /// It can't be made.
-    pub fn folder(&self) -> std::io::Result<&Path> {
-        std::fs::create_dir_all(&self.out)?;
-        Ok(&self.out)
+    /// It can't be carried out or its files can't be written, in one line.
+    pub fn run(&self) -> Result<(), Box<dyn Error>> {
+        match self {
+            Experiment::Ground(args) => ground::run(args),
+            Experiment::View(args) => view::run(args),
+        }
     }
 }
-
-/// An experiment as the command line knows it.
-pub struct Experiment {
-    /// Its name.
-    pub name: &'static str,
-    /// What it measures, in a line.
-    pub about: &'static str,
-    /// Runs it; an error is one line for the user.
-    pub run: fn(&Options) -> Result<(), String>,
-}
-
-/// All experiments, by name.
-pub const ALL: &[Experiment] = &[Experiment {
-    name: "ground",
-    about: "real conductors: time to see a death, to move a lease, to agree after a heal; cost of the fleet's messages",
-    run: ground::run,
-}];
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -184,7 +184,7 @@
             settings,
             fronts: Vec::new(),
             folder,
-            block: block,
+            block,
         };
         for (i, name) in names.iter().enumerate() {
             // A folder of the caller's may hold the disks of an earlier fleet.
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -242,15 +242,21 @@
     }
 
     fn signal(&self, signal: Signal) -> bool {
-        let child = self.child();
-        let pid = child.as_ref().and_then(|c| Pid::from_raw(i32::try_from(c.id()).ok()?));
-        pid.is_some_and(|pid| kill_process(pid, signal).is_ok())
+        send(&self.running, signal)
     }
 
     /// Stops the process where it is (SIGSTOP).
     pub fn stop(&self) {
-        if self.signal(Signal::STOP) {
-            self.history.note("lab", "fault.stop", json!({ "member": self.name }));
+        self.stopper()();
+    }
+
+    /// What stops it from wherever it is called, once: for reactions to the history.
+    pub fn stopper(&self) -> impl FnOnce() + Send + 'static {
+        let (running, history, name) = (self.running.clone(), self.history.clone(), self.name.clone());
+        move || {
+            if send(&running, Signal::STOP) {
+                history.note("lab", "fault.stop", json!({ "member": name }));
+            }
         }
     }
 
@@ -285,6 +291,12 @@
     }
 }
 
+fn send(running: &Mutex<Option<Child>>, signal: Signal) -> bool {
+    let child = running.lock().unwrap_or_else(PoisonError::into_inner);
+    let pid = child.as_ref().and_then(|c| Pid::from_raw(i32::try_from(c.id()).ok()?));
+    pid.is_some_and(|pid| kill_process(pid, signal).is_ok())
+}
+
 impl Drop for Conductor {
     fn drop(&mut self) {
         if let Some(child) = self.child().take() {
