--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -177,9 +177,12 @@
     pub fn start(&self) -> Result<Record, StartError> {
         let before = self.history.len();
         self.spawn()?;
+        let pid = self.id().map(u64::from);
+        // What an earlier process of this name says last may come late.
+        let exited = |r: &Record| r.event == "lab.exited" && r.number("pid") == pid;
         let serves = |r: &Record| {
             r.source == self.name
-                && (r.text("line").contains(" serves on ") || r.event == "lab.exited" || r.event == "serves")
+                && (r.text("line").contains(" serves on ") || exited(r) || r.event == "serves")
         };
         let line = self.history.wait_for(before, STUCK, serves)?;
         if line.event == "lab.exited" {
