--- a/lab/src/experiments/ground.rs
+++ b/lab/src/experiments/ground.rs
@@ -1,20 +1,42 @@
 //! Real conductors with the settings of service: how soon a death is seen, a lease moves, views agree again, and what the
 //! fleet's own messages cost, against size and loss.
 
-use super::Options;
 use crate::fleet::{Fleet, FleetSettings};
 use crate::history::{Record, STUCK, unix_micros};
 use crate::plot::Chart;
 use std::path::PathBuf;
 use std::time::Duration;
 
+/// What is measured.
+#[derive(clap::Args, Clone, Debug)]
+pub struct GroundArgs {
+    /// Fleet sizes.
+    #[arg(long, value_delimiter = ',', default_values_t = [3, 5, 9])]
+    pub sizes: Vec<usize>,
+    /// Parts of messages lost, in percent.
+    #[arg(long, value_delimiter = ',', default_values_t = [0, 30])]
+    pub losses: Vec<u32>,
+    /// Deaths and cuts of each fleet.
+    #[arg(long, default_value_t = 5)]
+    pub rounds: usize,
+    /// Seconds over which messages are counted.
+    #[arg(long, default_value_t = 10)]
+    pub quiet: u64,
+    /// For all that is random.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Where the plot and the histories go.
+    #[arg(long, default_value = "target/experiments")]
+    pub out: PathBuf,
+}
+
 const DUTY: &str = "discovery-refresh";
 
 /// What one fleet showed; times in seconds, one a round.
 #[derive(Default)]
 struct Figures {
     members: usize,
-    loss: f64,
+    loss: u32,
     first_suspicion: Vec<f64>,
     dead_at_all: Vec<f64>,
     new_holder: Vec<f64>,
@@ -26,13 +48,12 @@
     false_deaths: usize,
 }
 
-/// Runs fleets of 3, 5 and 9 conductors without loss and with 30%, prints a table and plots it.
+/// Runs a fleet of each size at each loss, prints a table and plots it.
 ///
 /// # Errors
 /// A fleet does not start or comes to no agreement, or a file can't be written.
-pub fn run(options: &Options) -> Result<(), String> {
-    let folder = options.folder().map_err(|e| e.to_string())?;
-    let (sizes, rounds, quiet) = if options.quick { (&[3][..], 1, 2) } else { (&[3, 5, 9][..], 5, 10) };
+pub fn run(args: &GroundArgs) -> Result<(), Failed> {
+    std::fs::create_dir_all(&args.out)?;
     let mut all = Vec::new();
     println!(
         "{:>7} {:>5} {:>10} {:>10} {:>10} {:>10} {:>10} {:>12} {:>10} {:>12} {:>12}",
@@ -48,20 +69,19 @@
         "tcp bytes/s",
         "false deaths"
     );
-    for &members in sizes {
-        for loss in [0.0, 0.3] {
-            let kept = folder.join(format!("ground-{members}-{loss}"));
-            let figures = measure(members, loss, rounds, Duration::from_secs(quiet), options.seed, kept)
-                .map_err(|e| format!("{members} conductors, loss {loss}: {e}"))?;
+    for &members in &args.sizes {
+        for &loss in &args.losses {
+            let figures = measure(members, loss, args)
+                .map_err(|e| format!("{members} conductors, loss {loss}%: {e}"))?;
             println!("{}", figures.line());
             all.push(figures);
         }
     }
-    println!("times in seconds, median (most) of {rounds} rounds; rates of one member, sent");
-    let lines = |loss: f64| {
+    println!("times in seconds, median (most) of {} rounds; rates of one member, sent", args.rounds);
+    let lines = |loss: u32| {
         let of = |name: &str, value: fn(&Figures) -> f64| {
             let points = all.iter().filter(|f| f.loss == loss).map(|f| (f.members as f64, value(f)));
-            (format!("{name}, loss {loss}"), points.collect::<Vec<_>>())
+            (format!("{name}, loss {loss}%"), points.collect::<Vec<_>>())
         };
         [
             of("dead at all", |f| median(&f.dead_at_all)),
@@ -73,11 +93,11 @@
         title: "Real conductors: time after a fault".to_owned(),
         x: "members".to_owned(),
         y: "seconds (median)".to_owned(),
-        lines: [lines(0.0), lines(0.3)].concat(),
+        lines: args.losses.iter().flat_map(|loss| lines(*loss)).collect(),
         marks: Vec::new(),
     };
-    let file = folder.join("ground.svg");
-    chart.save(&file).map_err(|e| e.to_string())?;
+    let file = args.out.join("ground.svg");
+    chart.save(&file)?;
     println!("plot: {}", file.display());
     Ok(())
 }
@@ -111,14 +131,7 @@
 
 type Failed = Box<dyn std::error::Error>;
 
-fn measure(
-    members: usize,
-    loss: f64,
-    rounds: usize,
-    quiet: Duration,
-    seed: u64,
-    kept: PathBuf,
-) -> Result<Figures, Failed> {
+fn measure(members: usize, loss: u32, args: &GroundArgs) -> Result<Figures, Failed> {
     let voters = if members < 5 { 3 } else { 5 };
     let settings = FleetSettings {
         conductors: members,
@@ -126,8 +139,8 @@
         readers: 1,
         writers: 1,
         fleet: "refresh_period_ms = 20\n".to_owned(),
-        seed,
-        folder: Some(kept),
+        seed: args.seed,
+        folder: Some(args.out.join(format!("ground-{members}-{loss}"))),
         ..FleetSettings::default()
     };
     let fleet = Fleet::start(settings)?;
@@ -137,7 +150,7 @@
     all_agree()?;
     acted(&fleet, fleet.history.len(), "")?;
     for (a, b) in names.iter().flat_map(|a| names.iter().map(move |b| (a, b))).filter(|(a, b)| a != b) {
-        fleet.network.set(a, b, |f| f.loss = loss);
+        fleet.network.set(a, b, |f| f.loss = f64::from(loss) / 100.0);
     }
     let mut figures = Figures { members, loss, ..Figures::default() };
     let carried = || {
@@ -147,13 +160,13 @@
             .fold([0; 5], |sum, c| std::array::from_fn(|i| sum[i] + c[i]))
     };
     let (before, begun) = (carried(), unix_micros());
-    std::thread::sleep(quiet);
+    std::thread::sleep(Duration::from_secs(args.quiet));
     let (after, time) = (carried(), (unix_micros() - begun) as f64 / 1e6);
     let rate = |i: usize| (after[i] - before[i]) as f64 / time / members as f64;
     (figures.datagrams_per_s, figures.bytes_per_s, figures.connection_bytes_per_s) =
         (rate(0), rate(1), rate(4));
     let mut struck: Vec<String> = Vec::new();
-    for round in 0..rounds {
+    for round in 0..args.rounds {
         // Whoever holds the lease dies, so that both are measured by one death.
         let holder = fleet.holder(DUTY).ok_or("nobody holds the lease")?;
         let from = fleet.history.len();
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use whinhaven_lab::checker::{Limits, check};
-use whinhaven_lab::experiments::{ALL, Options};
+use whinhaven_lab::experiments::Experiment;
 use whinhaven_lab::history;
 use whinhaven_lab::play::Play;
 
@@ -25,19 +25,11 @@
         /// The history's file, a JSON line a record.
         history: PathBuf,
     },
-    /// Runs an experiment; without a name, lists them.
+    /// Measures one thing, prints its figures and plots them.
     Experiment {
-        /// Its name.
-        name: Option<String>,
-        /// For all that is random.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// Fewer sizes and rounds: seconds instead of minutes.
-        #[arg(long)]
-        quick: bool,
-        /// Where plots and tables go.
-        #[arg(long, default_value = "target/experiments")]
-        out: PathBuf,
+        /// Which.
+        #[command(subcommand)]
+        which: Experiment,
     },
 }
 
@@ -53,16 +45,7 @@
             }
             Err(error) => Err(format!("{}: {error}", history.display())),
         },
-        Task::Experiment { name: None, .. } => {
-            ALL.iter().for_each(|e| println!("{:<16} {}", e.name, e.about));
-            Ok(true)
-        }
-        Task::Experiment { name: Some(name), seed, quick, out } => {
-            match ALL.iter().find(|e| e.name == name) {
-                Some(experiment) => (experiment.run)(&Options { seed, quick, out }).map(|()| true),
-                None => Err(format!("no experiment {name:?}; `whinhaven-lab experiment` lists them")),
-            }
-        }
+        Task::Experiment { which } => which.run().map(|()| true).map_err(|e| e.to_string()),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
