--- a/lab/tests/model_lease.rs
+++ b/lab/tests/model_lease.rs
@@ -206,7 +206,7 @@
                         self.tell(world, member, lease::Event::Answered(origin.seq, answer));
                     }
                 }
-                Effect::Bounds(_) => {}
+                Effect::Bounds(_) | Effect::Takeover(_) => {}
             }
         }
     }
