--- a/lab/tests/sim_view.rs
+++ b/lab/tests/sim_view.rs
@@ -127,3 +127,50 @@
         }
     }
 }
+
+/// Notes since the last look in which a member is held dead or left.
+fn ends(fleet: &mut Fleet) -> Vec<(usize, String)> {
+    let notes = fleet.world.take_notes().into_iter();
+    let gone = notes.filter(|(_, _, change)| change.to > Status::Suspect);
+    gone.map(|(_, by, change)| (by, change.member.as_str().to_owned())).collect()
+}
+
+/// A member that stood still judges nobody by what it missed, and comes back in the same life.
+#[test]
+fn a_stopped_member_comes_back_without_a_restart() {
+    let mut fleet = Fleet::settled(Plan::new(5, 3), 40).expect("settles");
+    fleet.world.pause(4);
+    fleet.run_periods(80);
+    let held = ends(&mut fleet);
+    assert!((0..4).all(|by| held.contains(&(by, "m00004".to_owned()))), "{held:?}");
+    fleet.world.resume(4);
+    fleet.until_agreed(20).expect("it is alive again in its life");
+    fleet.run_periods(40);
+    assert_eq!(ends(&mut fleet), []);
+}
+
+/// Where one direction of a link is cut, helpers keep both ends alive.
+#[test]
+fn a_one_way_cut_ends_nobody() {
+    let mut fleet = Fleet::settled(Plan::new(5, 4), 40).expect("settles");
+    fleet.world.network.cut(0, 1);
+    fleet.run_periods(400);
+    assert_eq!(ends(&mut fleet), []);
+}
+
+/// A join, a leave and a crash reach all within a few times log2 n periods beyond the suspicion, at any size.
+#[rstest]
+#[case(8)]
+#[case(64)]
+fn changes_reach_all_in_logarithmic_time(#[case] members: usize) {
+    let mut fleet = Fleet::settled(Plan::new(members, 5), 200).expect("settles");
+    let rounds = 2 * u64::from(members.ilog2());
+    let (shortest, _) = Settings::default().suspicion(members);
+    let suspicion = shortest.div_ceil(fleet.period());
+    fleet.leave(members - 1);
+    fleet.until_agreed(rounds).expect("the leave is known");
+    fleet.start(members - 1);
+    fleet.until_agreed(rounds).expect("the new life is known");
+    fleet.world.crash(members - 1);
+    fleet.until_agreed(2 * suspicion + rounds).expect("the crash is known");
+}
