--- a/lab/tests/model_group.rs
+++ b/lab/tests/model_group.rs
@@ -38,6 +38,8 @@
     CommitsOldTerms,
     /// A voter with an emptied disk goes on under its old number, as one that has founded the group.
     EmptiedRemembers,
+    /// Members pledge to any store of a name.
+    PledgesAnew,
 }
 
 /// A scenario: what may happen, how often.
@@ -46,6 +48,9 @@
     flaw: Flaw,
     /// The group starts from empty disks instead of founded ones.
     founding: bool,
+    /// With `founding`: the first two have founded already and the first leads by the second's vote; the third has
+    /// only pledged.
+    half: bool,
     /// Elections go through their pre-votes.
     pre_votes: bool,
     /// Learners' messages travel too.
@@ -78,6 +83,7 @@
         Scenario {
             flaw: Flaw::None,
             founding: false,
+            half: false,
             pre_votes: false,
             pulls: false,
             terms: 2,
@@ -247,6 +253,7 @@
                         let have = node.group.entries().iter().find(|e| e.index == *before);
                         *before_term = have.map_or(*before_term, |e| e.term);
                     }
+                    Body::Pledge { granted } if self.flaw == Flaw::PledgesAnew => *granted = true,
                     _ => {}
                 }
                 vec![Event::Message { from: name(from), message }]
@@ -393,7 +400,11 @@
                 let others = (0..3).filter(|j| *j != i);
                 let pledges: BTreeMap<_, _> = others.map(|j| (name(j), j as u64 + 1)).collect();
                 let hard = HardState { founded: Some(founded.clone()), pledges, ..HardState::default() };
-                let hard = if self.founding { HardState::default() } else { hard };
+                let hard = match (self.founding, self.half) {
+                    (false, _) => hard,
+                    (true, true) => HardState { founded: hard.founded.filter(|_| i < 2), ..hard },
+                    (true, false) => HardState::default(),
+                };
                 let disk = Restored { hard, ..Restored::default() };
                 let store = i as u64 + 1;
                 let (group, app) = (start(i, store, &disk, self.most_entries), (Index(0), Term(0), 0));
@@ -418,9 +429,21 @@
         if self.led {
             self.lead_first(&mut state);
         }
+        if self.half {
+            // The second member's vote made the first one lead; all else it sent got lost.
+            self.act(&mut state, 0, What::Stand, None);
+            while state.nodes[0].group.role() != Role::Leader {
+                let Some((_, sent)) = state.sent.pop_first() else { break };
+                if sent.0 + sent.1 == 1 {
+                    let to = sent.1;
+                    self.act(&mut state, to, What::Deliver(sent), None);
+                }
+            }
+            state.sent.clear();
+        }
         if self.founding {
             // All have asked each other for pledges; when that is heard is open.
-            (0..3).for_each(|i| self.act(&mut state, i, What::Ask, None));
+            (0..3).filter(|i| !self.half || *i == 2).for_each(|i| self.act(&mut state, i, What::Ask, None));
         }
         state.led = true;
         vec![state]
@@ -581,6 +604,11 @@
     }
 }
 
+/// The second voter loses its disk after it has founded, the third has not founded yet.
+fn half_founded() -> Scenario {
+    Scenario { half: true, loser: Some(1), stand: &[2], ..founding() }
+}
+
 /// The third voter loses its disk, is taken out, pulls, and is put in again.
 fn replaced() -> Scenario {
     Scenario {
@@ -611,6 +639,7 @@
     crashes: 1, stand: &[1], ..Scenario::default()
 })]
 #[case::founding("founding, a disk emptied", "one founds", 15_000, Scenario { stand: &[0], ..founding() })]
+#[case::half("a founder is emptied", "a leader is elected", 100_000, half_founded())]
 #[case::changes("an emptied voter is replaced", "a leader is elected", 15_000, replaced())]
 fn small_bounds_hold(
     #[case] what: &str,
@@ -626,6 +655,9 @@
     stand: &[1], ..Scenario::default()
 })]
 #[case::founding("founding, a disk emptied", "one founds", Scenario { stand: &[0], ..founding() })]
+#[case::half("a founder is emptied, with heartbeats and an entry", "an entry commits", Scenario {
+    beats: 1, proposals: 1, ..half_founded()
+})]
 #[case::founding_all("founding, a disk emptied, all stand", "one founds", Scenario {
     crashes: 1, ..founding()
 })]
@@ -669,6 +701,7 @@
 #[case::emptied("leader completeness", Scenario {
     flaw: Flaw::EmptiedRemembers, empties: 1, stand: &[2], ..Scenario::default()
 })]
+#[case::pledges("election safety", Scenario { flaw: Flaw::PledgesAnew, ..half_founded() })]
 fn a_flaw_is_caught(#[case] property: &'static str, #[case] scenario: Scenario) {
     let what = format!("{:?}", scenario.flaw);
     let found = check(&what, scenario, 400_000, HasDiscoveries::AnyFailures);
