--- a/lab/src/checker/lease.rs
+++ b/lab/src/checker/lease.rs
@@ -20,10 +20,15 @@
     let mut done: Vec<(&Act, &LeaseFact)> = Vec::new();
     for act in acts {
         let holder: Holder = (act.source.clone(), act.incarnation);
+        // The right to act is the life lease; what a member says of it besides may come a moment later.
+        let is_life = |lease: &str| lease.strip_prefix("life/") == Some(act.source.as_str());
         match &act.fact {
             Fact::LeaseGranted(LeaseFact { lease, token }) => {
                 verdict.checked += 1;
                 verdict.count("grants");
+                if is_life(lease) {
+                    dead.remove(&holder);
+                }
                 let first = granted.entry((lease.as_str(), *token)).or_insert_with(|| holder.clone());
                 if *first != holder {
                     let (name, life) = first;
@@ -42,6 +47,9 @@
                 }
             }
             Fact::LeaseLost(LeaseFact { lease, token }) | Fact::LeaseReleased(LeaseFact { lease, token }) => {
+                if is_life(lease) {
+                    dead.insert(holder.clone());
+                }
                 ended.insert((lease.as_str(), *token, holder));
             }
             Fact::LifeEnded { peer, peer_incarnation } => {
--- a/lab/tests/checker.rs
+++ b/lab/tests/checker.rs
@@ -85,6 +85,14 @@
     "\"source\": \"c1\", \"event\": \"life.ended\", \"peer\": \"c2\", \"peer_incarnation\": 12",
     "c2@12 acted after its life was ended"
 )]
+#[case::an_act_without_a_life_lease(
+    2,
+    "lease",
+    2,
+    "\"event\": \"life.gained\", \"incarnation\": 12, \"token\": 1",
+    "\"event\": \"lease.lost\", \"incarnation\": 12, \"lease\": \"life/c2\", \"token\": 1",
+    "c2@12 acted though it may not act"
+)]
 #[case::a_second_run(
     4,
     "takeover",
