--- a/src/run.rs
+++ b/src/run.rs
@@ -22,6 +22,7 @@
 use whinhaven::net::discovery::{Directory, Follower};
 use whinhaven::net::pool::Pool;
 use whinhaven::net::server::{Connections, Edge, Listener, OVER, Stage};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
@@ -236,7 +237,8 @@
         budget: Cell::new(config.limits.memory_mb * 1024 * 1024 / 3),
         ids: RefCell::default(),
     });
-    let seed = config.seed;
+    // Ids of sends at model hosts: of this start alone, or two conductors, or two lives of one, would share what is held.
+    let seed = xxh3_64_with_seed(format!("{} {}", config.name, clock.now()).as_bytes(), config.seed);
     let tools = {
         let safe = |c: &&Class| matches!(c.effect, Effect::Safe | Effect::Keyed(Group::All));
         let once: Vec<String> =
