--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -13,7 +13,7 @@
         Host::start(HostSettings { tokens_per_s, ..quick }, states.clone(), history.clone())
     };
     let _reader = host("reader-1", HostRole::Reader, 9101, 0.0)?;
-    let _writer = host("writer-1", HostRole::Writer, 9201, 8.0)?;
+    let _writer = host("writer-1", HostRole::Writer, 9201, 2.0)?;
     let _tool = ToolSide::start(([127, 0, 0, 1], 9300).into(), false, history.clone())?;
     println!("toy fleet: reader 127.0.0.1:9101, writer 127.0.0.1:9201, tools 127.0.0.1:9300");
     let mut told = 0;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -4,7 +4,7 @@
 use log::kv::{Error, Key, Value, VisitSource, VisitValue};
 use serde_json::{Map, Value as Json};
 use std::io::Write;
-use whinhaven::fleet::net::history::{ACTS, RENEWALS};
+use whinhaven::fleet::net::history::{ACTS, RENEWALS, WORK};
 
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -18,7 +18,7 @@
 /// Starts the log.
 pub fn start(format: LogFormat) {
     // What comes once a period is for whoever reads by program.
-    let quiet = format!("info,{RENEWALS}=warn,{ACTS}=warn");
+    let quiet = format!("info,{RENEWALS}=warn,{ACTS}=warn,{WORK}=warn");
     let default = if format == LogFormat::Json { "info" } else { &quiet };
     let mut builder = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(default));
     if format == LogFormat::Json {
