--- a/lab/tests/model_lease.rs
+++ b/lab/tests/model_lease.rs
@@ -415,7 +415,7 @@
 fn two_lives_never_act_at_once_with_clocks_at_the_bound() {
     holds("two lives, clocks at the bound", lives(SLOW, FAST));
     let mut zealous = lives(SLOW, FAST);
-    (zealous.people[1].watches, zealous.horizon) = (true, 3);
+    zealous.people[1].watches = true;
     holds("two that think that they lead", zealous);
     let mut leaving = lives(SLOW, FAST);
     (leaving.people[0].leaves, leaving.horizon) = (true, 3);
@@ -463,7 +463,7 @@
     let more =
         |setup: Setup, horizon, most_log, most_flight| Setup { horizon, most_log, most_flight, ..setup };
     holds("two lives, everybody hears late", Setup { start: Start::Asked, ..lives(SLOW, FAST) });
-    holds("two lives, two requests in flight", more(lives(SLOW, FAST), 3, 4, 2));
+    holds("two lives, two requests in flight", more(lives(SLOW, FAST), 4, 4, 2));
     holds("two lives, longer", more(lives(SLOW, FAST), 4, 5, 1));
     holds("two lives, acts under way", Setup { acts: true, ..lives(SLOW, FAST) });
     // Too short for the next holder's turn: that is in the simulation.
