--- a/src/fleet/net/disk.rs
+++ b/src/fleet/net/disk.rs
@@ -42,6 +42,8 @@
     store: Store,
     incarnation: Incarnation,
     hard: HardState,
+    /// The place after the last record.
+    next: u64,
 }
 
 /// What a start finds.
@@ -76,7 +78,8 @@
             return Err(DiskError::Foreign("a record's place"));
         }
         let incarnation = Incarnation(now.max(kept.incarnation.0 + 1));
-        let mut disk = Disk { store, incarnation, hard: kept.hard.clone() };
+        let next = found.first + entries.len() as u64;
+        let mut disk = Disk { store, incarnation, hard: kept.hard.clone(), next };
         disk.write(&[])?;
         let restored = Restored { hard: kept.hard, snapshot, entries };
         Ok(Found { disk, store_id: found.store_id, fresh: found.fresh, restored, torn: found.torn })
@@ -99,12 +102,16 @@
                     self.hard = hard.clone();
                     forms.push(Form::Hard(self.hard_bytes()));
                 }
+                // Nothing to drop there: before a snapshot that is ahead of the log.
+                Write::Entries { first, entries } if entries.is_empty() && first.0 >= self.next => {}
                 Write::Entries { first, entries } => {
+                    self.next = first.0 + entries.len() as u64;
                     forms.push(Form::Append(first.0, entries.iter().map(bytes).collect()));
                 }
                 Write::Snapshot(snapshot) => {
                     self.flush(&mut forms)?;
                     self.store.install_snapshot(snapshot.index.0, &bytes(snapshot))?;
+                    self.next = self.next.max(snapshot.index.0 + 1);
                 }
             }
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -54,7 +54,7 @@
                 "---\n[fleet]\nname = \"c{0}\"\nsite = \"here\"\npeer = \"{peer}\"\nkey_file = \"key\"\n\
                  voters = [{1}]\npeers = {{ {2} }}\nrefresh_period_ms = 50\n{more}\n\
                  [fleet.view]\nperiod_ms = 100\nprobe_timeout_ms = 40\n\
-                 [fleet.group]\nelection_us = 300000\nheartbeat_us = 50000\n\
+                 [fleet.group]\nelection_us = 300000\nheartbeat_us = 50000\nsnapshot_after = 8\n\
                  [fleet.lease]\ngranted_for_ms = 900\nmargin_ms = 100\noffer_ms = 300\n\
                  [store]\npath = \"store-{0}\"\n",
                 i + 1,
@@ -211,7 +211,8 @@
     fleet.wait(|at, l| at == holder && event(l, "life.gained"));
 }
 
-/// Guards against a voter whose disk was emptied and that votes as if it remembered, and against one that stays away.
+/// Guards against a voter whose disk was emptied and that votes as if it remembered, against one that stays away, and
+/// against one that can't take in a snapshot which begins past its own log.
 #[test]
 fn a_voter_with_an_emptied_disk_is_taken_in_as_another_one() {
     let mut fleet = Fleet::new(3, "");
@@ -222,6 +223,11 @@
         voters.iter().find(|v| v["name"] == "c3").map(|v| number(v, "store"))
     };
     let before = store(&fleet).unwrap();
+    let commit =
+        |fleet: &Fleet| number(&serde_json::from_slice::<Value>(&fleet.status(0).stdout).unwrap(), "commit");
+    while commit(&fleet) < 24 {
+        fleet.wait(|_, l| event(l, "lease.renewed"));
+    }
     fleet.kill(2);
     std::fs::remove_dir_all(fleet.folder.join("store-3")).unwrap();
     fleet.start(2);
