--- a/src/fleet/group/follow.rs
+++ b/src/fleet/group/follow.rs
@@ -16,7 +16,7 @@
 
 impl Group {
     /// Whether the message comes from the leader of this member's term, to which it may go for that.
-    pub(super) fn from_leader(
+    pub(super) fn hear_leader(
         &mut self,
         now: Micros,
         from: &VoterId,
@@ -117,7 +117,9 @@
     fn restore(&mut self, snapshot: Snapshot, out: &mut Vec<Action>) {
         let index = snapshot.index;
         self.raise(snapshot.term, out);
-        if !self.log.restore(snapshot.clone()) {
+        // A log that ends before the snapshot has no tail to drop, and a store takes no place beyond its end.
+        let tail = self.log.last() > index;
+        if !self.log.restore(snapshot.clone()) && tail {
             let first = Index(index.0 + 1);
             out.push(Action::Persist(Write::Entries { first, entries: Vec::new() }));
         }
