--- /dev/null
+++ b/src/fleet/sites/plan.rs
@@ -0,0 +1,887 @@
+//! Plans: who serves what where while sites are missing, made ahead for each loss by a linear program.
+//!
+//! A request comes in at a site's conductors (its *entry*), is read at one site and written at one site; if these two
+//! differ, its state crosses their link. A [`Course`] says how many requests a second of each class go which way and
+//! which part of each class and tenant is taken at all. A [`Plan`] is the course for one [`Loss`], with its figures.
+
+use super::describe::Fleet;
+use super::lp::Program;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What a guaranteed request is worth more than any other: it is given up only when no other is left to give up.
+const GUARANTEED: f64 = 1_000.0;
+/// A site refuses more of a class than the others only where that keeps this much more worth: else all refuse alike.
+const LOCAL: f64 = 1.05;
+/// Less than this of a limit, or of a request a second, is rounding.
+pub(crate) const SLIGHT: f64 = 1e-6;
+
+/// What is missing of a site.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Missing {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// Its conductors: its clients come in elsewhere, its hosts serve.
+    Entries,
+    /// Half of its hosts.
+    HalfHosts,
+    /// Its hosts: its conductors take its clients in and send them elsewhere.
+    Hosts,
+    /// Conductors and hosts.
+    All,
+}
+
+impl Missing {
+    /// Whether its clients come in elsewhere.
+    pub fn entries(self) -> bool {
+        matches!(self, Missing::Entries | Missing::All)
+    }
+
+    /// The part of its hosts that serves.
+    pub fn hosts_left(self) -> f64 {
+        match self {
+            Missing::Nothing | Missing::Entries => 1.0,
+            Missing::HalfHosts => 0.5,
+            Missing::Hosts | Missing::All => 0.0,
+        }
+    }
+}
+
+/// What is missing, for each site in the order of the file.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Loss(pub Vec<Missing>);
+
+impl Loss {
+    /// Nothing is missing.
+    pub fn none(sites: usize) -> Self {
+        Loss(vec![Missing::Nothing; sites])
+    }
+
+    /// These sites are missing whole.
+    pub fn of(sites: usize, lost: &[usize]) -> Self {
+        Loss((0..sites).map(|s| if lost.contains(&s) { Missing::All } else { Missing::Nothing }).collect())
+    }
+
+    /// The same with another value for one site.
+    pub fn with(&self, site: usize, missing: Missing) -> Self {
+        let mut loss = self.clone();
+        loss.0[site] = missing;
+        loss
+    }
+
+    /// The loss that plans are made for: where more than one site is touched, what is touched counts as missing whole.
+    pub fn covered(&self) -> Self {
+        if self.0.iter().filter(|m| **m != Missing::Nothing).count() < 2 {
+            return self.clone();
+        }
+        let whole = |m: &Missing| if *m == Missing::Nothing { Missing::Nothing } else { Missing::All };
+        Loss(self.0.iter().map(whole).collect())
+    }
+}
+
+/// Something that can be full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Limit {
+    /// Prompt tokens a second of a site's readers.
+    Read(usize),
+    /// Tokens that a site's readers keep.
+    ReadMemory(usize),
+    /// Answer tokens a second of a site's writers: their slots.
+    Write(usize),
+    /// Tokens that a site's writers keep.
+    WriteMemory(usize),
+    /// Tokens of state a second from one site to another.
+    Link(usize, usize),
+}
+
+impl Limit {
+    /// Its name for the operators.
+    pub fn name(self, fleet: &Fleet) -> String {
+        let site = |s: usize| fleet.site_name(s);
+        match self {
+            Limit::Read(s) => format!("reading at {}", site(s)),
+            Limit::ReadMemory(s) => format!("readers' memory at {}", site(s)),
+            Limit::Write(s) => format!("writers' slots at {}", site(s)),
+            Limit::WriteMemory(s) => format!("writers' memory at {}", site(s)),
+            Limit::Link(a, b) => format!("link {}>{}", site(a), site(b)),
+        }
+    }
+}
+
+/// How much of a limit is used.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Which.
+    pub limit: Limit,
+    /// What there is of it under the loss, hosts that do both included.
+    pub of: f64,
+    /// What is used.
+    pub used: f64,
+    /// Worth a second that the whole of it once more would keep, at the margin; 0 where it is not scarce.
+    pub price: f64,
+}
+
+impl Load {
+    /// The part that is used.
+    pub fn part(&self) -> f64 {
+        if self.of > 0.0 { self.used / self.of } else { 0.0 }
+    }
+}
+
+/// What all conductors together do: requests a second by class, entry, reading site and writing site.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Course {
+    sites: usize,
+    /// For each class, tenant and entry the part that is taken: a request whose hash, as a part of 1, is below it.
+    pub levels: Vec<Vec<Vec<f64>>>,
+    /// The part of it that is guaranteed to the tenant.
+    promised: Vec<Vec<Vec<f64>>>,
+    rates: Vec<f64>,
+    /// For each entry what its requests take of each limit.
+    used: Vec<BTreeMap<Limit, f64>>,
+}
+
+impl Course {
+    fn at(&self, class: usize, entry: usize, reader: usize, writer: usize) -> usize {
+        ((class * self.sites + entry) * self.sites + reader) * self.sites + writer
+    }
+
+    /// Requests a second of a class from an entry that are read and written at these sites.
+    pub fn rate(&self, class: usize, entry: usize, reader: usize, writer: usize) -> f64 {
+        self.rates[self.at(class, entry, reader, writer)]
+    }
+
+    /// Requests a second of a class that are taken at an entry.
+    pub fn taken(&self, class: usize, entry: usize) -> f64 {
+        let from = self.at(class, entry, 0, 0);
+        self.rates[from..from + self.sites * self.sites].iter().sum()
+    }
+
+    /// Requests a second of a class from an entry that are read at each site.
+    pub fn read_at(&self, class: usize, entry: usize, reader: usize) -> f64 {
+        let from = self.at(class, entry, reader, 0);
+        self.rates[from..from + self.sites].iter().sum()
+    }
+
+    /// Requests a second of a class from an entry that are written at each site.
+    pub fn written_at(&self, class: usize, entry: usize, writer: usize) -> f64 {
+        (0..self.sites).map(|reader| self.rate(class, entry, reader, writer)).sum()
+    }
+
+    /// Every way in use with its rate: class, entry, reading site, writing site, requests a second.
+    pub fn ways(&self) -> impl Iterator<Item = ([usize; 4], f64)> + '_ {
+        let n = self.sites;
+        self.rates
+            .iter()
+            .enumerate()
+            .filter(|(_, rate)| **rate > 0.0)
+            .map(move |(i, rate)| ([i / (n * n * n), i / (n * n) % n, i / n % n, i % n], *rate))
+    }
+
+    /// Part `part` of the way from this course to another: every limit that both keep is kept.
+    pub fn toward(&self, other: &Course, part: f64) -> Course {
+        let mix = |a: &f64, b: &f64| if part >= 1.0 { *b } else { a + (b - a) * part };
+        let all = |a: &[f64], b: &[f64]| -> Vec<f64> { a.iter().zip(b).map(|(a, b)| mix(a, b)).collect() };
+        let row = |a: &[Vec<f64>], b: &[Vec<f64>]| a.iter().zip(b).map(|(a, b)| all(a, b)).collect();
+        let each =
+            |a: &[Vec<Vec<f64>>], b: &[Vec<Vec<f64>>]| a.iter().zip(b).map(|(a, b)| row(a, b)).collect();
+        Course {
+            sites: self.sites,
+            levels: each(&self.levels, &other.levels),
+            promised: each(&self.promised, &other.promised),
+            rates: all(&self.rates, &other.rates),
+            used: (self.used.iter().zip(&other.used))
+                .map(|(a, b)| {
+                    let value = |of: &BTreeMap<Limit, f64>, l: &Limit| of.get(l).copied().unwrap_or(0.0);
+                    let limits = a.keys().chain(b.keys());
+                    limits.map(|l| (*l, mix(&value(a, l), &value(b, l)))).collect()
+                })
+                .collect(),
+        }
+    }
+
+    /// The smaller of both on every way: whoever acts by it harms neither.
+    fn meet(&self, other: &Course, usage: &Usage) -> Course {
+        let mut course = Course {
+            rates: self.rates.iter().zip(&other.rates).map(|(a, b)| a.min(*b)).collect(),
+            used: Vec::new(),
+            ..other.clone()
+        };
+        course.used = usage.of(&course);
+        // What goes as it went before finds what it found before.
+        for (now, before) in course.used.iter_mut().zip(&self.used) {
+            for (limit, used) in now {
+                *used = used.min(before.get(limit).copied().unwrap_or(0.0));
+            }
+        }
+        course
+    }
+
+    /// What is used of a limit in all.
+    pub fn used(&self, limit: Limit) -> f64 {
+        self.used.iter().filter_map(|of| of.get(&limit)).sum()
+    }
+}
+
+/// Requests that a plan refuses, in the order of refusal.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Refusal {
+    /// The class.
+    pub class: usize,
+    /// `None`: the class's requests beyond any guarantee; else the guaranteed ones of this tenant.
+    pub guaranteed_to: Option<usize>,
+    /// Requests a second that are asked.
+    pub asked: f64,
+    /// Requests a second of them that are refused.
+    pub refused: f64,
+    /// Worth of a request over the price of what it takes of all that is scarce: below 1 it is refused, above taken.
+    pub ratio: f64,
+}
+
+/// A tenant's guaranteed share that the survivors can't bear.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shortfall {
+    /// The tenant.
+    pub tenant: usize,
+    /// The class.
+    pub class: usize,
+    /// Requests a second that are guaranteed.
+    pub guaranteed: f64,
+    /// Requests a second of them that are refused.
+    pub short: f64,
+}
+
+/// Why there is no plan.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum PlanError {
+    /// The solver gave up, with its words.
+    #[error("no plan could be solved: {0}")]
+    Solver(String),
+    /// What the solver gave back breaks a limit: name and part over.
+    #[error("the solved plan breaks a limit: {0}")]
+    Broken(String),
+}
+
+/// What is done while something is missing.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// What is missing.
+    pub loss: Loss,
+    /// What all conductors together do.
+    pub course: Course,
+    /// Requests a second by class, tenant and entry that come in.
+    pub asked: Vec<Vec<Vec<f64>>>,
+    /// What is used of each limit.
+    pub loads: Vec<Load>,
+    /// What is refused first stands first; all that could be refused is listed.
+    pub order: Vec<Refusal>,
+    /// Guaranteed shares that can't be borne.
+    pub shortfalls: Vec<Shortfall>,
+    /// Worth a second that is asked for.
+    pub worth_asked: f64,
+    /// Worth a second that is taken.
+    pub worth_kept: f64,
+    /// Worth a second that the crossings cost.
+    pub crossings: f64,
+}
+
+/// What one request of a class takes on its way.
+struct Usage<'a> {
+    fleet: &'a Fleet,
+    /// For each class and entry the part of the prompt that is kept, those of moved clients counted in.
+    kept: Vec<Vec<f64>>,
+}
+
+impl<'a> Usage<'a> {
+    fn new(fleet: &'a Fleet, loss: &Loss) -> Self {
+        let falls = falls(fleet, loss);
+        let kept = |c: usize, entry: usize| {
+            let class = &fleet.tables.classes[c];
+            let moved_kept = class.kept_moved.unwrap_or(class.kept / 2.0);
+            let (mut all, mut moved) = (0.0, 0.0);
+            for (site, missing) in loss.0.iter().enumerate() {
+                let asked: f64 = fleet.demand[c].iter().map(|by_site| by_site[site]).sum();
+                all += asked * falls[site][entry];
+                // Those whose hosts are gone lose what these had kept, wherever they come in.
+                moved += asked * falls[site][entry] * (1.0 - missing.hosts_left());
+            }
+            let part = if all > 0.0 { moved / all } else { 0.0 };
+            class.kept * (1.0 - part) + moved_kept * part
+        };
+        let kept = (0..fleet.classes()).map(|c| (0..fleet.sites()).map(|e| kept(c, e)).collect()).collect();
+        Usage { fleet, kept }
+    }
+
+    /// What a course takes of each limit for each entry.
+    fn of(&self, course: &Course) -> Vec<BTreeMap<Limit, f64>> {
+        let mut by_entry = vec![BTreeMap::new(); course.sites];
+        for ([class, entry, reader, writer], rate) in course.ways() {
+            for (limit, takes) in self.takes(class, entry, reader, writer) {
+                *by_entry[entry].entry(limit).or_insert(0.0) += takes * rate;
+            }
+        }
+        by_entry
+    }
+
+    /// What a request of the class from the entry takes of each limit, read and written at these sites.
+    fn takes(&self, class: usize, entry: usize, reader: usize, writer: usize) -> Vec<(Limit, f64)> {
+        let c = &self.fleet.tables.classes[class];
+        let (reads, writes) = (&self.fleet.capacity[reader], &self.fleet.capacity[writer]);
+        let unread = c.prompt_tokens * (1.0 - self.kept[class][entry]);
+        let link = self.fleet.links[reader][writer].filter(|_| reader != writer);
+        let crossing = link.map_or(0.0, |(rate, delay)| c.prompt_tokens / rate.max(1e-9) + delay / 1e3);
+        let held = unread * reads.read_token_s + crossing + self.fleet.tables.hold_s;
+        let streams = c.answer_tokens * writes.token_s;
+        let mut takes = vec![
+            (Limit::Read(reader), unread),
+            (Limit::ReadMemory(reader), c.prompt_tokens * held),
+            (Limit::Write(writer), c.answer_tokens),
+            (Limit::WriteMemory(writer), (c.prompt_tokens + c.answer_tokens / 2.0) * streams),
+        ];
+        if link.is_some() {
+            takes.push((Limit::Link(reader, writer), c.prompt_tokens));
+        }
+        takes
+    }
+
+    /// What the way costs in worth; `None` where a link is missing.
+    fn price(&self, class: usize, entry: usize, reader: usize, writer: usize) -> Option<f64> {
+        let delay = |a: usize, b: usize| {
+            if a == b { Some(0.0) } else { self.fleet.links[a][b].map(|(_, delay)| delay) }
+        };
+        let ms = delay(entry, reader)? + delay(reader, writer)? + delay(writer, entry)?;
+        let state = if reader == writer { 0.0 } else { self.fleet.tables.classes[class].prompt_tokens / 1e3 };
+        Some(ms * self.fleet.tables.price_per_ms + state * self.fleet.tables.price_per_1000_tokens)
+    }
+}
+
+/// What there is of each limit under a loss: for each site hosts of one stage and hosts of both.
+struct Room {
+    sites: usize,
+    own: Vec<[f64; 4]>,
+    mixed: Vec<[f64; 4]>,
+    links: Vec<Vec<f64>>,
+}
+
+impl Room {
+    fn new(fleet: &Fleet, loss: &Loss) -> Self {
+        let own = |s: usize| {
+            let c = &fleet.capacity[s];
+            [c.read, c.read_memory, c.write, c.write_memory].map(|v| v * loss.0[s].hosts_left())
+        };
+        let n = fleet.sites();
+        let link = |a: usize, b: usize| fleet.links[a][b].map_or(0.0, |(rate, _)| rate);
+        Room {
+            sites: n,
+            own: (0..n).map(own).collect(),
+            mixed: (0..n).map(|s| fleet.capacity[s].mixed.map(|v| v * loss.0[s].hosts_left())).collect(),
+            links: (0..n).map(|a| (0..n).map(|b| link(a, b)).collect()).collect(),
+        }
+    }
+
+    fn place(limit: Limit) -> Option<(usize, usize)> {
+        match limit {
+            Limit::Read(s) => Some((s, 0)),
+            Limit::ReadMemory(s) => Some((s, 1)),
+            Limit::Write(s) => Some((s, 2)),
+            Limit::WriteMemory(s) => Some((s, 3)),
+            Limit::Link(..) => None,
+        }
+    }
+
+    fn of(&self, limit: Limit) -> f64 {
+        match (limit, Self::place(limit)) {
+            (_, Some((s, k))) => self.own[s][k] + self.mixed[s][k],
+            (Limit::Link(a, b), _) => self.links[a][b],
+            _ => 0.0,
+        }
+    }
+
+    fn limits(&self) -> Vec<Limit> {
+        let n = self.sites;
+        let of_site = |s| [Limit::Read(s), Limit::ReadMemory(s), Limit::Write(s), Limit::WriteMemory(s)];
+        let links = (0..n).flat_map(|a| (0..n).map(move |b| Limit::Link(a, b)));
+        let all = (0..n).flat_map(of_site).chain(links);
+        all.filter(|l| self.of(*l) > 0.0).collect()
+    }
+
+    /// The part by which loads go over what there is, each limit filled up to `fill` at most: name and part.
+    fn over(&self, used: &BTreeMap<Limit, f64>, fill: f64) -> Option<(Limit, f64)> {
+        let mut worst: Option<(Limit, f64)> = None;
+        let mut note = |limit: Limit, over: f64| {
+            if over > SLIGHT && worst.is_none_or(|(_, w)| over > w) {
+                worst = Some((limit, over));
+            }
+        };
+        for (limit, used) in used {
+            let of = self.of(*limit);
+            if *used > 0.0 {
+                note(*limit, if of > 0.0 { used / of - fill } else { f64::INFINITY });
+            }
+        }
+        // Hosts of both stages read for a part of the time and write for the rest.
+        for s in 0..self.sites {
+            let part = |limit: Limit, k: usize| {
+                let beyond = used.get(&limit).copied().unwrap_or(0.0) - self.own[s][k] * fill;
+                if self.mixed[s][k] > 0.0 { (beyond / self.mixed[s][k]).max(0.0) } else { 0.0 }
+            };
+            let reading = part(Limit::Read(s), 0).max(part(Limit::ReadMemory(s), 1));
+            let writing = part(Limit::Write(s), 2).max(part(Limit::WriteMemory(s), 3));
+            note(Limit::Write(s), reading + writing - fill);
+        }
+        worst
+    }
+}
+
+/// The most that is used of each limit when every conductor acts by any one of the courses.
+fn worst_mix(courses: &[&Course]) -> BTreeMap<Limit, f64> {
+    let mut sum = BTreeMap::new();
+    for entry in 0..courses.first().map_or(0, |c| c.sites) {
+        let mut most: BTreeMap<Limit, f64> = BTreeMap::new();
+        for (limit, v) in courses.iter().flat_map(|c| &c.used[entry]) {
+            let slot = most.entry(*limit).or_insert(0.0);
+            *slot = slot.max(*v);
+        }
+        for (limit, v) in most {
+            *sum.entry(limit).or_insert(0.0) += v;
+        }
+    }
+    sum
+}
+
+/// The limit that some mix of conductors, each acting by any one of the courses, would break the most while `loss` is
+/// what is missing, and by which part of it. `None`: no mix breaks any.
+pub fn broken_by_mix(fleet: &Fleet, loss: &Loss, courses: &[&Course]) -> Option<(Limit, f64)> {
+    let room = Room::new(fleet, loss);
+    // What goes to hosts that are missing reaches nobody and overfills nobody.
+    let there = worst_mix(courses).into_iter().filter(|(limit, _)| room.of(*limit) > 0.0).collect();
+    room.over(&there, fleet.tables.fill)
+}
+
+/// For each site the parts of its clients that come in at each entry under a loss.
+fn falls(fleet: &Fleet, loss: &Loss) -> Vec<Vec<f64>> {
+    let n = fleet.sites();
+    let open: Vec<usize> = (0..n).filter(|s| !loss.0[*s].entries()).collect();
+    let falls = |site: usize| -> Vec<f64> {
+        let mut to = vec![0.0; n];
+        if open.contains(&site) {
+            to[site] = 1.0;
+            return to;
+        }
+        let named = &fleet.tables.site[site].falls_to;
+        for s in &open {
+            to[*s] = named.get(fleet.site_name(*s)).copied().unwrap_or(0.0);
+        }
+        if to.iter().sum::<f64>() <= 0.0 {
+            open.iter().for_each(|s| to[*s] = 1.0);
+        }
+        let sum: f64 = to.iter().sum();
+        if sum > 0.0 { to.iter().map(|v| v / sum).collect() } else { to }
+    };
+    (0..n).map(falls).collect()
+}
+
+/// Where the clients come in under a loss: requests a second by class, tenant and entry.
+fn asked(fleet: &Fleet, loss: &Loss) -> Vec<Vec<Vec<f64>>> {
+    let falls = falls(fleet, loss);
+    let enter = |by_site: &Vec<f64>| -> Vec<f64> {
+        let at = |e: usize| by_site.iter().zip(&falls).map(|(v, to)| v * to[e]).sum();
+        (0..fleet.sites()).map(at).collect()
+    };
+    fleet.demand.iter().map(|tenants| tenants.iter().map(enter).collect()).collect()
+}
+
+/// Makes the plan for a loss.
+///
+/// # Errors
+/// [`PlanError::Solver`] if the linear program can't be solved, [`PlanError::Broken`] if what came back breaks a limit.
+pub fn make(fleet: &Fleet, loss: &Loss) -> Result<Plan, PlanError> {
+    let (n, classes, tenants) = (fleet.sites(), fleet.classes(), fleet.tenants.len());
+    let fill = fleet.tables.fill;
+    let (usage, room, asked) = (Usage::new(fleet, loss), Room::new(fleet, loss), asked(fleet, loss));
+    let total = |c: usize, t: usize| asked[c][t].iter().sum::<f64>();
+    // The guaranteed part of each tenant's requests, the same for all its classes.
+    let guaranteed: Vec<f64> = (0..tenants)
+        .map(|t| {
+            let all: f64 = (0..classes).map(|c| total(c, t)).sum();
+            if all > 0.0 { (fleet.guaranteed[t] / all).min(1.0) } else { 0.0 }
+        })
+        .collect();
+    let most_worth = fleet.worth.iter().copied().fold(1.0, f64::max);
+    let mut program = Program::default();
+    // The part taken of each class beyond guarantees, the same for all tenants, and of what each is guaranteed.
+    let rest = |c: usize| (0..tenants).map(|t| total(c, t) * (1.0 - guaranteed[t])).sum::<f64>();
+    let open: Vec<usize> = (0..classes).map(|c| program.variable(fleet.worth[c] * rest(c))).collect();
+    let promised: Vec<Vec<Option<usize>>> = (0..classes)
+        .map(|c| {
+            let promise = |t: usize| {
+                let rate = total(c, t) * guaranteed[t];
+                let worth = (most_worth * GUARANTEED + fleet.worth[c]) * rate;
+                (rate > 0.0).then(|| program.variable(worth))
+            };
+            (0..tenants).map(promise).collect()
+        })
+        .collect();
+    let both = (0..n).map(|s| (room.mixed[s][0] > 0.0).then(|| program.variable(0.0)));
+    let both: Vec<Option<usize>> = both.collect();
+    let mut ways = Vec::new();
+    for c in 0..classes {
+        for e in (0..n).filter(|e| !loss.0[*e].entries()) {
+            for r in (0..n).filter(|r| room.of(Limit::Read(*r)) > 0.0) {
+                for w in (0..n).filter(|w| room.of(Limit::Write(*w)) > 0.0) {
+                    if let Some(price) = usage.price(c, e, r, w) {
+                        ways.push(([c, e, r, w], program.variable(-price), price));
+                    }
+                }
+            }
+        }
+    }
+    // What is taken at an entry goes some way, or is refused there though the class's level would take it.
+    let mut balance = vec![vec![None; n]; classes];
+    let mut local = vec![vec![None; n]; classes];
+    for c in 0..classes {
+        for e in 0..n {
+            let coming: f64 = (0..tenants).map(|t| asked[c][t][e]).sum();
+            if coming <= 0.0 {
+                continue;
+            }
+            let rest: f64 = (0..tenants).map(|t| asked[c][t][e] * (1.0 - guaranteed[t])).sum();
+            let mut kept: Vec<(usize, f64)> = Vec::new();
+            kept.extend((0..tenants).filter_map(|t| Some((promised[c][t]?, asked[c][t][e] * guaranteed[t]))));
+            let cut = [
+                program.variable(-fleet.worth[c] * LOCAL),
+                program.variable(-(most_worth * GUARANTEED + fleet.worth[c]) * LOCAL),
+            ];
+            local[c][e] = Some(cut);
+            program.limit(vec![(cut[0], 1.0), (open[c], -rest)], 0.0);
+            let guarantees = kept.iter().map(|(v, rate)| (*v, -rate));
+            program.limit(guarantees.chain([(cut[1], 1.0)]).collect(), 0.0);
+            let mut terms = vec![(open[c], rest), (cut[0], -1.0), (cut[1], -1.0)];
+            terms.append(&mut kept);
+            terms.extend(ways.iter().filter(|(w, ..)| w[0] == c && w[1] == e).map(|(_, v, _)| (*v, -1.0)));
+            balance[c][e] = Some(program.limit(terms, 0.0));
+        }
+    }
+    for v in open.iter().copied().chain(promised.iter().flatten().flatten().copied()) {
+        program.limit(vec![(v, 1.0)], 1.0);
+    }
+    let limits = room.limits();
+    let mut terms: BTreeMap<Limit, Vec<(usize, f64)>> = BTreeMap::new();
+    for ([c, e, r, w], v, _) in &ways {
+        for (limit, takes) in usage.takes(*c, *e, *r, *w) {
+            terms.entry(limit).or_default().push((*v, takes / room.of(limit).max(1e-12)));
+        }
+    }
+    let mut price_rows = BTreeMap::new();
+    for limit in &limits {
+        let mut row = terms.remove(limit).unwrap_or_default();
+        let mut most = fill;
+        if let Some((s, k)) = Room::place(*limit) {
+            let share = room.mixed[s][k] / room.of(*limit);
+            if let Some(m) = both[s].filter(|_| share > 0.0) {
+                // `m` is the part of their time for which hosts of both stages read.
+                row.push((m, if k < 2 { -share * fill } else { share * fill }));
+                most -= if k < 2 { share * fill } else { 0.0 };
+            }
+        }
+        price_rows.insert(*limit, program.limit(row, most));
+    }
+    for m in both.iter().flatten() {
+        program.limit(vec![(*m, 1.0)], 1.0);
+    }
+    let values = program.solve().map_err(PlanError::Solver)?;
+    let prices = program.dual().solve().map_err(PlanError::Solver)?;
+
+    let part = |v: usize| round(values[v].clamp(0.0, 1.0));
+    let share = |cut: f64, of: f64| if of > 0.0 { round((1.0 - cut / of).clamp(0.0, 1.0)) } else { 1.0 };
+    // What each entry keeps of the class's level, beyond guarantees and of them.
+    let keeps = |c: usize, e: usize| -> [f64; 2] {
+        let Some(cut) = local[c][e] else { return [1.0; 2] };
+        let rest: f64 = (0..tenants).map(|t| asked[c][t][e] * (1.0 - guaranteed[t])).sum();
+        let kept = |t: usize| promised[c][t].map_or(0.0, |v| part(v) * asked[c][t][e] * guaranteed[t]);
+        [share(values[cut[0]], rest * part(open[c])), share(values[cut[1]], (0..tenants).map(kept).sum())]
+    };
+    let mut levels = vec![vec![vec![0.0; n]; tenants]; classes];
+    let mut of_promise = levels.clone();
+    for c in 0..classes {
+        for e in 0..n {
+            let [of_rest, of_promised] = keeps(c, e);
+            for t in 0..tenants {
+                let promise = promised[c][t].map_or(0.0, part) * guaranteed[t] * of_promised;
+                of_promise[c][t][e] = promise;
+                let rest = if rest(c) > 0.0 { part(open[c]) } else { 1.0 };
+                levels[c][t][e] = round(promise + rest * of_rest * (1.0 - guaranteed[t]));
+            }
+        }
+    }
+    let rates = vec![0.0; classes * n * n * n];
+    let mut course = Course { sites: n, levels, promised: of_promise, rates, used: Vec::new() };
+    for ([c, e, r, w], v, _) in &ways {
+        let at = course.at(*c, *e, *r, *w);
+        course.rates[at] = if values[*v] > SLIGHT * 1e-3 { values[*v] } else { 0.0 };
+    }
+    // The solver may leave more way than is taken: every way is cut to what comes.
+    for c in 0..classes {
+        for e in 0..n {
+            let comes: f64 = (0..tenants).map(|t| asked[c][t][e] * course.levels[c][t][e]).sum();
+            let goes = course.taken(c, e);
+            if comes > goes * (1.0 + 10.0 * SLIGHT) + 10.0 * SLIGHT {
+                return Err(PlanError::Broken(format!(
+                    "{} at {}: {comes:.6} a second are taken and {goes:.6} have a way",
+                    fleet.tables.classes[c].name,
+                    fleet.site_name(e)
+                )));
+            }
+            let from = course.at(c, e, 0, 0);
+            let cut = if goes > comes { comes / goes } else { 1.0 };
+            course.rates[from..from + n * n].iter_mut().for_each(|rate| *rate *= cut);
+        }
+    }
+    course.used = usage.of(&course);
+    let sum = worst_mix(&[&course]);
+    if let Some((limit, over)) = room.over(&sum, fill) {
+        return Err(PlanError::Broken(format!("{} by {:.4} of it", limit.name(fleet), over)));
+    }
+    let loads: Vec<Load> = (limits.iter())
+        .map(|limit| Load {
+            limit: *limit,
+            of: room.of(*limit),
+            used: sum.get(limit).copied().unwrap_or(0.0),
+            price: prices[price_rows[limit]],
+        })
+        .collect();
+    // What one request of a class, coming in as these do, takes of all that is scarce, in worth.
+    let cost = |c: usize, coming: &dyn Fn(usize) -> f64| {
+        let all: f64 = (0..n).map(coming).sum();
+        let priced = |e: usize| balance[c][e].map_or(0.0, |row| prices[row]) * coming(e);
+        if all > 0.0 { (0..n).map(priced).sum::<f64>() / all } else { 0.0 }
+    };
+    // Where nothing is scarce the fullest stage stands in: the next thing to be scarce.
+    let fullest = loads.iter().max_by(|a, b| a.part().total_cmp(&b.part()));
+    let next = |c: usize| -> f64 {
+        let of_stage = |limit: Limit| fullest.is_some_and(|f| same_stage(f.limit, limit));
+        let takes = (0..n).map(|s| usage.takes(c, s, s, s).into_iter().find(|(l, _)| of_stage(*l)));
+        takes.flatten().map(|(limit, takes)| takes / room.of(limit).max(1.0)).fold(0.0, f64::max)
+    };
+    let scarce = prices.iter().zip(&program.rows).any(|(p, (_, limit))| *p > SLIGHT && *limit == fill);
+    let ratio = |c: usize, cost: f64| {
+        let worth = fleet.worth[c];
+        if scarce { worth / cost.max(1e-9) } else { 2.0 + worth / next(c).max(1e-9) }
+    };
+    let mut order = Vec::new();
+    let mut shortfalls = Vec::new();
+    for c in 0..classes {
+        let coming = |e: usize| (0..tenants).map(|t| asked[c][t][e] * (1.0 - guaranteed[t])).sum::<f64>();
+        let refused = |t: usize, taken: &dyn Fn(usize) -> f64, part: f64| -> f64 {
+            let refused: f64 = (0..n).map(|e| asked[c][t][e] * (part - taken(e))).sum();
+            if refused < SLIGHT { 0.0 } else { refused }
+        };
+        if rest(c) > 0.0 {
+            let rest_of = |t: usize| {
+                let taken = |e: usize| course.levels[c][t][e] - course.promised[c][t][e];
+                refused(t, &taken, 1.0 - guaranteed[t])
+            };
+            let refused = (0..tenants).map(rest_of).sum();
+            let ratio = ratio(c, cost(c, &coming));
+            order.push(Refusal { class: c, guaranteed_to: None, asked: rest(c), refused, ratio });
+        }
+        for t in (0..tenants).filter(|t| promised[c][*t].is_some()) {
+            let asks = total(c, t) * guaranteed[t];
+            let refused = refused(t, &|e| course.promised[c][t][e], guaranteed[t]);
+            let ratio = ratio(c, cost(c, &|e| asked[c][t][e]));
+            order.push(Refusal { class: c, guaranteed_to: Some(t), asked: asks, refused, ratio });
+            if refused > 0.0 {
+                shortfalls.push(Shortfall { tenant: t, class: c, guaranteed: asks, short: refused });
+            }
+        }
+    }
+    order.sort_by(|a, b| {
+        let key = |r: &Refusal| (r.guaranteed_to.is_some(), r.class, r.guaranteed_to);
+        (a.guaranteed_to.is_some().cmp(&b.guaranteed_to.is_some()))
+            .then(a.ratio.total_cmp(&b.ratio))
+            .then(fleet.worth[a.class].total_cmp(&fleet.worth[b.class]))
+            .then(key(a).cmp(&key(b)))
+    });
+    let worth = |of: &dyn Fn(usize, usize, usize) -> f64| -> f64 {
+        let class = |c: usize| {
+            let all = (0..tenants).flat_map(|t| (0..n).map(move |e| (t, e)));
+            all.map(|(t, e)| asked[c][t][e] * of(c, t, e)).sum::<f64>() * fleet.worth[c]
+        };
+        (0..classes).map(class).sum()
+    };
+    let worth_kept = worth(&|c, t, e| course.levels[c][t][e]);
+    let crossings = ways.iter().map(|([c, e, r, w], _, price)| price * course.rate(*c, *e, *r, *w)).sum();
+    let worth_asked = worth(&|_, _, _| 1.0);
+    Ok(Plan {
+        loss: loss.clone(),
+        course,
+        asked,
+        loads,
+        order,
+        shortfalls,
+        worth_asked,
+        worth_kept,
+        crossings,
+    })
+}
+
+/// A part of 1 without the solver's rounding.
+fn round(part: f64) -> f64 {
+    if part > 1.0 - SLIGHT {
+        1.0
+    } else if part < SLIGHT {
+        0.0
+    } else {
+        part
+    }
+}
+
+fn same_stage(a: Limit, b: Limit) -> bool {
+    std::mem::discriminant(&a) == std::mem::discriminant(&b)
+}
+
+impl Plan {
+    /// The parts of a missing site's clients that come in at each entry.
+    pub fn falls(&self, fleet: &Fleet, site: usize) -> Vec<f64> {
+        falls(fleet, &self.loss).swap_remove(site)
+    }
+
+    /// The limits that are full and hold worth back, dearest first.
+    pub fn scarce(&self) -> Vec<&Load> {
+        let mut scarce: Vec<&Load> = self.loads.iter().filter(|l| l.price > SLIGHT).collect();
+        scarce.sort_by(|a, b| b.price.total_cmp(&a.price));
+        scarce
+    }
+
+    /// What is used of one limit.
+    pub fn load(&self, limit: Limit) -> Option<&Load> {
+        self.loads.iter().find(|l| l.limit == limit)
+    }
+}
+
+/// The plans for all losses that are prepared for: none, each site by each part of it, each pair of sites whole.
+#[derive(Clone, Debug)]
+pub struct Plans {
+    fleet: Fleet,
+    plans: BTreeMap<Loss, Plan>,
+    fingerprint: u64,
+}
+
+impl Plans {
+    /// Makes all plans.
+    ///
+    /// # Errors
+    /// The first loss for which there is no plan says why.
+    pub fn new(fleet: Fleet) -> Result<Self, PlanError> {
+        let n = fleet.sites();
+        let mut losses = vec![Loss::none(n)];
+        for a in 0..n {
+            use Missing::*;
+            losses.extend([Entries, HalfHosts, Hosts, All].map(|m| Loss::none(n).with(a, m)));
+            losses.extend((a + 1..n).map(|b| Loss::of(n, &[a, b])));
+        }
+        let mut plans = BTreeMap::new();
+        for loss in losses {
+            let plan = make(&fleet, &loss)?;
+            plans.insert(loss, plan);
+        }
+        let mut bytes = fleet.fingerprint.to_le_bytes().to_vec();
+        for rate in plans.values().flat_map(|p| &p.course.rates) {
+            bytes.extend(((rate * 1e3).round() as u64).to_le_bytes());
+        }
+        let fingerprint = xxhash_rust::xxh3::xxh3_64(&bytes);
+        Ok(Plans { fleet, plans, fingerprint })
+    }
+
+    /// The fleet that they are made for.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// A hash of all plans: conductors act together only if theirs are the same.
+    pub fn fingerprint(&self) -> u64 {
+        self.fingerprint
+    }
+
+    /// The plan for a loss, if it is prepared; see [`Loss::covered`].
+    pub fn get(&self, loss: &Loss) -> Option<&Plan> {
+        self.plans.get(&loss.covered())
+    }
+
+    /// The plan for a loss, made now if it was not prepared.
+    ///
+    /// # Errors
+    /// As [`make`].
+    pub fn get_or_make(&mut self, loss: &Loss) -> Result<&Plan, PlanError> {
+        let loss = loss.covered();
+        if !self.plans.contains_key(&loss) {
+            let plan = make(&self.fleet, &loss)?;
+            self.plans.insert(loss.clone(), plan);
+        }
+        self.plans.get(&loss).ok_or_else(|| PlanError::Solver("no plan".into()))
+    }
+
+    /// All plans.
+    pub fn iter(&self) -> impl Iterator<Item = &Plan> {
+        self.plans.values()
+    }
+
+    /// The course on the way from one to another while `loss` is missing: with conductors at `from` and here in any
+    /// mix no limit is broken, nor with conductors here and at `to`. As far toward `to` as that allows.
+    pub fn between(&self, loss: &Loss, from: &Course, to: &Course) -> Course {
+        let meet = from.meet(to, &Usage::new(&self.fleet, loss));
+        let on_way = |part: f64| {
+            let mut course = meet.toward(to, part);
+            self.keep(loss, &mut course);
+            course
+        };
+        let fits = |part: f64| broken_by_mix(&self.fleet, loss, &[from, &meet.toward(to, part)]).is_none();
+        if fits(1.0) {
+            return to.clone();
+        }
+        let (mut low, mut high) = (0.0, 1.0);
+        for _ in 0..16 {
+            let middle = (low + high) / 2.0;
+            if fits(middle) {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        on_way(low)
+    }
+
+    /// Worth a second that a course takes while `loss` is missing.
+    pub fn worth(&self, loss: &Loss, course: &Course) -> f64 {
+        let asked = asked(&self.fleet, loss);
+        let mut worth = 0.0;
+        for (c, (asked, levels)) in asked.iter().zip(&course.levels).enumerate() {
+            for (asked, levels) in asked.iter().zip(levels) {
+                worth += asked.iter().zip(levels).map(|(a, l)| a * l).sum::<f64>() * self.fleet.worth[c];
+            }
+        }
+        worth
+    }
+
+    /// Cuts the levels at each entry to what its ways carry: what is guaranteed last.
+    fn keep(&self, loss: &Loss, course: &mut Course) {
+        let asked = asked(&self.fleet, loss);
+        for c in 0..self.fleet.classes() {
+            for e in 0..self.fleet.sites() {
+                let sum =
+                    |of: &Vec<Vec<f64>>| -> f64 { asked[c].iter().zip(of).map(|(by, p)| by[e] * p[e]).sum() };
+                let (carries, promised, level) =
+                    (course.taken(c, e), sum(&course.promised[c]), sum(&course.levels[c]));
+                let part = |of: f64, all: f64| if all > 0.0 { (of / all).clamp(0.0, 1.0) } else { 1.0 };
+                let of_promised = part(carries, promised);
+                let of_rest = part((carries - promised).max(0.0), level - promised);
+                for (level, promised) in course.levels[c].iter_mut().zip(&mut course.promised[c]) {
+                    let rest = (level[e] - promised[e]).max(0.0) * of_rest;
+                    promised[e] *= of_promised;
+                    level[e] = promised[e] + rest;
+                }
+            }
+        }
+    }
+}
