Sites: watch, agreed table, ramp, door and one conductor's part, with property tests

A plan alone changes nothing: a conductor has to tell a lost site from being cut off itself, all have to go over without overfilling a survivor on the way, and a return has to come in steps that cold hosts bear. Between two plans there is a course that keeps every limit with any mix of conductors before it, on it and after it. Checked by cargo test fleet::sites: random fleets against limits counted anew from the tables, brute force, mixes, cold bound, orders of commands.

--- a/src/fleet/sites/command.rs
+++ b/src/fleet/sites/command.rs
@@ -202,7 +202,11 @@
             let first = matches!(limit, Limit::Read(_));
             let full = after.filter(|l| l.price > 1e-6);
             let full = full.map_or(String::new(), |l| {
-                format!("   full: 1% more keeps {:.2} worth a second", l.price / 100.0)
+                if plan.shortfalls.is_empty() {
+                    format!("   full: 1% more keeps {:.2} worth a second", l.price / 100.0)
+                } else {
+                    "   full: it holds guaranteed shares back".into()
+                }
             });
             line(format!(
                 "  {:<16}{:<22}{:>7}{:>7}{full}",
@@ -274,10 +278,9 @@
     line(String::new());
     line("REFUSED, FIRST TO LAST                        refused   of asked   worth over price".into());
     for (i, r) in plan.order.iter().enumerate() {
-        let whose = r
-            .guaranteed_to
-            .map_or("beyond guarantees".into(), |t| format!("guaranteed to {}", fleet.tenants[t]));
-        let ratio = if r.ratio > 1e3 { "-".into() } else { format!("{:.2}", r.ratio) };
+        let whose = if r.guaranteed { "guaranteed" } else { "beyond guarantees" };
+        let ratio =
+            if r.ratio > 1e3 || !plan.shortfalls.is_empty() { "-".into() } else { format!("{:.2}", r.ratio) };
         line(format!(
             "  {:>2}. {:<40}{:>8}{:>9}/s{:>14}",
             i + 1,
@@ -290,7 +293,8 @@
     line("  never: unsafe work in hand, and whatever else was taken before".into());
 
     if loss.0.iter().any(|m| *m != Missing::Nothing) {
-        let first = plans.between(&plan.loss, &usual.course, &plan.course);
+        let most = plans.most(&Loss::none(fleet.sites())).unwrap_or_else(|| usual.course.clone());
+        let first = plans.between(&plan.loss, &[&most], &plan.course);
         line(String::new());
         line("UNTIL ALL CONDUCTORS HAVE AGREED".into());
         line(format!(
@@ -378,10 +382,11 @@
     svg.text((left, top + 14.0), 13.0, "start", "Clients of what is lost: in at, read at, written at");
     let n = fleet.sites();
     let place = |column: f64, site: usize| {
-        (left + 40.0 + column * 130.0, top + 50.0 + site as f64 * (height - 70.0) / n as f64)
+        (left + 30.0 + column * 120.0, top + 50.0 + site as f64 * (height - 70.0) / n as f64)
     };
     let lost: Vec<usize> = (0..n).filter(|s| plan.loss.0[*s] != Missing::Nothing).collect();
-    let mut bands: Vec<((f64, usize), (f64, usize), f64)> = Vec::new();
+    // By column, from site, to site.
+    let mut sums: std::collections::BTreeMap<(u8, usize, usize), f64> = std::collections::BTreeMap::new();
     for site in &lost {
         let falls = plan.falls(fleet, *site);
         for (c, demand) in fleet.demand.iter().enumerate() {
@@ -391,25 +396,25 @@
                 let all = plan.course.taken(c, e).max(1e-9);
                 for (w, way) in plan.course.ways().filter(|(w, _)| w[0] == c && w[1] == e) {
                     let v = way / all * taken;
-                    bands.push(((0.0, *site), (1.0, e), v));
-                    bands.push(((1.0, e), (2.0, w[2]), v));
-                    bands.push(((2.0, w[2]), (3.0, w[3]), v));
+                    for band in [(0, *site, e), (1, e, w[2]), (2, w[2], w[3])] {
+                        *sums.entry(band).or_insert(0.0) += v;
+                    }
                 }
             }
         }
     }
-    let mut sums: std::collections::BTreeMap<(usize, usize, usize), f64> = std::collections::BTreeMap::new();
-    for ((column, from), (_, to), v) in bands {
-        *sums.entry((column as usize, from, to)).or_insert(0.0) += v;
-    }
     let most = sums.values().copied().fold(1e-9, f64::max);
     for ((column, from, to), v) in sums {
-        let (a, b) = (place(column as f64, from), place(column as f64 + 1.0, to));
+        let (a, b) = (place(f64::from(column), from), place(f64::from(column) + 1.0, to));
         svg.band(a, b, (v / most * 22.0).max(0.6), if column == 0 { LOST } else { AFTER });
         svg.text(((a.0 + b.0) / 2.0, (a.1 + b.1) / 2.0 - 3.0), 9.0, "middle", &format!("{}/s", rate(v)));
     }
     for column in 0..4 {
-        for s in (0..n).filter(|s| column > 0 || lost.contains(s)) {
+        for s in (0..n).filter(|s| match column {
+            0 => lost.contains(s),
+            1 => !plan.loss.0[*s].entries(),
+            _ => plan.loss.0[*s].hosts_left() > 0.0,
+        }) {
             let (x, y) = place(f64::from(column), s);
             svg.text((x, y - 14.0), 10.0, "middle", fleet.site_name(s));
         }
@@ -421,8 +426,7 @@
     let most = plan.order.iter().map(|r| r.asked).fold(1e-9, f64::max);
     for (i, r) in plan.order.iter().take(24).enumerate() {
         let y = top + 28.0 + i as f64 * 18.0;
-        let whose =
-            r.guaranteed_to.map_or(String::new(), |t| format!(", guaranteed to {}", fleet.tenants[t]));
+        let whose = if r.guaranteed { ", guaranteed" } else { "" };
         let name = format!("{}{whose}", fleet.tables.classes[r.class].name);
         svg.text((214.0, y + 10.0), 10.0, "end", &name);
         svg.rect((220.0, y), (240.0 * r.asked / most, 12.0), BEFORE);
--- a/src/fleet/sites/mod.rs
+++ b/src/fleet/sites/mod.rs
@@ -6,7 +6,13 @@
 
 pub mod command;
 pub mod describe;
+pub mod epoch;
 mod lp;
+pub mod member;
 pub mod plan;
 pub mod ramp;
+pub mod refuse;
 mod svg;
+#[cfg(test)]
+mod tests;
+pub mod watch;
--- a/src/fleet/sites/plan.rs
+++ b/src/fleet/sites/plan.rs
@@ -4,6 +4,11 @@
 //! differ, its state crosses their link. A [`Course`] says how many requests a second of each class go which way and
 //! which part of each class and tenant is taken at all. A [`Plan`] is the course for one [`Loss`], with its figures.
 
+#![allow(
+    clippy::needless_range_loop,
+    reason = "sites and classes are numbers that index several tables at once"
+)]
+
 use super::describe::Fleet;
 use super::lp::Program;
 use serde::{Deserialize, Serialize};
@@ -13,6 +18,8 @@
 const GUARANTEED: f64 = 1_000.0;
 /// A site refuses more of a class than the others only where that keeps this much more worth: else all refuse alike.
 const LOCAL: f64 = 1.05;
+/// More requests than a plan's, as a multiple, that a conductor takes at most where its limits bear them.
+const MOST_STRETCH: f64 = 4.0;
 /// Less than this of a limit, or of a request a second, is rounding.
 pub(crate) const SLIGHT: f64 = 1e-6;
 
@@ -70,13 +77,18 @@
         loss
     }
 
-    /// The loss that plans are made for: where more than one site is touched, what is touched counts as missing whole.
+    /// The loss that plans are made for: where more than one site is touched, half of the hosts counts as all of them
+    /// and the conductors as the whole site.
     pub fn covered(&self) -> Self {
         if self.0.iter().filter(|m| **m != Missing::Nothing).count() < 2 {
             return self.clone();
         }
-        let whole = |m: &Missing| if *m == Missing::Nothing { Missing::Nothing } else { Missing::All };
-        Loss(self.0.iter().map(whole).collect())
+        let cover = |m: &Missing| match m {
+            Missing::Nothing => Missing::Nothing,
+            Missing::HalfHosts | Missing::Hosts => Missing::Hosts,
+            Missing::Entries | Missing::All => Missing::All,
+        };
+        Loss(self.0.iter().map(cover).collect())
     }
 }
 
@@ -218,6 +230,25 @@
         course
     }
 
+    /// The same with so many times the requests; what is refused by its hash stays refused.
+    fn stretched(mut self, by: f64) -> Course {
+        self.rates.iter_mut().for_each(|rate| *rate *= by);
+        self.used.iter_mut().flat_map(|of| of.values_mut()).for_each(|used| *used *= by);
+        self
+    }
+
+    /// The same without the ways over a site's hosts.
+    fn without(mut self, site: usize) -> Course {
+        for i in 0..self.rates.len() {
+            let (reader, writer) = (i / self.sites % self.sites, i % self.sites);
+            if reader == site || writer == site {
+                self.rates[i] = 0.0;
+            }
+        }
+        // What is used elsewhere by these ways only falls; it is counted on, which keeps every limit.
+        self
+    }
+
     /// What is used of a limit in all.
     pub fn used(&self, limit: Limit) -> f64 {
         self.used.iter().filter_map(|of| of.get(&limit)).sum()
@@ -229,8 +260,8 @@
 pub struct Refusal {
     /// The class.
     pub class: usize,
-    /// `None`: the class's requests beyond any guarantee; else the guaranteed ones of this tenant.
-    pub guaranteed_to: Option<usize>,
+    /// Whether these are the ones guaranteed to tenants; else those beyond.
+    pub guaranteed: bool,
     /// Requests a second that are asked.
     pub asked: f64,
     /// Requests a second of them that are refused.
@@ -451,11 +482,12 @@
 }
 
 /// The limit that some mix of conductors, each acting by any one of the courses, would break the most while `loss` is
-/// what is missing, and by which part of it. `None`: no mix breaks any.
+/// what is missing, and by which part of it. `None`: no mix breaks any. Sites of which hosts are missing don't count:
+/// who has not heard of it yet sends there as before.
 pub fn broken_by_mix(fleet: &Fleet, loss: &Loss, courses: &[&Course]) -> Option<(Limit, f64)> {
     let room = Room::new(fleet, loss);
-    // What goes to hosts that are missing reaches nobody and overfills nobody.
-    let there = worst_mix(courses).into_iter().filter(|(limit, _)| room.of(*limit) > 0.0).collect();
+    let whole = |limit: Limit| Room::place(limit).is_none_or(|(s, _)| loss.0[s].hosts_left() >= 1.0);
+    let there = worst_mix(courses).into_iter().filter(|(limit, _)| whole(*limit)).collect();
     room.over(&there, fleet.tables.fill)
 }
 
@@ -513,15 +545,9 @@
     // The part taken of each class beyond guarantees, the same for all tenants, and of what each is guaranteed.
     let rest = |c: usize| (0..tenants).map(|t| total(c, t) * (1.0 - guaranteed[t])).sum::<f64>();
     let open: Vec<usize> = (0..classes).map(|c| program.variable(fleet.worth[c] * rest(c))).collect();
-    let promised: Vec<Vec<Option<usize>>> = (0..classes)
-        .map(|c| {
-            let promise = |t: usize| {
-                let rate = total(c, t) * guaranteed[t];
-                let worth = (most_worth * GUARANTEED + fleet.worth[c]) * rate;
-                (rate > 0.0).then(|| program.variable(worth))
-            };
-            (0..tenants).map(promise).collect()
-        })
+    let promise = |c: usize| (0..tenants).map(|t| total(c, t) * guaranteed[t]).sum::<f64>();
+    let promised: Vec<usize> = (0..classes)
+        .map(|c| program.variable((most_worth * GUARANTEED + fleet.worth[c]) * promise(c)))
         .collect();
     let both = (0..n).map(|s| (room.mixed[s][0] > 0.0).then(|| program.variable(0.0)));
     let both: Vec<Option<usize>> = both.collect();
@@ -547,23 +573,20 @@
                 continue;
             }
             let rest: f64 = (0..tenants).map(|t| asked[c][t][e] * (1.0 - guaranteed[t])).sum();
-            let mut kept: Vec<(usize, f64)> = Vec::new();
-            kept.extend((0..tenants).filter_map(|t| Some((promised[c][t]?, asked[c][t][e] * guaranteed[t]))));
+            let promise: f64 = (0..tenants).map(|t| asked[c][t][e] * guaranteed[t]).sum();
             let cut = [
                 program.variable(-fleet.worth[c] * LOCAL),
                 program.variable(-(most_worth * GUARANTEED + fleet.worth[c]) * LOCAL),
             ];
             local[c][e] = Some(cut);
             program.limit(vec![(cut[0], 1.0), (open[c], -rest)], 0.0);
-            let guarantees = kept.iter().map(|(v, rate)| (*v, -rate));
-            program.limit(guarantees.chain([(cut[1], 1.0)]).collect(), 0.0);
-            let mut terms = vec![(open[c], rest), (cut[0], -1.0), (cut[1], -1.0)];
-            terms.append(&mut kept);
+            program.limit(vec![(cut[1], 1.0), (promised[c], -promise)], 0.0);
+            let mut terms = vec![(open[c], rest), (promised[c], promise), (cut[0], -1.0), (cut[1], -1.0)];
             terms.extend(ways.iter().filter(|(w, ..)| w[0] == c && w[1] == e).map(|(_, v, _)| (*v, -1.0)));
             balance[c][e] = Some(program.limit(terms, 0.0));
         }
     }
-    for v in open.iter().copied().chain(promised.iter().flatten().flatten().copied()) {
+    for v in open.iter().chain(&promised).copied() {
         program.limit(vec![(v, 1.0)], 1.0);
     }
     let limits = room.limits();
@@ -592,6 +615,14 @@
     }
     let values = program.solve().map_err(PlanError::Solver)?;
     let prices = program.dual().solve().map_err(PlanError::Solver)?;
+    let value = |program: &Program, values: &[f64]| -> f64 {
+        program.objective.iter().zip(values).map(|(worth, v)| worth * v).sum()
+    };
+    // The prices prove the plan: no other is worth more than they say.
+    let (kept, proof) = (value(&program, &values), -value(&program.dual(), &prices));
+    if (kept - proof).abs() > 1e-4 * kept.abs().max(1.0) {
+        return Err(PlanError::Solver(format!("worth {kept} and its proof {proof} differ")));
+    }
 
     let part = |v: usize| round(values[v].clamp(0.0, 1.0));
     let share = |cut: f64, of: f64| if of > 0.0 { round((1.0 - cut / of).clamp(0.0, 1.0)) } else { 1.0 };
@@ -599,8 +630,8 @@
     let keeps = |c: usize, e: usize| -> [f64; 2] {
         let Some(cut) = local[c][e] else { return [1.0; 2] };
         let rest: f64 = (0..tenants).map(|t| asked[c][t][e] * (1.0 - guaranteed[t])).sum();
-        let kept = |t: usize| promised[c][t].map_or(0.0, |v| part(v) * asked[c][t][e] * guaranteed[t]);
-        [share(values[cut[0]], rest * part(open[c])), share(values[cut[1]], (0..tenants).map(kept).sum())]
+        let promise: f64 = (0..tenants).map(|t| asked[c][t][e] * guaranteed[t]).sum();
+        [share(values[cut[0]], rest * part(open[c])), share(values[cut[1]], promise * part(promised[c]))]
     };
     let mut levels = vec![vec![vec![0.0; n]; tenants]; classes];
     let mut of_promise = levels.clone();
@@ -608,7 +639,7 @@
         for e in 0..n {
             let [of_rest, of_promised] = keeps(c, e);
             for t in 0..tenants {
-                let promise = promised[c][t].map_or(0.0, part) * guaranteed[t] * of_promised;
+                let promise = part(promised[c]) * guaranteed[t] * of_promised;
                 of_promise[c][t][e] = promise;
                 let rest = if rest(c) > 0.0 { part(open[c]) } else { 1.0 };
                 levels[c][t][e] = round(promise + rest * of_rest * (1.0 - guaranteed[t]));
@@ -684,24 +715,28 @@
             };
             let refused = (0..tenants).map(rest_of).sum();
             let ratio = ratio(c, cost(c, &coming));
-            order.push(Refusal { class: c, guaranteed_to: None, asked: rest(c), refused, ratio });
-        }
-        for t in (0..tenants).filter(|t| promised[c][*t].is_some()) {
-            let asks = total(c, t) * guaranteed[t];
-            let refused = refused(t, &|e| course.promised[c][t][e], guaranteed[t]);
-            let ratio = ratio(c, cost(c, &|e| asked[c][t][e]));
-            order.push(Refusal { class: c, guaranteed_to: Some(t), asked: asks, refused, ratio });
-            if refused > 0.0 {
-                shortfalls.push(Shortfall { tenant: t, class: c, guaranteed: asks, short: refused });
+            order.push(Refusal { class: c, guaranteed: false, asked: rest(c), refused, ratio });
+        }
+        let mut all = 0.0;
+        for t in 0..tenants {
+            let short = refused(t, &|e| course.promised[c][t][e], guaranteed[t]);
+            all += short;
+            if short > 0.0 {
+                let guaranteed = total(c, t) * guaranteed[t];
+                shortfalls.push(Shortfall { tenant: t, class: c, guaranteed, short });
             }
         }
+        if promise(c) > 0.0 {
+            let coming = |e: usize| (0..tenants).map(|t| asked[c][t][e] * guaranteed[t]).sum::<f64>();
+            let ratio = ratio(c, cost(c, &coming));
+            order.push(Refusal { class: c, guaranteed: true, asked: promise(c), refused: all, ratio });
+        }
     }
     order.sort_by(|a, b| {
-        let key = |r: &Refusal| (r.guaranteed_to.is_some(), r.class, r.guaranteed_to);
-        (a.guaranteed_to.is_some().cmp(&b.guaranteed_to.is_some()))
+        (a.guaranteed.cmp(&b.guaranteed))
             .then(a.ratio.total_cmp(&b.ratio))
             .then(fleet.worth[a.class].total_cmp(&fleet.worth[b.class]))
-            .then(key(a).cmp(&key(b)))
+            .then(a.class.cmp(&b.class))
     });
     let worth = |of: &dyn Fn(usize, usize, usize) -> f64| -> f64 {
         let class = |c: usize| {
@@ -726,6 +761,23 @@
     })
 }
 
+/// The largest value from `low` to `high` that fits, `low` if none does; what fits has to lie below what doesn't.
+fn widest(low: f64, high: f64, fits: impl Fn(f64) -> bool) -> f64 {
+    if fits(high) {
+        return high;
+    }
+    let (mut low, mut high) = (low, high);
+    for _ in 0..16 {
+        let middle = (low + high) / 2.0;
+        if fits(middle) {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    low
+}
+
 /// A part of 1 without the solver's rounding.
 fn round(part: f64) -> f64 {
     if part > 1.0 - SLIGHT {
@@ -760,7 +812,7 @@
     }
 }
 
-/// The plans for all losses that are prepared for: none, each site by each part of it, each pair of sites whole.
+/// The plans for all losses that are prepared for: none, each site by each part of it, each pair of sites.
 #[derive(Clone, Debug)]
 pub struct Plans {
     fleet: Fleet,
@@ -779,7 +831,10 @@
         for a in 0..n {
             use Missing::*;
             losses.extend([Entries, HalfHosts, Hosts, All].map(|m| Loss::none(n).with(a, m)));
-            losses.extend((a + 1..n).map(|b| Loss::of(n, &[a, b])));
+            for b in a + 1..n {
+                let pairs = [(Hosts, Hosts), (Hosts, All), (All, Hosts), (All, All)];
+                losses.extend(pairs.map(|(of_a, of_b)| Loss::none(n).with(a, of_a).with(b, of_b)));
+            }
         }
         let mut plans = BTreeMap::new();
         for loss in losses {
@@ -787,8 +842,11 @@
             plans.insert(loss, plan);
         }
         let mut bytes = fleet.fingerprint.to_le_bytes().to_vec();
-        for rate in plans.values().flat_map(|p| &p.course.rates) {
-            bytes.extend(((rate * 1e3).round() as u64).to_le_bytes());
+        for plan in plans.values() {
+            let levels = plan.course.levels.iter().flatten().flatten();
+            for v in plan.course.rates.iter().chain(levels) {
+                bytes.extend(((v * 1e3).round() as u64).to_le_bytes());
+            }
         }
         let fingerprint = xxhash_rust::xxh3::xxh3_64(&bytes);
         Ok(Plans { fleet, plans, fingerprint })
@@ -827,29 +885,43 @@
         self.plans.values()
     }
 
-    /// The course on the way from one to another while `loss` is missing: with conductors at `from` and here in any
+    /// What may be sent at the most under the plan for a loss: the plan, with as many more requests as its limits bear.
+    /// `None` if no plan is prepared for it.
+    pub fn most(&self, loss: &Loss) -> Option<Course> {
+        let plan = self.get(loss)?;
+        let room = Room::new(&self.fleet, &plan.loss);
+        let used = worst_mix(&[&plan.course]);
+        let fits = |by: f64| {
+            let more = used.iter().map(|(limit, v)| (*limit, v * by)).collect();
+            room.over(&more, self.fleet.tables.fill).is_none()
+        };
+        Some(plan.course.clone().stretched(widest(1.0, MOST_STRETCH, fits)))
+    }
+
+    /// The course on the way to another while `loss` is missing: with conductors at any of `from` and here in any
     /// mix no limit is broken, nor with conductors here and at `to`. As far toward `to` as that allows.
-    pub fn between(&self, loss: &Loss, from: &Course, to: &Course) -> Course {
-        let meet = from.meet(to, &Usage::new(&self.fleet, loss));
-        let on_way = |part: f64| {
-            let mut course = meet.toward(to, part);
-            self.keep(loss, &mut course);
-            course
+    pub fn between(&self, loss: &Loss, from: &[&Course], to: &Course) -> Course {
+        let usage = Usage::new(&self.fleet, loss);
+        let meet = from.iter().fold(to.clone(), |meet, course| course.meet(&meet, &usage));
+        let fits = |part: f64| {
+            let here = meet.toward(to, part);
+            let courses: Vec<&Course> = from.iter().copied().chain([&here]).collect();
+            broken_by_mix(&self.fleet, loss, &courses).is_none()
         };
-        let fits = |part: f64| broken_by_mix(&self.fleet, loss, &[from, &meet.toward(to, part)]).is_none();
-        if fits(1.0) {
+        let part = widest(0.0, 1.0, fits);
+        if part >= 1.0 {
             return to.clone();
         }
-        let (mut low, mut high) = (0.0, 1.0);
-        for _ in 0..16 {
-            let middle = (low + high) / 2.0;
-            if fits(middle) {
-                low = middle;
-            } else {
-                high = middle;
-            }
-        }
-        on_way(low)
+        let mut course = meet.toward(to, part);
+        self.keep(loss, &mut course);
+        course
+    }
+
+    /// A course without the ways over the hosts of a site: what is done while that site is doubted.
+    pub fn without(&self, loss: &Loss, course: &Course, site: usize) -> Course {
+        let mut course = course.clone().without(site);
+        self.keep(loss, &mut course);
+        course
     }
 
     /// Worth a second that a course takes while `loss` is missing.
--- a/src/fleet/sites/ramp.rs
+++ b/src/fleet/sites/ramp.rs
@@ -1,6 +1,14 @@
-//! The pace of a return.
+//! The pace of a return: when to settle, to try a step, to hold it, to step back.
+//!
+//! Every conductor runs one. The pacer (the group's leader, or the holder of a lease) proposes all of it; the others
+//! propose steps back only, from what they see of the returning site themselves.
 
-use super::describe::Fleet;
+use super::describe::{Fleet, RampSettings};
+use super::epoch::{Command, Standing, Table};
+use crate::interface::Micros;
+
+/// A part of outcomes that chance alone rarely explains lies this many standard deviations over the allowed one.
+const DEVIATIONS: f64 = 3.0;
 
 /// One step of a return.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -30,3 +38,187 @@
     }
     steps
 }
+
+/// What came back from the returning site's hosts, counted since the last time it was said.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Measured {
+    /// Requests that came to an end or to their first token there.
+    pub outcomes: u32,
+    /// First tokens that were late.
+    pub late: u32,
+    /// Requests that hosts turned away, or that failed there.
+    pub refused: u32,
+}
+
+/// What goes into it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// The table has changed.
+    Table(Table),
+    /// This conductor paces, or does no longer.
+    Pacing(bool),
+    /// Outcomes at hosts of a site.
+    Measured {
+        /// The site.
+        site: usize,
+        /// What came.
+        measured: Measured,
+    },
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Seen {
+    epoch: u64,
+    since: Micros,
+    settled: bool,
+    returning: Option<Returning>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Returning {
+    site: usize,
+    step: u16,
+    held: u16,
+    backs: u32,
+    /// When this conductor learnt of the return; a later pacer counts anew, which is only slower.
+    begun: Micros,
+}
+
+/// The state machine of one conductor.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Ramp {
+    step: Micros,
+    agree: Micros,
+    most_doublings: u32,
+    few: u32,
+    /// Allowed parts of late first tokens and of refusals, in thousandths.
+    most: [u32; 2],
+    /// For each site when each step may be tried, after the return has begun.
+    at: Vec<Vec<Micros>>,
+    names: Vec<crate::fleet::SiteName>,
+    pacing: bool,
+    seen: Seen,
+    measured: Measured,
+    proposed: Option<(u64, Micros)>,
+}
+
+impl Ramp {
+    /// Nothing returns.
+    pub fn new(fleet: &Fleet, table: &Table) -> Self {
+        let RampSettings { step_ms, agree_ms, most_doublings, few, most_late, most_refused, .. } =
+            fleet.tables.ramp;
+        let at = |site| steps(fleet, site).iter().map(|s| (s.at_s * 1e6) as Micros).collect();
+        Ramp {
+            step: step_ms * 1_000,
+            agree: agree_ms * 1_000,
+            most_doublings,
+            few,
+            most: [most_late, most_refused].map(|v| (v * 1e3) as u32),
+            at: (0..fleet.sites()).map(at).collect(),
+            names: table.names().to_vec(),
+            pacing: false,
+            seen: Seen { settled: true, ..Seen::default() },
+            measured: Measured::default(),
+            proposed: None,
+        }
+    }
+
+    /// When to tick next.
+    pub fn timeout(&self, now: Micros) -> Option<Micros> {
+        let busy = !self.seen.settled || self.seen.returning.is_some();
+        (busy && self.pacing).then_some(now + self.agree.clamp(1_000, 100_000))
+    }
+
+    /// Takes in what has happened and appends what is to be proposed to the group.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Command>) {
+        match event {
+            Event::Tick => {}
+            Event::Table(table) => self.table(now, &table),
+            Event::Pacing(pacing) => {
+                if pacing && !self.pacing {
+                    // What a former pacer had waited for is waited for again.
+                    self.seen.since = now;
+                    self.seen.returning.iter_mut().for_each(|r| r.begun = now);
+                }
+                self.pacing = pacing;
+            }
+            Event::Measured { site, measured } => {
+                if self.seen.returning.as_ref().is_some_and(|r| r.site == site) {
+                    let m = &mut self.measured;
+                    m.outcomes = m.outcomes.saturating_add(measured.outcomes);
+                    m.late = m.late.saturating_add(measured.late);
+                    m.refused = m.refused.saturating_add(measured.refused);
+                }
+            }
+        }
+        self.decide(now, out);
+    }
+
+    fn table(&mut self, now: Micros, table: &Table) {
+        if table.epoch() == self.seen.epoch {
+            return;
+        }
+        let old = self.seen.returning.take();
+        let returning = (0..table.names().len()).find_map(|site| match table.standing(site) {
+            Standing::Returning { step, held, backs, .. } => {
+                let same = old.as_ref().filter(|r| r.site == site && step + 1 >= r.step);
+                let begun = same.map_or(now, |r| r.begun);
+                Some(Returning { site, step, held, backs, begun })
+            }
+            _ => None,
+        });
+        // A new step is judged by its own outcomes.
+        if returning.as_ref().map(|r| (r.site, r.step)) != old.as_ref().map(|r| (r.site, r.step)) {
+            self.measured = Measured::default();
+        }
+        self.seen = Seen { epoch: table.epoch(), since: now, settled: table.settled(), returning };
+        self.proposed = None;
+    }
+
+    fn bad(&self) -> bool {
+        let m = self.measured;
+        if m.outcomes < self.few.max(1) {
+            return false;
+        }
+        let n = f64::from(m.outcomes);
+        let over = |count: u32, most: u32| {
+            let part = f64::from(most) / 1e3;
+            f64::from(count) > n * part + DEVIATIONS * (n * part * (1.0 - part)).sqrt()
+        };
+        over(m.late, self.most[0]) || over(m.refused, self.most[1])
+    }
+
+    fn decide(&mut self, now: Micros, out: &mut Vec<Command>) {
+        let (epoch, waited) = (self.seen.epoch, now.saturating_sub(self.seen.since));
+        // What was proposed may have been lost on its way.
+        if self.proposed.is_some_and(|(of, at)| of == epoch && now.saturating_sub(at) < self.agree) {
+            return;
+        }
+        let command = match &self.seen.returning {
+            Some(r) if r.step > r.held && self.bad() => {
+                Some(Command::Back { epoch, site: self.names[r.site].clone() })
+            }
+            _ if !self.pacing => None,
+            _ if !self.seen.settled => (waited >= self.agree).then_some(Command::Settle { epoch }),
+            None => None,
+            Some(r) => {
+                let site = self.names[r.site].clone();
+                let pause = self.step << r.backs.min(self.most_doublings).min(16);
+                if r.step > r.held {
+                    (waited >= self.step).then_some(Command::Hold { epoch, site })
+                } else {
+                    let at = self.at[r.site].get(usize::from(r.step)).copied().unwrap_or(0);
+                    let rested = r.backs == 0 || waited >= pause;
+                    let due = now.saturating_sub(r.begun) >= at && rested;
+                    due.then_some(Command::Step { epoch, site })
+                }
+            }
+        };
+        if let Some(command) = command {
+            self.proposed = Some((epoch, now));
+            out.push(command);
+        }
+    }
+}
