--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -508,7 +508,7 @@
                     self.expiring.retain(|_, seq| *seq != origin.seq);
                     self.hold(now, lease::Event::Answered(origin.seq, answer), asks, out);
                 }
-                Effect::Answered { .. } | Effect::Bounds(_) => {}
+                Effect::Answered { .. } | Effect::Bounds(_) | Effect::Sites(_) => {}
             }
         }
     }
--- a/src/fleet/sites/command.rs
+++ b/src/fleet/sites/command.rs
@@ -57,7 +57,7 @@
 #[derive(Debug, thiserror::Error)]
 pub enum CommandError {
     /// The file can't be used.
-    #[error(transparent)]
+    #[error("{}", .0.0)]
     Config(#[from] ConfigError),
     /// Its `[sites]` tables can't.
     #[error(transparent)]
--- a/src/fleet/sites/epoch.rs
+++ b/src/fleet/sites/epoch.rs
@@ -4,13 +4,15 @@
 //! raises the epoch; those that pace something name the epoch they were made for and are refused under any other, so
 //! that none is applied twice, late or out of order.
 
-use super::describe::Fleet;
 use super::plan::{Course, Loss, Missing, PlanError, Plans};
 use super::ramp;
-use crate::fleet::SiteName;
+use crate::fleet::{NameError, SiteName};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// Most sites, and most steps of a return.
+const MOST_SITES: usize = 16;
+const MOST_STEPS: usize = 20_000;
 /// Most changes in a row before all conductors have stepped; further ones wait.
 const MOST_CHANGES: usize = 4;
 /// A whole share, in millionths.
@@ -19,6 +21,13 @@
 /// Something to agree on.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Command {
+    /// Other plans are in force from now on; refused while any site is not sound.
+    Plans {
+        /// Their fingerprint.
+        plans: u64,
+        /// Each site, in the order of the file, with the shares of the steps of its return in millionths.
+        sites: Vec<(SiteName, Vec<u32>)>,
+    },
     /// A site's conductors see that something is missing of another site, or that nothing is any more.
     Say {
         /// The site that sees it.
@@ -58,6 +67,23 @@
     },
 }
 
+impl Command {
+    /// The command that puts plans in force.
+    ///
+    /// # Errors
+    /// A site's name that can't be one.
+    pub fn plans(plans: &Plans) -> Result<Command, NameError> {
+        let fleet = plans.fleet();
+        let site = |site: usize| {
+            let shares = ramp::steps(fleet, site).into_iter();
+            let shares = shares.map(|s| (s.share * f64::from(WHOLE)).floor() as u32).collect();
+            Ok((SiteName::try_from(fleet.site_name(site))?, shares))
+        };
+        let sites = (0..fleet.sites()).map(site).collect::<Result<_, _>>()?;
+        Ok(Command::Plans { plans: plans.fingerprint(), sites })
+    }
+}
+
 /// What is agreed of a site.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Standing {
@@ -148,7 +174,7 @@
 }
 
 /// The agreed state of all sites.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Table {
     names: Vec<SiteName>,
     /// For each site the shares of the steps of its return, in millionths.
@@ -161,25 +187,19 @@
 }
 
 impl Table {
-    /// All sites are sound. `plans` is [`Plans::fingerprint`]: who has other plans is not heard.
+    /// All sites are sound under these plans.
     ///
     /// # Errors
     /// A site's name that can't be one.
-    pub fn new(fleet: &Fleet, plans: u64) -> Result<Self, crate::fleet::NameError> {
-        let names = fleet.tables.site.iter().map(|s| SiteName::try_from(s.name.as_str()));
-        let steps = |site: usize| {
-            let shares = ramp::steps(fleet, site).into_iter();
-            shares.map(|s| (s.share * f64::from(WHOLE)).floor() as u32).collect()
-        };
-        let n = fleet.sites();
-        Ok(Table {
-            names: names.collect::<Result<_, _>>()?,
-            steps: (0..n).map(steps).collect(),
-            plans,
-            epoch: 0,
-            rows: vec![Row::default(); n],
-            chain: vec![Stand::sound(n)],
-        })
+    pub fn new(plans: &Plans) -> Result<Self, NameError> {
+        let mut table = Table::default();
+        table.apply(Command::plans(plans)?, &mut Vec::new());
+        Ok(table)
+    }
+
+    /// The fingerprint of the plans in force; who has others is not heard. 0: none are agreed on yet.
+    pub fn plans(&self) -> u64 {
+        self.plans
     }
 
     /// The epoch: rises with every change of what conductors do.
@@ -204,7 +224,7 @@
 
     /// Whether all conductors have stepped to where the last change leads.
     pub fn settled(&self) -> bool {
-        self.chain.len() == 1
+        self.chain.len() <= 1
     }
 
     /// What is in force, oldest first; the last is where all go.
@@ -237,6 +257,7 @@
     /// Applies a command of the log.
     pub fn apply(&mut self, command: Command, out: &mut Vec<Effect>) {
         let applied = match &command {
+            Command::Plans { plans, sites } => self.install(*plans, sites, out),
             Command::Say { by, of, missing, plans } => self.say(by, of, *missing, *plans, out),
             Command::Settle { epoch } => self.settle(*epoch, out),
             Command::Step { epoch, site } => self.pace(*epoch, site, out, |row, last| match row {
@@ -274,6 +295,23 @@
         self.names.iter().position(|n| n == name)
     }
 
+    fn install(&mut self, plans: u64, sites: &[(SiteName, Vec<u32>)], out: &mut Vec<Effect>) -> bool {
+        let sound = self.rows.iter().all(|r| r.standing == Standing::Sound) && self.chain.len() <= 1;
+        let bounded = (2..=MOST_SITES).contains(&sites.len())
+            && sites.iter().all(|(_, steps)| !steps.is_empty() && steps.len() <= MOST_STEPS);
+        if !sound || !bounded || plans == self.plans {
+            return false;
+        }
+        self.names = sites.iter().map(|(name, _)| name.clone()).collect();
+        self.steps = sites.iter().map(|(_, steps)| steps.clone()).collect();
+        self.rows = vec![Row::default(); sites.len()];
+        self.chain = vec![Stand::sound(sites.len())];
+        self.plans = plans;
+        self.epoch += 1;
+        out.push(Effect::Settled { epoch: self.epoch });
+        true
+    }
+
     fn say(
         &mut self,
         by: &SiteName,
--- a/src/fleet/sites/member.rs
+++ b/src/fleet/sites/member.rs
@@ -66,6 +66,9 @@
     ramp: Ramp,
     table: Table,
     in_touch: bool,
+    pacing: bool,
+    /// When the plans here were last proposed to be in force.
+    installed: Option<Micros>,
     orders: Orders,
     /// For each site since when its word in the table differs from what is seen here, and when it was said last.
     differs: Vec<(Option<Micros>, Option<Micros>)>,
@@ -76,17 +79,18 @@
 }
 
 impl Member {
-    /// A conductor of the site `entry`, with the table as it stands.
-    pub fn new(plans: &Plans, table: Table, entry: usize, seed: u64) -> Self {
+    /// A conductor of the site `entry` that has not heard of the agreed table yet.
+    pub fn new(plans: &Plans, entry: usize, seed: u64) -> Self {
         let fleet = plans.fleet();
-        let ramp = Ramp::new(fleet, &table);
         Member {
             entry,
             seed,
             watch: Watch::new(fleet.tables.watch.clone(), fleet.sites(), entry),
-            ramp,
-            table,
+            ramp: Ramp::new(fleet),
+            table: Table::default(),
             in_touch: true,
+            pacing: false,
+            installed: None,
             orders: Orders::default(),
             differs: vec![(None, None); fleet.sites()],
             made_from: None,
@@ -107,7 +111,7 @@
 
     /// When to tick next.
     pub fn timeout(&self, now: Micros) -> Option<Micros> {
-        let waits = self.differs.iter().any(|(since, _)| since.is_some());
+        let waits = self.differs.iter().any(|(since, _)| since.is_some()) || self.pacing;
         let own = waits.then_some(now + SPREAD / 2);
         [self.watch.timeout(now), self.ramp.timeout(now), own].into_iter().flatten().min()
     }
@@ -131,11 +135,21 @@
                 self.table = *table;
                 self.ramp.handle(now, ramp::Event::Table(self.table.clone()), &mut commands);
             }
-            Event::Pacing(pacing) => self.ramp.handle(now, ramp::Event::Pacing(pacing), &mut commands),
+            Event::Pacing(pacing) => {
+                self.pacing = pacing;
+                self.ramp.handle(now, ramp::Event::Pacing(pacing), &mut commands);
+            }
             Event::Measured { site, measured } => {
                 self.ramp.handle(now, ramp::Event::Measured { site, measured }, &mut commands);
             }
         }
+        if self.pacing && self.table.plans() != plans.fingerprint() {
+            let again = self.installed.is_none_or(|at| now.saturating_sub(at) >= self.agree);
+            if again && let Ok(command) = Command::plans(plans) {
+                self.installed = Some(now);
+                commands.push(command);
+            }
+        }
         for site in 0..self.differs.len() {
             let back = self.table.standing(site) == Standing::Sound
                 && self.table.said(self.entry, site) == Missing::Nothing;
@@ -161,7 +175,8 @@
             Status::Doubted => said,
             Status::Sound | Status::Returning => Missing::Nothing,
         };
-        if site == self.entry || sees == said || self.watch.cut_off() {
+        let other_plans = self.table.plans() != plans;
+        if site == self.entry || sees == said || other_plans || self.watch.cut_off() {
             self.differs[site] = (None, None);
             return;
         }
@@ -192,6 +207,14 @@
         if self.made_from.as_ref() == Some(&from) {
             return;
         }
+        if self.table.plans() != plans.fingerprint() {
+            // Until the same plans are agreed on, everything goes as ever.
+            if self.table.plans() != 0 {
+                out.push(Action::NoPlan("the plans agreed on are others than this conductor's".into()));
+            }
+            self.made_from = Some(from);
+            return;
+        }
         match self.course(plans, &from.seen) {
             Ok((plan, most, unusual)) => {
                 let orders = Orders::of(plans, &plan, &most, self.entry, self.table.epoch(), unusual);
--- a/src/fleet/sites/ramp.rs
+++ b/src/fleet/sites/ramp.rs
@@ -106,7 +106,7 @@
 
 impl Ramp {
     /// Nothing returns.
-    pub fn new(fleet: &Fleet, table: &Table) -> Self {
+    pub fn new(fleet: &Fleet) -> Self {
         let RampSettings { step_ms, agree_ms, most_doublings, few, most_late, most_refused, .. } =
             fleet.tables.ramp;
         let at = |site| steps(fleet, site).iter().map(|s| (s.at_s * 1e6) as Micros).collect();
@@ -117,7 +117,7 @@
             few,
             most: [most_late, most_refused].map(|v| (v * 1e3) as u32),
             at: (0..fleet.sites()).map(at).collect(),
-            names: table.names().to_vec(),
+            names: Vec::new(),
             pacing: false,
             seen: Seen { settled: true, ..Seen::default() },
             measured: Measured::default(),
@@ -160,6 +160,7 @@
         if table.epoch() == self.seen.epoch {
             return;
         }
+        self.names = table.names().to_vec();
         let old = self.seen.returning.take();
         let returning = (0..table.names().len()).find_map(|site| match table.standing(site) {
             Standing::Returning { step, held, backs, .. } => {
--- a/src/fleet/sites/tests.rs
+++ b/src/fleet/sites/tests.rs
@@ -274,8 +274,8 @@
     /// rises, and the same commands lead to the same table.
     #[test]
     fn the_table_keeps_the_order_of_steps(drawn in prop::collection::vec((0..5u8, 0..4u8, 0..4u8, 0..3u64), 1..120)) {
-        let fleet = three();
-        let mut table = Table::new(&fleet, 7).unwrap();
+        let plans = Plans::new(three()).unwrap();
+        let mut table = Table::new(&plans).unwrap();
         let name = |i: u8| SiteName::try_from(format!("s{i}").as_str()).unwrap();
         let mut twin = table.clone();
         for (kind, a, b, c) in drawn {
@@ -284,7 +284,7 @@
             let site = name(a);
             let missing = if c == 0 { Missing::Nothing } else { Missing::All };
             let command = match kind {
-                0 => Command::Say { by: name(b), of: site, missing, plans: 7 },
+                0 => Command::Say { by: name(b), of: site, missing, plans: plans.fingerprint() },
                 1 => Command::Settle { epoch },
                 2 => Command::Step { epoch, site },
                 3 => Command::Hold { epoch, site },
@@ -458,8 +458,8 @@
 fn a_bad_step_goes_back_to_the_one_that_held_and_no_further() {
     let fleet = three();
     let plans = Plans::new(fleet.clone()).unwrap();
-    let mut table = Table::new(&fleet, plans.fingerprint()).unwrap();
-    let mut ramp = Ramp::new(&fleet, &table);
+    let mut table = Table::new(&plans).unwrap();
+    let mut ramp = Ramp::new(&fleet);
     let names = table.names().to_vec();
     let say = |table: &mut Table, missing| {
         for by in [0, 1] {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -4,7 +4,7 @@
 //! bound that decides anything is itself in the log ([`Bounds`]). A further part of the fleet adds one variant each
 //! to [`Command`], [`Answer`] and [`Effect`], a field to [`FleetState`], and one arm in [`FleetState::apply`].
 
-use crate::fleet::{Incarnation, Index, MemberName, Who, lease};
+use crate::fleet::{Incarnation, Index, MemberName, Who, lease, sites};
 use crate::interface::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,6 +52,8 @@
     Bounds(Bounds),
     /// About a lease.
     Lease(lease::Command),
+    /// About a lost or a returning site.
+    Sites(sites::epoch::Command),
 }
 
 /// What came of a proposal.
@@ -92,6 +94,8 @@
     Lease(lease::Change),
     /// Other bounds are in force.
     Bounds(Bounds),
+    /// What is agreed of the sites has changed.
+    Sites(sites::epoch::Effect),
 }
 
 /// The bounds of the state's tables. They decide what is refused, so they are part of the state: a leader whose
@@ -133,6 +137,7 @@
     forgotten: Incarnation,
     leases: lease::Table,
     applied: Index,
+    sites: sites::epoch::Table,
 }
 
 impl FleetState {
@@ -156,6 +161,11 @@
         &self.leases
     }
 
+    /// What is agreed of the sites.
+    pub fn sites(&self) -> &sites::epoch::Table {
+        &self.sites
+    }
+
     /// Whether this proposal has been decided (or would be refused as settled).
     pub fn decided(&self, origin: &Origin) -> bool {
         match self.sessions.get(&origin.who.name) {
@@ -193,6 +203,12 @@
                     out.extend(changes.into_iter().map(Effect::Lease));
                     Answer::Lease(outcome)
                 }
+                Command::Sites(command) => {
+                    let mut effects = Vec::new();
+                    self.sites.apply(command, &mut effects);
+                    out.extend(effects.into_iter().map(Effect::Sites));
+                    Answer::Done
+                }
             },
         };
         out.push(Effect::Answered { origin, answer });
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,7 @@
         Some(Command::Serve { file }) => run::serve(Source::operator(file)),
         Some(Command::Import { from: From::Haproxy { file } }) => read(&file).and_then(|text| import(&text)),
         Some(Command::Check { file }) => check(&file),
+        Some(Command::Sites(sites)) => sites.run().map_err(|e| ConfigError(e.to_string())),
         Some(Command::Fleet { ask: Ask::Status(at) }) => status(&at),
     };
     match done {
