--- a/lab/src/experiments/mod.rs
+++ b/lab/src/experiments/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! `whinhaven-lab experiment NAME` runs one. A new experiment is a module here and a line in [`ALL`].
 
+pub mod sites;
+
 use std::path::{Path, PathBuf};
 
 /// What an experiment is told.
@@ -37,4 +39,8 @@
 }
 
 /// All experiments, by name.
-pub const ALL: &[Experiment] = &[];
+pub const ALL: &[Experiment] = &[Experiment {
+    name: "sites",
+    about: "the loss of one of five sites and its return, with the plan, without, and spread evenly",
+    run: sites::sites,
+}];
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod process;
 pub mod script;
 pub mod sim;
+pub mod sim_sites;
 pub mod tools;
--- a/src/fleet/sites/command.rs
+++ b/src/fleet/sites/command.rs
@@ -202,7 +202,9 @@
             let first = matches!(limit, Limit::Read(_));
             let full = after.filter(|l| l.price > 1e-6);
             let full = full.map_or(String::new(), |l| {
-                if plan.shortfalls.is_empty() {
+                if l.price < 0.5 {
+                    "   full".into()
+                } else if plan.shortfalls.is_empty() {
                     format!("   full: 1% more keeps {:.2} worth a second", l.price / 100.0)
                 } else {
                     "   full: it holds guaranteed shares back".into()
--- a/src/fleet/sites/epoch.rs
+++ b/src/fleet/sites/epoch.rs
@@ -238,6 +238,9 @@
     /// # Errors
     /// As [`super::plan::make`], for a loss that was not prepared.
     pub fn courses(&self, plans: &mut Plans) -> Result<(Course, Course), PlanError> {
+        if let Some(courses) = plans.kept_courses(&self.chain) {
+            return Ok(courses);
+        }
         let mut stands = self.chain.iter();
         let first = stands.next().cloned().unwrap_or_else(|| Stand::sound(self.rows.len()));
         let (mut plan, most) = first.courses(plans)?;
@@ -251,7 +254,9 @@
             plan = if here == to_most { to_plan } else { here.clone() };
             in_force.push(here.clone());
         }
-        Ok((plan, here))
+        let courses = (plan, here);
+        plans.keep_courses(&self.chain, &courses);
+        Ok(courses)
     }
 
     /// Applies a command of the log.
--- a/src/fleet/sites/plan.rs
+++ b/src/fleet/sites/plan.rs
@@ -10,14 +10,17 @@
 )]
 
 use super::describe::Fleet;
+use super::epoch::Stand;
 use super::lp::Program;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// What a guaranteed request is worth more than any other: it is given up only when no other is left to give up.
 const GUARANTEED: f64 = 1_000.0;
 /// A site refuses more of a class than the others only where that keeps this much more worth: else all refuse alike.
 const LOCAL: f64 = 1.05;
+/// Chains of stands whose courses are kept.
+const MOST_KEPT: usize = 16;
 /// More requests than a plan's, as a multiple, that a conductor takes at most where its limits bear them.
 const MOST_STRETCH: f64 = 4.0;
 /// Less than this of a limit, or of a request a second, is rounding.
@@ -818,6 +821,8 @@
     fleet: Fleet,
     plans: BTreeMap<Loss, Plan>,
     fingerprint: u64,
+    /// What was worked out last for chains of stands: all conductors of a process ask for the same.
+    worked_out: VecDeque<(Vec<Stand>, (Course, Course))>,
 }
 
 impl Plans {
@@ -849,7 +854,7 @@
             }
         }
         let fingerprint = xxhash_rust::xxh3::xxh3_64(&bytes);
-        Ok(Plans { fleet, plans, fingerprint })
+        Ok(Plans { fleet, plans, fingerprint, worked_out: VecDeque::new() })
     }
 
     /// The fleet that they are made for.
@@ -924,6 +929,19 @@
         course
     }
 
+    /// What was kept by [`Plans::keep_courses`] for a chain of stands.
+    pub(crate) fn kept_courses(&self, chain: &[Stand]) -> Option<(Course, Course)> {
+        self.worked_out.iter().find(|(of, _)| of == chain).map(|(_, courses)| courses.clone())
+    }
+
+    /// Keeps what was worked out for a chain of stands; the oldest goes.
+    pub(crate) fn keep_courses(&mut self, chain: &[Stand], courses: &(Course, Course)) {
+        if self.worked_out.len() >= MOST_KEPT {
+            self.worked_out.pop_front();
+        }
+        self.worked_out.push_back((chain.to_vec(), courses.clone()));
+    }
+
     /// Worth a second that a course takes while `loss` is missing.
     pub fn worth(&self, loss: &Loss, course: &Course) -> f64 {
         let asked = asked(&self.fleet, loss);
