--- a/lab/src/experiments/sites.rs
+++ b/lab/src/experiments/sites.rs
@@ -3,6 +3,7 @@
 use super::Options;
 use crate::plot::Chart;
 use crate::sim_sites::{Day, Outcome, Rule, run};
+use whinhaven::fleet::sites::plan::Plans;
 
 /// What a rule is called in plots.
 fn name(rule: Rule) -> &'static str {
@@ -34,15 +35,18 @@
         .unwrap_or(0.0)
 }
 
+/// Demand as a part of what the sites were sized for. At 1.0 four of five sites bear what five did but for what their
+/// readers have not kept of the newcomers; at 1.2 they don't.
+const DEMANDS: [f64; 4] = [0.8, 1.0, 1.2, 1.3];
+/// The one that is drawn.
+const DRAWN: f64 = 1.2;
+
 /// Runs the experiment.
 ///
 /// # Errors
 /// There is no plan, or a file can't be written.
 pub fn sites(options: &Options) -> Result<(), String> {
     let day = if options.quick { Day::small(options.seed) } else { Day::large(options.seed) };
-    let folder = options.folder().map_err(|e| e.to_string())?;
-    let marks = || vec![(day.lost_at as f64, "lost".to_owned()), (day.back_at as f64, "back".to_owned())];
-    let mut worth = Vec::new();
     println!(
         "{} sites, {} conductors, {} hosts, seed {}: site-0 is lost at {} s and back, cold, at {} s",
         day.sites,
@@ -52,94 +56,96 @@
         day.lost_at,
         day.back_at
     );
-    println!("worth served of what was asked for; hosts of sites that stayed, and of site-0, that fell over");
+    let start = std::time::Instant::now();
+    let plans = Plans::new(day.fleet()).map_err(|e| e.to_string())?;
+    println!("{} plans were made in {:.0} ms", plans.iter().count(), start.elapsed().as_secs_f64() * 1e3);
+    println!("worth served of what was asked for; hosts that fell over, of sites that stayed and of site-0");
     println!(
-        "{:<10}{:>8}{:>8}{:>8}{:>8}{:>10}{:>10}",
-        "rule", "before", "lost", "return", "all", "survivors", "site-0"
+        "{:<8}{:<9}{:>8}{:>8}{:>8}{:>8}{:>10}{:>8}   steady after the loss, full after the return",
+        "demand", "rule", "before", "lost", "return", "all", "survivors", "site-0"
     );
-    for rule in [Rule::Plan, Rule::Near, Rule::Even] {
-        let outcome = run(&day, rule)?;
-        let (from, end) = (5, day.end - 10);
-        let fell: u32 = outcome.fell.iter().skip(1).sum();
-        println!(
-            "{:<10}{:>8.3}{:>8.3}{:>8.3}{:>8.3}{:>10}{:>10}",
-            name(rule),
-            outcome.part(from, day.lost_at),
-            outcome.part(day.lost_at, day.back_at),
-            outcome.part(day.back_at, end),
-            outcome.part(from, end),
-            fell,
-            outcome.fell[0]
-        );
-        let usual = outcome.part(from, day.lost_at);
-        let held = outcome.part((day.lost_at + day.back_at) / 2, day.back_at);
-        let after = |seconds: Option<u64>| seconds.map_or("never".into(), |s| format!("{s} s"));
-        println!(
-            "          steady {} after the loss (within 3% of {held:.3}); full {} after the return (97% of {usual:.3})",
-            after(outcome.steady(day.lost_at, held * 0.97, day.back_at)),
-            after(outcome.steady(day.back_at, usual * 0.97, end))
-        );
-        if rule == Rule::Plan {
-            let agreed: Vec<String> =
-                outcome.standings().iter().map(|(at, what)| format!("{what} {at:.1} s")).collect();
-            println!(
-                "          agreed: {}; refused out of order: {}",
-                agreed.join(", "),
-                outcome.out_of_order
-            );
-        }
-        let part = |t: usize| {
-            if outcome.seconds[t].asked > 0.0 {
-                outcome.seconds[t].served / outcome.seconds[t].asked
-            } else {
-                0.0
+    for demand in DEMANDS {
+        let day = Day { demand, ..day.clone() };
+        let mut worth = Vec::new();
+        for rule in [Rule::Plan, Rule::Near, Rule::Even] {
+            let outcome = run(&day, rule)?;
+            row(&day, rule, &outcome);
+            if demand == DRAWN {
+                draw(options, &day, rule, &outcome)?;
+                let part = |t: usize| outcome.part(t as u64, t as u64 + 1);
+                worth.push((name(rule).to_owned(), smooth(by_second(&outcome, part))));
             }
-        };
-        worth.push((name(rule).to_owned(), smooth(by_second(&outcome, part))));
-        let refused = |c: usize| smooth(by_second(&outcome, |t| f64::from(outcome.seconds[t].refused[c])));
-        let classes = day.fleet().tables.classes.iter().map(|c| c.name.clone()).collect::<Vec<_>>();
-        let file = |what: &str| folder.join(format!("sites-{what}-{}.svg", name(rule).replace(' ', "-")));
-        let save = |chart: Chart, what: &str| chart.save(&file(what)).map_err(|e| e.to_string());
-        save(
-            Chart {
-                title: format!("Refused by class: {}", name(rule)),
-                x: "seconds".into(),
-                y: "requests a second".into(),
-                lines: classes.into_iter().enumerate().map(|(c, name)| (name, refused(c))).collect(),
-                marks: marks(),
-            },
-            "refused",
-        )?;
-        let sites = |of: &dyn Fn(usize, usize) -> f64| -> Vec<(String, Vec<(f64, f64)>)> {
-            (0..day.sites).map(|s| (format!("site-{s}"), smooth(by_second(&outcome, |t| of(t, s))))).collect()
-        };
-        save(
-            Chart {
-                title: format!("Load of readers by site: {}", name(rule)),
-                x: "seconds".into(),
-                y: "sent, as a part of what they can do warm".into(),
-                lines: sites(&|t, s| outcome.seconds[t].load[s][0]),
-                marks: marks(),
-            },
-            "load",
-        )?;
-        save(
-            Chart {
-                title: format!("First tokens by site, 95 of 100 within: {}", name(rule)),
+        }
+        if demand == DRAWN {
+            let chart = Chart {
+                title: format!("Worth served of what was asked for, demand {demand}"),
                 x: "seconds".into(),
-                y: "seconds to the first token".into(),
-                lines: sites(&|t, s| quantile(&outcome.seconds[t].first[s], 0.95)),
-                marks: marks(),
-            },
-            "first",
-        )?;
+                y: "part of the worth".into(),
+                lines: worth,
+                marks: marks(&day),
+            };
+            let folder = options.folder().map_err(|e| e.to_string())?;
+            chart.save(&folder.join("sites-worth.svg")).map_err(|e| e.to_string())?;
+        }
     }
-    let chart = Chart {
-        title: "Worth served of what was asked for".into(),
-        x: "seconds".into(),
-        y: "part of the worth".into(),
-        lines: worth,
-        marks: marks(),
+    Ok(())
+}
+
+fn marks(day: &Day) -> Vec<(f64, String)> {
+    vec![(day.lost_at as f64, "lost".to_owned()), (day.back_at as f64, "back".to_owned())]
+}
+
+fn row(day: &Day, rule: Rule, outcome: &Outcome) {
+    let (from, end) = (5, day.end - 10);
+    let usual = outcome.part(from, day.lost_at);
+    let held = outcome.part((day.lost_at + day.back_at) / 2, day.back_at);
+    let after = |seconds: Option<u64>| seconds.map_or("never".into(), |s| format!("{s} s"));
+    println!(
+        "{:<8}{:<9}{:>8.3}{:>8.3}{:>8.3}{:>8.3}{:>10}{:>8}   {}, {}",
+        day.demand,
+        name(rule),
+        usual,
+        outcome.part(day.lost_at, day.back_at),
+        outcome.part(day.back_at, end),
+        outcome.part(from, end),
+        outcome.fell.iter().skip(1).sum::<u32>(),
+        outcome.fell[0],
+        after(outcome.steady(day.lost_at, held - 0.06..held + 0.06, day.back_at)),
+        after(outcome.steady(day.back_at, usual * 0.97..f64::MAX, end)),
+    );
+    if rule == Rule::Plan {
+        let agreed: Vec<String> =
+            outcome.standings().iter().map(|(at, what)| format!("{what} {at:.1} s")).collect();
+        println!(
+            "                 agreed: {}; refused out of order: {}",
+            agreed.join(", "),
+            outcome.out_of_order
+        );
+    }
+}
+
+fn draw(options: &Options, day: &Day, rule: Rule, outcome: &Outcome) -> Result<(), String> {
+    let folder = options.folder().map_err(|e| e.to_string())?;
+    let save = |what: &str, title: &str, y: &str, lines| {
+        let chart = Chart {
+            title: format!("{title}: {}", name(rule)),
+            x: "seconds".into(),
+            y: y.into(),
+            lines,
+            marks: marks(day),
+        };
+        let file = format!("sites-{what}-{}.svg", name(rule).replace(' ', "-"));
+        chart.save(&folder.join(file)).map_err(|e| e.to_string())
+    };
+    let refused = |c: usize| smooth(by_second(outcome, |t| f64::from(outcome.seconds[t].refused[c])));
+    let fleet = day.fleet();
+    let classes = fleet.tables.classes.iter().enumerate().map(|(c, class)| (class.name.clone(), refused(c)));
+    save("refused", "Refused by class", "requests a second", classes.collect())?;
+    let sites = |of: &dyn Fn(usize, usize) -> f64| -> Vec<(String, Vec<(f64, f64)>)> {
+        (0..day.sites).map(|s| (format!("site-{s}"), smooth(by_second(outcome, |t| of(t, s))))).collect()
     };
-    chart.save(&folder.join("sites-worth.svg")).map_err(|e| e.to_string())
+    let load = sites(&|t, s| outcome.seconds[t].load[s][0]);
+    save("load", "Load of readers by site", "sent, as a part of what they can do warm", load)?;
+    let first = sites(&|t, s| quantile(&outcome.seconds[t].first[s], 0.95));
+    save("first", "First tokens by site, 95 of 100 within", "seconds", first)
 }
--- a/lab/src/sim_sites/run.rs
+++ b/lab/src/sim_sites/run.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::ops::Range;
 use whinhaven::fleet::sites::epoch::{Command, Effect, Standing, Table};
 use whinhaven::fleet::sites::member::{Action, Event, Member};
 use whinhaven::fleet::sites::plan::Plans;
@@ -80,10 +81,10 @@
         if asked > 0.0 { served / asked } else { 0.0 }
     }
 
-    /// The first second from `from` on from which ten in a row serve at least this part, counted from `from`.
-    pub fn steady(&self, from: u64, part: f64, until: u64) -> Option<u64> {
-        (from..until.saturating_sub(9))
-            .find(|t| (0..10).all(|i| self.part(t + i, t + i + 1) >= part))
+    /// The first second from `from` on from which five in a row serve such a part, counted from `from`.
+    pub fn steady(&self, from: u64, part: Range<f64>, until: u64) -> Option<u64> {
+        (from..until.saturating_sub(4))
+            .find(|t| (0..5).all(|i| part.contains(&self.part(t + i, t + i + 1))))
             .map(|t| t - from)
     }
 }
@@ -481,17 +482,21 @@
         self.go(id);
     }
 
-    /// A refused request is out of order if its level says that a class worth less at the same door is taken more.
+    /// A refused request is out of order if at the same door more is taken of a class that is worth less and takes as
+    /// much of both stages.
     fn count_order(&mut self, id: u32, by_level: bool) {
         let r = &self.requests[id as usize];
         let orders = self.conductors[r.conductor].gate.orders();
         let fleet = self.plans.fleet();
-        let dearer = |c: usize| {
-            fleet.worth[c] < fleet.worth[r.class]
-                && fleet.tables.classes[c].prompt_tokens >= fleet.tables.classes[r.class].prompt_tokens
+        let takes = |c: usize| {
+            let class = &fleet.tables.classes[c];
+            [class.prompt_tokens * (1.0 - class.kept), class.answer_tokens]
         };
-        let untidy =
-            (0..fleet.classes()).any(|c| dearer(c) && orders.levels[c][0] > orders.levels[r.class][0]);
+        let [reads, writes] = takes(r.class);
+        let no_better =
+            |c: usize| fleet.worth[c] < fleet.worth[r.class] && takes(c)[0] >= reads && takes(c)[1] >= writes;
+        let taken_more = |c: usize| orders.levels[c][0] > orders.levels[r.class][0];
+        let untidy = (0..fleet.classes()).any(|c| no_better(c) && taken_more(c));
         self.out.out_of_order += u32::from(by_level && untidy);
     }
 
--- a/src/fleet/sites/member.rs
+++ b/src/fleet/sites/member.rs
@@ -70,14 +70,26 @@
     /// When the plans here were last proposed to be in force.
     installed: Option<Micros>,
     orders: Orders,
-    /// For each site since when its word in the table differs from what is seen here, and when it was said last.
-    differs: Vec<(Option<Micros>, Option<Micros>)>,
+    /// For each site how its word in the table differs from what is seen here.
+    differs: Vec<Differs>,
     /// What the orders were made from.
     made_from: Option<Basis>,
+    lost_after: Micros,
     hold_down: Micros,
     agree: Micros,
 }
 
+/// What is seen here of a site, against what this conductor's own site has said of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Differs {
+    /// What is seen here, what was said, since when they are these two.
+    both: Option<(Missing, Missing, Micros)>,
+    /// When this conductor last said it.
+    last: Option<Micros>,
+    /// This conductor has held the site down itself, and has not seen its site's word agree since.
+    held_down: bool,
+}
+
 impl Member {
     /// A conductor of the site `entry` that has not heard of the agreed table yet.
     pub fn new(plans: &Plans, entry: usize, seed: u64) -> Self {
@@ -92,7 +104,8 @@
             pacing: false,
             installed: None,
             orders: Orders::default(),
-            differs: vec![(None, None); fleet.sites()],
+            differs: vec![Differs::default(); fleet.sites()],
+            lost_after: fleet.tables.watch.lost_after_ms * 1_000,
             made_from: None,
             hold_down: fleet.tables.watch.hold_down_ms * 1_000,
             agree: fleet.tables.ramp.agree_ms * 1_000,
@@ -111,7 +124,7 @@
 
     /// When to tick next.
     pub fn timeout(&self, now: Micros) -> Option<Micros> {
-        let waits = self.differs.iter().any(|(since, _)| since.is_some()) || self.pacing;
+        let waits = self.differs.iter().any(|d| d.both.is_some()) || self.pacing;
         let own = waits.then_some(now + SPREAD / 2);
         [self.watch.timeout(now), self.ramp.timeout(now), own].into_iter().flatten().min()
     }
@@ -150,6 +163,11 @@
                 commands.push(command);
             }
         }
+        for action in &seen {
+            if let watch::Action::Changed(change) = action {
+                self.differs[change.site].held_down = change.to == Status::Returning;
+            }
+        }
         for site in 0..self.differs.len() {
             let back = self.table.standing(site) == Standing::Sound
                 && self.table.said(self.entry, site) == Missing::Nothing;
@@ -171,23 +189,35 @@
         let said = self.table.said(self.entry, site);
         let (status, missing, _) = self.watch.status(site);
         let sees = match status {
+            // Others of this site may have seen for long enough already that it is back.
+            Status::Lost if self.watch.recovering(site) => said,
             Status::Lost => missing,
             Status::Doubted => said,
             Status::Sound | Status::Returning => Missing::Nothing,
         };
         let other_plans = self.table.plans() != plans;
+        let differs = &mut self.differs[site];
         if site == self.entry || sees == said || other_plans || self.watch.cut_off() {
-            self.differs[site] = (None, None);
+            differs.both = None;
+            differs.held_down &= sees != said;
             return;
         }
-        let (since, last) = &mut self.differs[site];
-        let since = *since.get_or_insert(now);
-        // Another conductor of this site saw a loss that this one never did: it is not contradicted at once.
-        let patience = if sees == Missing::Nothing && status == Status::Sound { self.hold_down } else { 0 };
+        if differs.both.is_none_or(|(a, b, _)| (a, b) != (sees, said)) {
+            differs.both = Some((sees, said, now));
+        }
+        let since = differs.both.map_or(now, |(.., since)| since);
+        // A first loss is said at once, and the end of one that was held down here. What another conductor of this
+        // site has seen otherwise is contradicted only after a while: it may see more, or earlier.
+        let patience = match (said, sees) {
+            (Missing::Nothing, _) => 0,
+            (_, Missing::Nothing) if differs.held_down => 0,
+            (_, Missing::Nothing) => self.hold_down,
+            _ => self.lost_after,
+        };
         let spread = xxh3_64_with_seed(&(site as u64).to_le_bytes(), self.seed) % SPREAD;
-        let again = last.is_none_or(|at| now.saturating_sub(at) >= self.agree);
+        let again = differs.last.is_none_or(|at| now.saturating_sub(at) >= self.agree);
         if now >= since + patience + spread && again {
-            *last = Some(now);
+            differs.last = Some(now);
             let names = self.table.names();
             let (by, of) = (names[self.entry].clone(), names[site].clone());
             out.push(Command::Say { by, of, missing: sees, plans });
--- a/src/fleet/sites/plan.rs
+++ b/src/fleet/sites/plan.rs
@@ -954,18 +954,28 @@
         worth
     }
 
-    /// Cuts the levels at each entry to what its ways carry: what is guaranteed last.
+    /// Cuts the levels at each entry to what its ways carry: what is guaranteed last, and no class less than one that
+    /// is refused before it.
     fn keep(&self, loss: &Loss, course: &mut Course) {
         let asked = asked(&self.fleet, loss);
-        for c in 0..self.fleet.classes() {
+        let order = self.get(loss).map(|p| p.order.as_slice()).unwrap_or_default();
+        let mut last_first: Vec<usize> =
+            order.iter().rev().filter(|r| !r.guaranteed).map(|r| r.class).collect();
+        last_first.extend(
+            (0..self.fleet.classes()).filter(|c| !order.iter().any(|r| !r.guaranteed && r.class == *c)),
+        );
+        // The parts kept at each entry of what is guaranteed and of the rest, by the class before.
+        let mut kept = vec![(1.0_f64, 1.0_f64); self.fleet.sites()];
+        for c in last_first {
             for e in 0..self.fleet.sites() {
                 let sum =
                     |of: &Vec<Vec<f64>>| -> f64 { asked[c].iter().zip(of).map(|(by, p)| by[e] * p[e]).sum() };
                 let (carries, promised, level) =
                     (course.taken(c, e), sum(&course.promised[c]), sum(&course.levels[c]));
                 let part = |of: f64, all: f64| if all > 0.0 { (of / all).clamp(0.0, 1.0) } else { 1.0 };
-                let of_promised = part(carries, promised);
-                let of_rest = part((carries - promised).max(0.0), level - promised);
+                let of_promised = part(carries, promised).min(kept[e].0);
+                let of_rest = part((carries - promised).max(0.0), level - promised).min(kept[e].1);
+                kept[e] = (of_promised, of_rest);
                 for (level, promised) in course.levels[c].iter_mut().zip(&mut course.promised[c]) {
                     let rest = (level[e] - promised[e]).max(0.0) * of_rest;
                     promised[e] *= of_promised;
--- a/src/fleet/sites/watch.rs
+++ b/src/fleet/sites/watch.rs
@@ -157,6 +157,11 @@
         self.sites.get(site).map_or_else(Default::default, |s| (s.status, s.missing, s.cause))
     }
 
+    /// Whether all signs of a lost site are good by now, though not for long enough.
+    pub fn recovering(&self, site: usize) -> bool {
+        self.sites.get(site).is_some_and(|s| s.other.is_some_and(|(missing, _)| missing == Missing::Nothing))
+    }
+
     /// Whether this conductor is cut off: it sees half of all conductors at most, and not the group.
     pub fn cut_off(&self) -> bool {
         let seen = self.sites.iter().filter_map(|s| s.conductors);
