--- a/src/fleet/sites/refuse.rs
+++ b/src/fleet/sites/refuse.rs
@@ -31,8 +31,9 @@
     pub unusual: bool,
     /// For each class and tenant the level, in millionths: what hashes below it is taken.
     pub levels: Vec<Vec<u32>>,
-    /// For each class, requests in 1,000 seconds that this conductor takes at most.
-    pub most: Vec<u64>,
+    /// For each class, requests in 1,000 seconds that this conductor takes at most; `None`: the file expects none of it
+    /// here, so that no plan limits it.
+    pub most: Vec<Option<u64>>,
     /// For each class the ways its requests go.
     pub ways: Vec<Vec<Way>>,
     /// For each site, factors for the weights of its readers and of its writers, in millionths; 0: nothing new there.
@@ -84,7 +85,13 @@
             levels: (course.levels.iter())
                 .map(|tenants| tenants.iter().map(|by_entry| millionths(by_entry[entry])).collect())
                 .collect(),
-            most: (0..classes).map(|c| (most.taken(c, entry) / conductors * 1e3).floor() as u64).collect(),
+            most: (0..classes)
+                .map(|c| {
+                    let expected = fleet.demand[c].iter().any(|by_site| by_site[entry] > 0.0);
+                    let takes = most.taken(c, entry) / conductors * 1e3;
+                    (expected || takes > 0.0).then_some(takes.floor() as u64)
+                })
+                .collect(),
             ways: (0..classes).map(ways).collect(),
             weights: read.into_iter().zip(write).map(|(r, w)| [r, w]).collect(),
         }
@@ -185,7 +192,7 @@
 
     fn refill(&mut self, now: Micros, class: usize) {
         let most = most_left(&self.orders, class);
-        let rate = self.orders.most.get(class).copied().unwrap_or(0);
+        let rate = self.orders.most.get(class).copied().flatten().unwrap_or(0);
         if let Some((left, at)) = self.left.get_mut(class) {
             // Requests in 1,000 s, times microseconds, are thousandths of millionths of a request.
             let more = u128::from(rate) * u128::from(now.saturating_sub(*at)) / 1_000;
@@ -208,6 +215,9 @@
         if place >= u64::from(level) {
             return refused(true);
         }
+        if self.orders.most.get(class).is_none_or(|most| most.is_none()) {
+            return Door::Take;
+        }
         self.refill(now, class);
         match self.left.get_mut(class) {
             Some((left, _)) if *left >= REQUEST => {
@@ -224,6 +234,6 @@
 const REQUEST: u64 = 1_000_000;
 
 fn most_left(orders: &Orders, class: usize) -> u64 {
-    let rate = orders.most.get(class).copied().unwrap_or(0);
-    if rate == 0 { 0 } else { (rate * BURST_S * 1_000).max(FEW * REQUEST) }
+    let rate = orders.most.get(class).copied().flatten().unwrap_or(0);
+    if rate == 0 { 0 } else { rate.saturating_mul(BURST_S * 1_000).max(FEW * REQUEST) }
 }
--- a/src/fleet/sites/tests.rs
+++ b/src/fleet/sites/tests.rs
@@ -12,7 +12,8 @@
 use super::refuse::{Door, Gate, Orders};
 use super::watch::{self, Cause, Status, Watch};
 use crate::fleet::SiteName;
-use crate::interface::Settings;
+use crate::interface::Status::{Draining, Ready};
+use crate::interface::{Entry, Role, Settings, WorkerId};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -166,7 +167,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 16, ..ProptestConfig::default() })]
 
     /// No limit is broken by any plan, nothing goes where hosts or links are missing, what is taken has a way, what
     /// is not taken is listed as refused, and worth more is never refused before worth less of the same cost.
@@ -497,6 +498,18 @@
     assert!(tried[9].0 - tried[8].0 >= 6 * S);
 }
 
+fn host(zone: &str) -> Entry {
+    Entry {
+        worker: WorkerId(zone.into()),
+        zone: zone.into(),
+        kind: "read".into(),
+        cell: 0,
+        status: Ready,
+        weight: 2.0,
+        started: None,
+    }
+}
+
 /// Guards against levels that clients turn into a flood by coming again, and against doors that differ.
 #[test]
 fn who_is_refused_is_refused_again_and_everywhere() {
@@ -526,6 +539,12 @@
     }
     let part = f64::from(taken) / 2_000.0;
     assert!((part - f64::from(level) / 1e6).abs() < 0.05, "{part} of {level}");
+    // A class that the file doesn't expect is not limited.
+    assert_eq!(gates[0].ask(now, 9, 0, b"new", false), Door::Take);
+    let mut list = vec![host("s0"), host("s1"), host("elsewhere")];
+    orders.weigh(&mut list, |_| Some(Role::Reader), |zone| plans.fleet().site(zone));
+    assert_eq!(list.iter().map(|e| e.status).collect::<Vec<_>>(), [Draining, Ready, Ready]);
+    assert!(list[1].weight > 0.0 && list[1].weight <= 2.0 && list[2].weight == 2.0);
     // A flood of new requests: no more than this conductor's part, which a third of the site's is.
     let flood = (0..20_000u32).filter(|i| {
         gates[1].ask(now + u64::from(*i) * 1_000, class, 0, &i.to_le_bytes(), false) == Door::Take
