--- a/lab/src/sim_sites/run.rs
+++ b/lab/src/sim_sites/run.rs
@@ -688,10 +688,10 @@
     fn let_go(&mut self, id: u32) {
         let r = &mut self.requests[id as usize];
         let prompt = self.plans.fleet().tables.classes[r.class].prompt_tokens;
-        if let Some((host, life)) = r.reader.take() {
-            if self.hosts[host].life == life {
-                self.hosts[host].held -= prompt;
-            }
+        if let Some((host, life)) = r.reader.take()
+            && self.hosts[host].life == life
+        {
+            self.hosts[host].held -= prompt;
         }
     }
 
