Sites: a lost site's clients come in at its conductors again before its hosts return

Now they take their clients in once they are seen for lost_after, and send them to the survivors. The simulation applies tables in the log's order.

--- a/lab/src/sim_sites/run.rs
+++ b/lab/src/sim_sites/run.rs
@@ -133,6 +133,7 @@
     member: Member,
     gate: Gate,
     next_tick: Micros,
+    applies_at: Micros,
 }
 
 struct World<'a> {
@@ -207,6 +208,7 @@
                 member: Member::new(&plans, site, day.seed ^ i as u64),
                 gate: Gate::new(S, 3 * S),
                 next_tick: Micros::MAX,
+                applies_at: 0,
             }
         };
         let mut demand = Vec::new();
@@ -368,7 +370,11 @@
         if changed || self.table.epoch() != epoch {
             for i in 0..self.conductors.len() {
                 let table = Box::new(self.table.clone());
-                self.later(APPLY, Ev::Apply(i, table));
+                // A log is applied in its order.
+                let at = self.now + self.rng.random_range(APPLY.0..=APPLY.1);
+                let at = at.max(self.conductors[i].applies_at + 1);
+                self.conductors[i].applies_at = at;
+                self.at(at, Ev::Apply(i, table));
             }
         }
     }
@@ -786,6 +792,8 @@
         for (at, effect) in &self.agreed {
             if let Effect::Standing { from, to, .. } = effect {
                 match (from, to) {
+                    // Its conductors are back, its hosts are not yet.
+                    (Standing::Lost(_), Standing::Lost(_)) => {}
                     (_, Standing::Lost(_)) => all.push((*at, "lost")),
                     (Standing::Lost(_), Standing::Returning { .. }) => all.push((*at, "returning")),
                     (_, Standing::Sound) => all.push((*at, "sound")),
--- a/src/fleet/sites/member.rs
+++ b/src/fleet/sites/member.rs
@@ -190,7 +190,7 @@
         let (status, missing, _) = self.watch.status(site);
         let sees = match status {
             // Others of this site may have seen for long enough already that it is back.
-            Status::Lost if self.watch.recovering(site) => said,
+            Status::Lost if self.watch.recovering(site) && said != Missing::All => said,
             Status::Lost => missing,
             Status::Doubted => said,
             Status::Sound | Status::Returning => Missing::Nothing,
@@ -211,6 +211,7 @@
         let patience = match (said, sees) {
             (Missing::Nothing, _) => 0,
             (_, Missing::Nothing) if differs.held_down => 0,
+            (Missing::All, Missing::Hosts) if self.watch.recovering(site) => 0,
             (_, Missing::Nothing) => self.hold_down,
             _ => self.lost_after,
         };
--- a/src/fleet/sites/watch.rs
+++ b/src/fleet/sites/watch.rs
@@ -279,6 +279,11 @@
                 if missing == Missing::Nothing {
                     if differs_for.is_some_and(|d| d >= hold) {
                         s.move_to(site, now, Status::Returning, (missing, cause), out);
+                    } else if s.missing == Missing::All && differs_for.is_some_and(|d| d >= lost_after) {
+                        // Its clients are back with its conductors. Its hosts are held down all the same.
+                        let other = s.other;
+                        s.move_to(site, now, Status::Lost, (Missing::Hosts, Cause::Hosts), out);
+                        s.other = other;
                     }
                 } else if differs_for.is_some_and(|d| d >= lost_after) {
                     s.move_to(site, now, Status::Lost, (missing, cause), out);
