--- a/src/fleet/sites/tests.rs
+++ b/src/fleet/sites/tests.rs
@@ -7,6 +7,7 @@
 
 use super::describe::{Class, Demand, Fleet, Hosts, Link, RampSettings, Site, Tables, Tenant, WatchSettings};
 use super::epoch::{Command, Effect, Standing, Table};
+use super::member::{self, Member};
 use super::plan::*;
 use super::ramp::{self, Measured, Ramp};
 use super::refuse::{Door, Gate, Orders};
@@ -552,3 +553,50 @@
     let bears = most.taken(class, 1) / 3.0 * 22.0;
     assert!(flood.count() as f64 <= bears + 5.0);
 }
+
+/// Guards against one conductor that, without a group, acts as if all others had seen what it sees; and against one
+/// that is cut off and sends to what it can't reach.
+#[rstest]
+#[case::no_leader(3, true)]
+#[case::cut_off(0, false)]
+fn without_a_group_a_conductor_harms_nobody(#[case] elsewhere: u32, #[case] takes_over: bool) {
+    use watch::Event::*;
+    let mut plans = Plans::new(three()).unwrap();
+    let mut member = Member::new(&plans, 1, 5);
+    let table = Table::new(&plans).unwrap();
+    let mut out = Vec::new();
+    let mut see = |member: &mut Member, plans: &mut Plans, now, event| {
+        out.clear();
+        member.handle(plans, now, member::Event::Seen(event), &mut out);
+        out.iter().any(|a| matches!(a, member::Action::Propose(_)))
+    };
+    member.handle(&mut plans, 0, member::Event::Table(Box::new(table)), &mut Vec::new());
+    let usual = member.orders().clone();
+    assert!(!usual.unusual && usual.weights[1] == [1_000_000; 2]);
+    let mut now = S;
+    for site in 0..3 {
+        see(&mut member, &mut plans, now, Conductors { site, alive: 3, of: 3 });
+    }
+    now += 2 * S;
+    see(&mut member, &mut plans, now, Group { in_touch: false });
+    see(&mut member, &mut plans, now, Conductors { site: 0, alive: 0, of: 3 });
+    see(&mut member, &mut plans, now, Conductors { site: 2, alive: elsewhere, of: 3 });
+    let mut proposed = false;
+    for _ in 0..20 {
+        now += S / 5;
+        proposed |= see(&mut member, &mut plans, now, Host { site: 0, reached: false });
+    }
+    let orders = member.orders();
+    assert!(orders.unusual && orders.weights[0] == [0; 2]);
+    assert_eq!(proposed, takes_over);
+    // Its part of the survivors' limits is what the course on the way gives it, not the whole plan's.
+    let loss = Loss::of(3, &[0]);
+    let (from, to) = (plans.most(&Loss::none(3)).unwrap(), plans.most(&loss).unwrap());
+    let here = plans.between(&loss, &[&from], &to);
+    for c in 0..2 {
+        let most = here.taken(c, 1) / 3.0 * 1e3 + 1.0;
+        assert!(
+            orders.most[c].unwrap() as f64 <= if takes_over { most } else { usual.most[c].unwrap() as f64 }
+        );
+    }
+}
