--- a/lab/src/sim_sites/run.rs
+++ b/lab/src/sim_sites/run.rs
@@ -784,7 +784,7 @@
     }
 }
 
-/// The time at which the group agreed that a site is returning, and that it is sound again.
+/// What the group agreed on, in words.
 impl Outcome {
     /// In seconds: lost, returning, sound again; each time that it was agreed.
     pub fn standings(&self) -> Vec<(f64, &'static str)> {
--- a/src/fleet/sites/command.rs
+++ b/src/fleet/sites/command.rs
@@ -27,7 +27,7 @@
 /// What to plan for.
 #[derive(Clone, Debug, Args)]
 pub struct PlanArgs {
-    /// An operator's file with [sites] tables.
+    /// An operator's file with the tables of its sites.
     pub file: PathBuf,
     /// A site that is lost; may be given more than once.
     #[arg(long = "lose", value_name = "SITE")]
