--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -523,7 +523,7 @@
                     self.expiring.retain(|_, seq| *seq != origin.seq);
                     self.hold(now, lease::Event::Answered(origin.seq, answer), asks, out);
                 }
-                Effect::Answered { .. } | Effect::Bounds(_) | Effect::Takeover(_) => {}
+                Effect::Answered { .. } | Effect::Bounds(_) | Effect::Takeover(_) | Effect::Sites(_) => {}
             }
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -23,6 +23,7 @@
         Some(Command::Serve { file }) => run::serve(Source::operator(file)).map_err(|e| e.to_string()),
         Some(Command::Import { from: From::Haproxy { file } }) => import(&file).map_err(|e| e.to_string()),
         Some(Command::Check { file }) => check(&file).map_err(|e| e.to_string()),
+        Some(Command::Sites(sites)) => sites.run().map_err(|e| e.to_string()),
         Some(Command::Fleet { ask: Ask::Status(at) }) => status(&at),
         Some(Command::Fleet { ask: Ask::Voters { file, names } }) => voters(&file, &names),
     };
