--- a/lab/tests/model_lease.rs
+++ b/lab/tests/model_lease.rs
@@ -201,10 +201,8 @@
                     this.watch.changed(now, &change.name, this.state.0.leases());
                     self.tell(world, member, lease::Event::Changed(change.name));
                 }
-                Effect::Answered { origin, answer } => {
-                    if origin.who == who(&self.people[member]) {
-                        self.tell(world, member, lease::Event::Answered(origin.seq, answer));
-                    }
+                Effect::Answered { origin, answer } if origin.who == who(&self.people[member]) => {
+                    self.tell(world, member, lease::Event::Answered(origin.seq, answer));
                 }
                 _ => {}
             }
