--- a/lab/tests/model_lease.rs
+++ b/lab/tests/model_lease.rs
@@ -201,12 +201,10 @@
                     this.watch.changed(now, &change.name, this.state.0.leases());
                     self.tell(world, member, lease::Event::Changed(change.name));
                 }
-                Effect::Answered { origin, answer } => {
-                    if origin.who == who(&self.people[member]) {
-                        self.tell(world, member, lease::Event::Answered(origin.seq, answer));
-                    }
+                Effect::Answered { origin, answer } if origin.who == who(&self.people[member]) => {
+                    self.tell(world, member, lease::Event::Answered(origin.seq, answer));
                 }
-                Effect::Bounds(_) | Effect::Takeover(_) | Effect::Policy(_) => {}
+                _ => {}
             }
         }
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -38,6 +38,8 @@
         /// The operator's file.
         file: PathBuf,
     },
+    /// Plans for the loss of a whole site.
+    Sites(whinhaven::fleet::sites::command::SitesArgs),
     /// Ask the fleet that an operator's file belongs to.
     Fleet {
         /// What to ask.
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -539,7 +539,11 @@
                     self.expiring.retain(|_, seq| *seq != origin.seq);
                     self.hold(now, lease::Event::Answered(origin.seq, answer), asks, out);
                 }
-                Effect::Answered { .. } | Effect::Bounds(_) | Effect::Takeover(_) | Effect::Policy(_) => {}
+                Effect::Answered { .. }
+                | Effect::Bounds(_)
+                | Effect::Takeover(_)
+                | Effect::Policy(_)
+                | Effect::Sites(_) => {}
             }
         }
     }
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -4,7 +4,7 @@
 //! bound that decides anything is itself in the log ([`Bounds`]). A further part of the fleet adds one variant each
 //! to [`Command`], [`Answer`] and [`Effect`], a field to [`FleetState`], and one arm in [`FleetState::apply`].
 
-use crate::fleet::{Incarnation, Index, LeaseName, MemberName, Who, lease, policy_epoch, takeover};
+use crate::fleet::{Incarnation, Index, LeaseName, MemberName, Who, lease, policy_epoch, sites, takeover};
 use crate::interface::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -54,6 +54,8 @@
     Lease(lease::Command),
     /// About work in hand.
     Takeover(takeover::Command),
+    /// About a lost or a returning site.
+    Sites(sites::epoch::Command),
     /// About the policy.
     Policy(policy_epoch::Command),
 }
@@ -104,6 +106,8 @@
     Policy(policy_epoch::Notice),
     /// Other bounds are in force.
     Bounds(Bounds),
+    /// What is agreed of the sites has changed.
+    Sites(sites::epoch::Effect),
 }
 
 /// The bounds of the state's tables. They decide what is refused, so they are part of the state: a leader whose
@@ -147,6 +151,7 @@
     work: takeover::Table,
     policy: policy_epoch::Table,
     applied: Index,
+    sites: sites::epoch::Table,
 }
 
 impl FleetState {
@@ -188,6 +193,11 @@
         self.leases.grants().filter_map(of_life).collect()
     }
 
+    /// What is agreed of the sites.
+    pub fn sites(&self) -> &sites::epoch::Table {
+        &self.sites
+    }
+
     /// Whether this proposal has been decided (or would be refused as settled).
     pub fn decided(&self, origin: &Origin) -> bool {
         match self.sessions.get(&origin.who.name) {
@@ -241,6 +251,12 @@
                     out.extend(notices.into_iter().map(Effect::Takeover));
                     Answer::Takeover(reply)
                 }
+                Command::Sites(command) => {
+                    let mut effects = Vec::new();
+                    self.sites.apply(command, &mut effects);
+                    out.extend(effects.into_iter().map(Effect::Sites));
+                    Answer::Done
+                }
                 Command::Policy(command) => {
                     let (living, mut notices) = (self.living(), Vec::new());
                     let reply = self.policy.apply(&origin.who, &living, command, &mut notices);
