--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -46,6 +46,8 @@
     pub calls: u32,
     /// Those that were told of before the last piece of the text.
     pub calls_before: u32,
+    /// When the first piece of the text came.
+    pub first_at: Option<Instant>,
 }
 
 /// How a try ended.
@@ -156,6 +158,7 @@
                     line.clear();
                     match told["method"].as_str() {
                         Some("delta") => {
+                            got.first_at.get_or_insert_with(Instant::now);
                             got.text += told["params"]["text"].as_str().unwrap_or("");
                             got.calls_before = got.calls;
                         }
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -20,6 +20,7 @@
 use std::io::Write as _;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// What a fleet's conductors are told besides names and addresses.
@@ -137,9 +138,9 @@
     /// Stand-in discovery; only asked where the settings say so.
     pub discovery: Discovery,
     /// The network between all of them.
-    pub network: Network,
+    pub network: Arc<Network>,
     /// What the hosts hold.
-    pub states: std::sync::Arc<States>,
+    pub states: Arc<States>,
     /// What happens.
     pub history: History,
     settings: FleetSettings,
@@ -157,8 +158,8 @@
         let folder = settings.folder.as_deref().map_or_else(Folder::temporary, Folder::at)?;
         let history = History::to_file(&folder.path().join("history.jsonl"))?;
         let block = Block::take()?;
-        let network = Network::new(settings.seed, history.clone())?;
-        let states = std::sync::Arc::new(States::default());
+        let network = Arc::new(Network::new(settings.seed, history.clone())?);
+        let states = Arc::new(States::default());
         let tool = ToolSide::start(block.at(90, 9300), settings.keeps_keys, history.clone())?;
         let discovery = Discovery::new(history.clone());
         let mut hosts = BTreeMap::new();
@@ -336,6 +337,16 @@
         }
     }
 
+    /// What cuts `name` from all of `others` from wherever it is called: for reactions to the history.
+    pub fn cutter(&self, name: &str, others: Vec<String>) -> impl FnOnce() + Send + 'static {
+        let (network, name) = (Arc::downgrade(&self.network), name.to_owned());
+        move || {
+            if let Some(network) = network.upgrade() {
+                others.iter().filter(|other| **other != name).for_each(|other| network.cut(&name, other));
+            }
+        }
+    }
+
     fn site(&self, number: usize) -> String {
         site(&self.settings, number)
     }
--- a/lab/src/hosts.rs
+++ b/lab/src/hosts.rs
@@ -284,7 +284,7 @@
     settings: HostSettings,
     states: Arc<States>,
     history: History,
-    life: Mutex<Option<Arc<Shared>>>,
+    life: Arc<Mutex<Option<Arc<Shared>>>>,
     address: SocketAddr,
 }
 
@@ -295,10 +295,10 @@
     /// Its address is taken.
     pub fn start(settings: HostSettings, states: Arc<States>, history: History) -> std::io::Result<Host> {
         let address = settings.listen;
-        let mut host = Host { settings, states, history, life: Mutex::default(), address };
+        let mut host = Host { settings, states, history, life: Arc::default(), address };
         let life = host.live()?;
         host.address = life.peer.get().map_or(address, |p| p.address);
-        host.life = Mutex::new(Some(life));
+        *lock(&host.life) = Some(life);
         Ok(host)
     }
 
@@ -336,8 +336,16 @@
 
     /// Ends it as the death of its process would: connections break, new ones are refused, its states are gone.
     pub fn kill(&self) {
-        if let Some(life) = lock(&self.life).take() {
-            life.end("host.killed");
+        self.killer()();
+    }
+
+    /// What kills it from wherever it is called, once: for reactions to the history.
+    pub fn killer(&self) -> impl FnOnce() + Send + 'static {
+        let life = Arc::downgrade(&self.life);
+        move || {
+            if let Some(life) = life.upgrade().and_then(|life| lock(&life).take()) {
+                life.end("host.killed");
+            }
         }
     }
 
--- a/lab/tests/processes_takeover.rs
+++ b/lab/tests/processes_takeover.rs
@@ -3,10 +3,14 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use whinhaven_lab::checker::{Limits, check};
 use whinhaven_lab::clients::{Ask, Final, Tried};
 use whinhaven_lab::fleet::{Fleet, FleetSettings};
+use whinhaven_lab::history::Record;
+use whinhaven_lab::hosts::Plan;
 use whinhaven_lab::steps::{Hits, Step, strike};
 
 /// Everything faster than in service, so that a round takes seconds.
@@ -16,8 +20,17 @@
     [takeover]\n";
 
 fn start(conductors: usize, seed: u64) -> Fleet {
-    let settings =
-        FleetSettings { conductors, voters: 3, seed, more: QUICK.to_owned(), ..FleetSettings::default() };
+    start_with(conductors, 3, seed)
+}
+
+fn start_with(conductors: usize, voters: usize, seed: u64) -> Fleet {
+    start_more(conductors, voters, seed, "")
+}
+
+/// `takeover`: fields of its table.
+fn start_more(conductors: usize, voters: usize, seed: u64, takeover: &str) -> Fleet {
+    let more = format!("{QUICK}{takeover}");
+    let settings = FleetSettings { conductors, voters, seed, more, ..FleetSettings::default() };
     let fleet = Fleet::start(settings).unwrap();
     settled(&fleet);
     fleet
@@ -33,12 +46,22 @@
     let records = fleet.history.records();
     let report = check(&records, &Limits::default());
     if !report.is_kept() || report.verdict(4).checked == 0 {
-        let kept = std::env::temp_dir().join(format!("whinhaven-broken-{}.jsonl", std::process::id()));
-        fleet.history.save(&kept).unwrap();
-        panic!("{report}history: {}", kept.display());
+        keep(&fleet, &report.to_string());
     }
 }
 
+/// Fails, and keeps the history.
+fn keep(fleet: &Fleet, why: &str) -> ! {
+    let kept = std::env::temp_dir().join(format!("whinhaven-broken-{}.jsonl", std::process::id()));
+    fleet.history.save(&kept).unwrap();
+    panic!("{why}\nhistory: {}", kept.display());
+}
+
+/// A number from the environment.
+fn number(name: &str, or: u64) -> u64 {
+    std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(or)
+}
+
 /// The main job: killed with a tool call out, its client goes on elsewhere, and the tool has run once.
 #[test]
 fn a_conductor_dies_with_a_tool_call_out_and_the_answer_goes_on_elsewhere() {
@@ -93,46 +116,216 @@
     end(fleet);
 }
 
-/// Rounds by seed: which conductor, which step, killed or stopped. `WHINHAVEN_ROUNDS` for more, `WHINHAVEN_SEED` for
-/// others.
+/// What a round does to the conductor that has the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Fault {
+    Kill,
+    Stop,
+    /// It and another one die at once.
+    KillTwo,
+    /// It dies, and whoever adopts what it left dies of that.
+    KillAdopter,
+    CutPeers,
+    CutHosts,
+    CutTool,
+}
+
+const FAULTS: [Fault; 7] = [
+    Fault::Kill,
+    Fault::Stop,
+    Fault::KillTwo,
+    Fault::KillAdopter,
+    Fault::CutPeers,
+    Fault::CutHosts,
+    Fault::CutTool,
+];
+
+/// What strikes `victim`; those that may be dead then are named first.
+fn strike_of(fleet: &Fleet, fault: Fault, victim: &str, other: &str) -> Box<dyn FnOnce() + Send> {
+    let conductor = fleet.conductor(victim);
+    let kill = conductor.killer();
+    match fault {
+        Fault::Kill => Box::new(kill),
+        Fault::Stop => Box::new(conductor.stopper()),
+        Fault::KillTwo => {
+            let both = fleet.conductor(other).killer();
+            Box::new(move || {
+                kill();
+                both();
+            })
+        }
+        Fault::KillAdopter => {
+            let mut killers: BTreeMap<String, _> =
+                fleet.conductors.values().map(|c| (c.name.clone(), c.killer())).collect();
+            let (history, dead) = (fleet.history.clone(), victim.to_owned());
+            Box::new(move || {
+                let adopted = move |r: &Record| r.event == "work.adopted" && r.text("peer") == dead;
+                history.once(adopted, move |r| {
+                    if let Some(kill) = killers.remove(&r.source) {
+                        kill();
+                    }
+                });
+                kill();
+            })
+        }
+        Fault::CutPeers => Box::new(fleet.cutter(victim, fleet.names())),
+        Fault::CutHosts => Box::new(fleet.cutter(victim, fleet.hosts.keys().cloned().collect())),
+        Fault::CutTool => Box::new(fleet.cutter(victim, vec!["tool".to_owned()])),
+    }
+}
+
+/// Rounds by seed: which conductor, which step, what strikes it, while others have work in hand. `WHINHAVEN_ROUNDS` for
+/// more, `WHINHAVEN_SEED` for others.
 #[test]
 fn rounds_by_seed() {
-    let number = |name: &str, or: u64| std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(or);
-    let (rounds, seed) = (number("WHINHAVEN_ROUNDS", 8), number("WHINHAVEN_SEED", 1));
+    let (rounds, seed) = (number("WHINHAVEN_ROUNDS", 6), number("WHINHAVEN_SEED", 1));
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let fleet = start(5, seed);
-    let client = fleet.client();
-    let mut hits = Hits::default();
+    let fleet = start_with(5, 5, seed);
+    let mut client = fleet.client();
+    client.silence = Duration::from_secs(3);
+    let (mut hits, mut faults, mut adopters) = (Hits::default(), BTreeMap::<Fault, u64>::new(), 0);
     for round in 0..rounds {
         let step = Step::ALL[random.random_range(0..Step::ALL.len())];
-        let (first, kills) = (random.random_range(0..5usize), random.random_bool(0.7));
+        let fault = FAULTS[random.random_range(0..FAULTS.len())];
+        let (first, away) = (random.random_range(0..5usize), random.random_range(1..5));
         let (name, victim) = (format!("order-{round}"), format!("c{}", first + 1));
-        let conductor = fleet.conductor(&victim);
+        let other = format!("c{}", (first + away) % 5 + 1);
         // A step may come when the client has its answer already, and would then strike the round after.
         let armed = Arc::new(Mutex::new(true));
-        let (still, kill, stop) = (armed.clone(), conductor.killer(), conductor.stopper());
+        let (still, act) = (armed.clone(), strike_of(&fleet, fault, &victim, &other));
+        let begun = fleet.history.len();
         strike(&fleet.history, step, &name, move || {
-            let armed = still.lock().unwrap();
-            if *armed && kills {
-                kill();
-            } else if *armed {
-                stop();
+            let mut armed = still.lock().unwrap();
+            if std::mem::replace(&mut *armed, false) {
+                act();
             }
         });
-        let calls = random.random_range(0..3);
-        let ended = client.ask(&Ask::send(&name, 8, calls), first);
-        *armed.lock().unwrap() = false;
-        assert!(ended.answer.is_some(), "seed {seed} round {round}: {step:?} at {victim}: {ended:?}");
-        if fleet.history.count(|r| step.is(r, &name)) > 0 {
+        let asks = [first, first, first + away].map(|at| (at, random.random_range(0..3)));
+        let ended: Vec<_> = std::thread::scope(|scope| {
+            let one = |(i, (at, calls)): (usize, (usize, u32))| {
+                let beside = if i == 0 { name.clone() } else { format!("{name}-{i}") };
+                let client = &client;
+                scope.spawn(move || client.ask(&Ask::send(&beside, 8, calls), at))
+            };
+            let threads: Vec<_> = asks.into_iter().enumerate().map(one).collect();
+            threads.into_iter().map(|t| t.join().unwrap()).collect()
+        });
+        let what = format!("seed {seed} round {round}: {fault:?} at {step:?} of {victim}, {other}: {ended:?}");
+        let struck = !std::mem::replace(&mut *armed.lock().unwrap(), false);
+        if ended.iter().any(|e| e.answer.is_none()) {
+            keep(&fleet, &what);
+        }
+        if struck {
             hits.hit(step);
+            *faults.entry(fault).or_default() += 1;
         }
-        if kills {
-            fleet.restart(&victim, false).unwrap();
-        } else {
-            conductor.cont();
+        // Nothing of the round is left before the next begins: what its dead held is let go by the living.
+        if fleet.wait_for_release().is_err() {
+            keep(&fleet, &format!("{what}, still held: {:?}", fleet.states.held()));
+        }
+        let since = fleet.history.since(begun);
+        let killed = since.iter().filter(|r| r.event == "fault.kill").count();
+        adopters += u64::from(struck && fault == Fault::KillAdopter && killed > 1);
+        fleet.network.heal();
+        for name in fleet.names() {
+            if fleet.conductor(&name).id().is_none() {
+                fleet.restart(&name, false).unwrap();
+            }
+        }
+        if struck && fault == Fault::Stop {
+            fleet.conductor(&victim).cont();
+        }
+        let names = fleet.names();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        if let Err(differ) = fleet.wait_for_views(&names) {
+            keep(&fleet, &format!("{what}: {differ}"));
         }
-        settled(&fleet);
     }
-    println!("seed {seed}, {rounds} rounds: {hits}");
+    println!("seed {seed}, {rounds} rounds, struck at: {hits}");
+    println!("by {faults:?}, of which adopters killed: {adopters}");
+    fleet.wait_for_release().unwrap();
+    end(fleet);
+}
+
+/// Writers die mid-call and their clients ask for the rest at another conductor each time. Guards against a second run
+/// where the record of the first is at another conductor than the one that is asked.
+#[test]
+fn no_tool_runs_twice_though_writers_die_mid_call_and_clients_go_on_elsewhere() {
+    /// The step at which the writer dies, and whether the tool is still at work when the call comes again.
+    const POINTS: [(Step, bool); 6] = [
+        (Step::Call, false),
+        (Step::Calling, false),
+        (Step::ToolRan, false),
+        (Step::ToolRan, true),
+        (Step::ToolAnswered, false),
+        (Step::Result, false),
+    ];
+    let kills = number("WHINHAVEN_KILLS", 36) as usize;
+    let fleet = start(3, 4);
+    let mut client = fleet.client();
+    client.pause = Duration::from_millis(10);
+    for i in 0..kills {
+        let ((step, held), name) = (POINTS[i % POINTS.len()], format!("kill-{i}"));
+        let mut killers: BTreeMap<String, _> =
+            fleet.hosts.iter().map(|(name, host)| (format!("host/{name}"), host.killer())).collect();
+        let (history, asked) = (fleet.history.clone(), name.clone());
+        let from = history.len();
+        strike(&fleet.history, step, &name, move || {
+            let runs = |r: &Record| r.event == "run.begun" && r.text("name") == asked;
+            let begun = history.since(from).into_iter().find(runs).unwrap();
+            killers.remove(&begun.source).unwrap()();
+        });
+        if held {
+            fleet.tool.hold();
+        }
+        let ended = std::thread::scope(|scope| {
+            let asking = scope.spawn(|| client.ask(&Ask::send(&name, 4, 1), i));
+            if held {
+                let again = |r: &Record| r.event == "run.begun" && r.text("name") == name;
+                let first = fleet.wait_for(from, again).unwrap();
+                fleet.wait_for(first.order as usize, again).unwrap();
+                fleet.tool.release();
+            }
+            asking.join().unwrap()
+        });
+        let right = Final::Text(Plan { name: name.clone(), words: 4, calls: 1 }.answer());
+        if ended.answer != Some(right) || ended.tries < 2 {
+            keep(&fleet, &format!("kill {i} at {step:?}, held {held}: {ended:?}"));
+        }
+        for host in fleet.hosts.values().filter(|h| !h.is_running()) {
+            host.restart().unwrap();
+        }
+    }
+    let died = fleet.history.count(|r| r.event == "host.killed");
+    let runs = fleet.tool.runs();
+    println!("{died} writers killed, {} calls", runs.len());
+    assert_eq!((died, runs.len()), (kills, kills));
+    assert!(runs.values().all(|n| *n == 1), "{runs:?}");
+    end(fleet);
+}
+
+/// A planned stop with a stream and a tool call in hand: its client goes on elsewhere, and the call's outcome with it.
+#[test]
+fn a_conductor_that_is_asked_to_stop_hands_over_what_it_has_in_hand() {
+    let fleet = start_more(3, 3, 5, "hand_over_after_ms = 50\n");
+    fleet.tool.hold();
+    let client = fleet.client();
+    let ask = Ask::send("order-1", 12, 2);
+    let (ended, status) = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| client.ask(&ask, 0));
+        fleet.wait_for(0, |r| Step::ToolRan.is(r, "order-1")).unwrap();
+        let stopping = scope.spawn(|| fleet.conductor("c1").terminate());
+        // The tool answers when the request has gone on elsewhere.
+        fleet.wait_for(0, |r| r.event == "client.broke" && r.text("at") == "c1").unwrap();
+        let again = |r: &Record| r.event == "client.sent" && r.text("name") == "order-1" && r.text("at") != "c1";
+        fleet.wait_for(0, again).unwrap();
+        fleet.tool.release();
+        (asking.join().unwrap(), stopping.join().unwrap().unwrap())
+    });
+    assert_eq!(ended.answer, Some(Final::Text(ask.plan.answer())), "{ended:?}");
+    assert!(status.is_some_and(|s| s.success()), "{status:?}");
+    assert!(fleet.tool.runs().values().all(|n| *n == 1), "{:?}", fleet.tool.runs());
+    assert_eq!(client.ask_again(&ask, 2), Tried::Final(Final::Text(ask.plan.answer())));
+    fleet.wait_for_release().unwrap();
     end(fleet);
 }
