--- a/lab/src/experiments/mod.rs
+++ b/lab/src/experiments/mod.rs
@@ -3,6 +3,7 @@
 //! `whinhaven-lab experiment NAME` runs one. A new experiment is a module here and a variant of [`Experiment`].
 
 pub mod ground;
+pub mod takeover;
 pub mod view;
 
 use std::error::Error;
@@ -12,6 +13,8 @@
 pub enum Experiment {
     /// Real conductors: time to see a death, to move a lease, to agree after a heal; cost of the fleet's messages.
     Ground(ground::GroundArgs),
+    /// Real conductors: what the record of work in hand costs, and how long a dead one's work takes to be another's.
+    Takeover(takeover::TakeoverArgs),
     /// The view in simulation: time to detect, to settle, false deaths, messages and bytes, against size and loss.
     View(view::ViewArgs),
 }
@@ -24,6 +27,7 @@
     pub fn run(&self) -> Result<(), Box<dyn Error>> {
         match self {
             Experiment::Ground(args) => ground::run(args),
+            Experiment::Takeover(args) => takeover::run(args),
             Experiment::View(args) => view::run(args),
         }
     }
