--- a/lab/src/network.rs
+++ b/lab/src/network.rs
@@ -6,7 +6,7 @@
 //!
 //! A cut is silent: datagrams are lost, bytes wait (as TCP would send them again) and go on after it heals. A
 //! connection to a process that does not run comes up at the relay and is then reset; without the relay it would have
-//! been refused.
+//! been refused. What was written to a connection that its opener gave up before it could come up goes nowhere.
 
 use crate::history::History;
 use rand::{Rng, SeedableRng};
@@ -32,6 +32,8 @@
 const PIECES: usize = 64;
 /// Datagrams that a held link keeps; those beyond are lost.
 const MOST_HELD: usize = 4096;
+/// Bytes that are read of a connection that is not up yet.
+const MOST_EARLY: usize = 1024 * 1024;
 /// Datagrams that are kept to be sent again.
 const MOST_EARLIER: usize = 64;
 /// What the loss of a segment costs a TCP connection: the least time before it is sent again.
@@ -353,8 +355,17 @@
         tokio::spawn(async move {
             let _ = client.set_nodelay(true);
             // While either way is cut no handshake comes to its end.
-            open(&there).await;
-            open(&back).await;
+            let mut early = Vec::new();
+            let up = async {
+                open(&there).await;
+                open(&back).await;
+            };
+            tokio::select! {
+                biased;
+                () = up => {}
+                // It never came up, so that nothing of it arrives.
+                () = given_up(&client, &mut early) => return,
+            }
             // Dropped with its bytes unread it is reset.
             let Ok(server) = TcpStream::connect(dest).await else { return };
             let _ = server.set_nodelay(true);
@@ -363,8 +374,8 @@
                 (client.into_split(), server.into_split());
             // When one way breaks, all of the connection does; when one way merely ends, the other runs on.
             tokio::select! {
-                Err(()) = carry(from_client, to_server, there) => {}
-                Err(()) = carry(from_server, to_client, back) => {}
+                Err(()) = carry(early, from_client, to_server, there) => {}
+                Err(()) = carry(Vec::new(), from_server, to_client, back) => {}
                 else => {}
             }
         });
@@ -376,6 +387,19 @@
     let _ = direction.faults.subscribe().wait_for(|f| !f.cut && !f.held).await;
 }
 
+/// Keeps what is written to a connection that is not up yet, and returns when its opener closes it.
+async fn given_up(client: &TcpStream, early: &mut Vec<u8>) {
+    while early.len() < MOST_EARLY && client.readable().await.is_ok() {
+        match client.try_read_buf(early) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+    std::future::pending().await
+}
+
 /// What a way of a connection carries.
 enum Piece {
     Bytes(Vec<u8>),
@@ -385,12 +409,20 @@
     Broken,
 }
 
-/// Carries one way of a connection to its end; an error where it broke. That news too takes its way behind the bytes,
+/// Carries one way of a connection to its end, `early` before the rest; an error where it broke. That news too takes its way behind the bytes,
 /// and waits where the way is cut.
-async fn carry(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, direction: Arc<Direction>) -> Result<(), ()> {
+async fn carry(
+    early: Vec<u8>,
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    direction: Arc<Direction>,
+) -> Result<(), ()> {
     let (pieces, mut arriving) = mpsc::channel::<(Instant, Piece)>(PIECES);
     let reading = async {
         let mut buffer = vec![0; 16 * 1024];
+        if !early.is_empty() && pieces.send((Instant::now(), Piece::Bytes(early))).await.is_err() {
+            return Ok(());
+        }
         loop {
             let piece = match from.read(&mut buffer).await {
                 Ok(0) => Piece::End,
--- a/lab/tests/network.rs
+++ b/lab/tests/network.rs
@@ -142,3 +142,22 @@
     link.network.heal();
     assert!(matches!(server.read(&mut byte), Ok(0) | Err(_)));
 }
+
+/// Guards against what no network does: bytes that arrive on a connection which never came up.
+#[test]
+fn a_connection_given_up_before_it_came_up_carries_nothing() {
+    let link = link(1);
+    link.network.cut_one_way("b", "a");
+    let mut early = TcpStream::connect(link.at).unwrap();
+    early.write_all(b"early").unwrap();
+    early.shutdown(std::net::Shutdown::Write).unwrap();
+    early.set_read_timeout(Some(STUCK)).unwrap();
+    // The relay has let go of it.
+    assert!(matches!(early.read(&mut [0]), Ok(0)));
+    link.network.heal();
+    let mut late = TcpStream::connect(link.at).unwrap();
+    late.write_all(b"late!").unwrap();
+    let (mut came, mut bytes) = (link.tcp.accept().unwrap().0, [0; 5]);
+    came.read_exact(&mut bytes).unwrap();
+    assert_eq!(&bytes, b"late!");
+}
