--- a/lab/tests/processes_takeover.rs
+++ b/lab/tests/processes_takeover.rs
@@ -222,7 +222,11 @@
             hits.hit(step);
             *faults.entry(fault).or_default() += 1;
         }
-        // Nothing of the round is left before the next begins: what its dead held is let go by the living.
+        // Nothing of the round is left before the next begins: what its dead held is let go by the living. Only what is
+        // held for one that lives and hears no host waits for it.
+        if fault == Fault::CutHosts {
+            fleet.network.heal();
+        }
         if fleet.wait_for_release().is_err() {
             keep(&fleet, &format!("{what}, still held: {:?}", fleet.states.held()));
         }
@@ -317,6 +321,22 @@
     end(fleet);
 }
 
+/// Guards against a state that is given up with its release: its conductor heard no host when it ended.
+#[test]
+fn what_could_not_be_let_go_is_let_go_once_hosts_are_heard_again() {
+    let fleet = start(3, 6);
+    let hosts = fleet.hosts.keys().cloned().collect();
+    strike(&fleet.history, Step::ReadBegun, "order-1", fleet.cutter("c1", hosts, true));
+    let mut client = fleet.client();
+    client.silence = Duration::from_secs(3);
+    assert!(client.ask(&Ask::send("order-1", 4, 1), 0).answer.is_some());
+    fleet.wait_for(0, |r| r.text("line").contains("no model host took the release")).unwrap();
+    assert!(!fleet.states.held().is_empty());
+    fleet.network.heal();
+    fleet.wait_for_release().unwrap();
+    end(fleet);
+}
+
 /// A planned stop with a stream and a tool call in hand: its client goes on elsewhere, and the call's outcome with it.
 #[test]
 fn a_conductor_that_is_asked_to_stop_hands_over_what_it_has_in_hand() {
--- a/src/fleet/net/work.rs
+++ b/src/fleet/net/work.rs
@@ -317,17 +317,26 @@
     /// Asks hosts until one has taken it; a host that runs drops by itself what nobody asks for in the end.
     async fn release(&self, id: &str, worker: &str, outbound: &dyn Outbound) {
         for _ in 0..RELEASE_TRIES {
-            let (target, body) = (String::new(), Bytes::new());
-            let call = Call { id: id.into(), target, content_type: None, body, keeps: None, name: None };
-            let releasing = Rc::new(Releasing::default());
-            outbound.release(Rc::new(call), releasing.clone());
-            releasing.over().await;
-            if !releasing.is_cut_short() {
-                return self.history().released(id, worker);
+            if self.release_once(id, worker, outbound).await {
+                return;
             }
         }
         log::warn!("takeover: no model host took the release of {id}, last sent to {worker}");
     }
+
+    /// Whether a host took it within the client side's patience.
+    async fn release_once(&self, id: &str, worker: &str, outbound: &dyn Outbound) -> bool {
+        let (target, body) = (String::new(), Bytes::new());
+        let call = Call { id: id.into(), target, content_type: None, body, keeps: None, name: None };
+        let releasing = Rc::new(Releasing::default());
+        outbound.release(Rc::new(call), releasing.clone());
+        releasing.over().await;
+        let taken = !releasing.is_cut_short();
+        if taken {
+            self.history().released(id, worker);
+        }
+        taken
+    }
 }
 
 /// An [`Outbound`] that writes each send down before it goes out.
@@ -337,8 +346,18 @@
     core: CoreHandle,
     reads: Box<dyn Fn(&WorkerId) -> bool>,
     most_attempts: u32,
-    /// Ids on record, and the calls whose end takes them off it.
-    noted: RefCell<HashMap<String, Weak<Call>>>,
+    /// What is on record, by id.
+    noted: RefCell<HashMap<String, Noted>>,
+}
+
+/// A send on record.
+struct Noted {
+    /// Its end takes it off the record.
+    call: Weak<Call>,
+    /// Where it went last.
+    worker: WorkerId,
+    /// The release since then, if there was one.
+    releasing: Option<Rc<Releasing>>,
 }
 
 impl Recording {
@@ -356,17 +375,38 @@
         recording
     }
 
+    /// Takes off the record what has ended. What no host has let go of yet stays on it, is asked for again until one
+    /// has, and is adopted should this life end before.
     async fn sweep(self: Rc<Self>) {
+        let (mut late, mut running) = (VecDeque::new(), tokio::task::JoinSet::new());
         loop {
             tokio::time::sleep(SWEEP).await;
             let mut over = Vec::new();
-            self.noted.borrow_mut().retain(|id, call| {
-                let kept = call.strong_count() > 0;
-                if !kept {
+            self.noted.borrow_mut().retain(|id, noted| {
+                let kept = noted.call.strong_count() > 0;
+                if !kept && noted.releasing.as_ref().is_some_and(|r| r.is_cut_short()) {
+                    late.push_back((id.clone(), noted.worker.0.to_string()));
+                } else if !kept {
                     over.push(id.clone());
                 }
                 kept
             });
+            while let Some(done) = running.try_join_next() {
+                match done {
+                    Ok((id, _, true)) => over.push(id),
+                    Ok((id, worker, false)) => late.push_back((id, worker)),
+                    Err(_) => {}
+                }
+            }
+            while running.len() < MOST_RELEASES
+                && let Some((id, worker)) = late.pop_front()
+            {
+                let (work, inner) = (self.work.clone(), self.inner.clone());
+                running.spawn_local(async move {
+                    let taken = work.release_once(&id, &worker, &*inner).await;
+                    (id, worker, taken)
+                });
+            }
             for ids in over.chunks(MOST_OVER) {
                 self.work.tell(takeover::Command::Over { ids: ids.to_vec() });
             }
@@ -408,12 +448,13 @@
 impl Outbound for Recording {
     fn send(&self, attempt: Attempt) {
         let call = &attempt.call;
-        let noted = self.noted.borrow().contains_key(&call.id);
+        let (worker, releasing) = (attempt.worker.clone(), None);
+        let now = Noted { call: Rc::downgrade(call), worker, releasing };
+        let noted = self.noted.borrow_mut().insert(call.id.clone(), now).is_some();
         // One record holds for all sends under an id, unless its name has them counted.
         if noted && call.name.is_none() {
             return self.inner.send(attempt);
         }
-        self.noted.borrow_mut().insert(call.id.clone(), Rc::downgrade(call));
         let command = takeover::Command::Send {
             id: call.id.clone(),
             worker: attempt.worker.0.to_string(),
@@ -427,6 +468,9 @@
     }
 
     fn release(&self, call: Rc<Call>, releasing: Rc<Releasing>) {
+        if let Some(noted) = self.noted.borrow_mut().get_mut(&call.id) {
+            noted.releasing = Some(releasing.clone());
+        }
         self.inner.release(call, releasing);
     }
 
