--- a/lab/tests/processes_takeover.rs
+++ b/lab/tests/processes_takeover.rs
@@ -142,8 +142,14 @@
     Fault::CutTool,
 ];
 
-/// What strikes `victim`; those that may be dead then are named first.
-fn strike_of(fleet: &Fleet, fault: Fault, victim: &str, other: &str) -> Box<dyn FnOnce() + Send> {
+/// What strikes `victim`. A death that comes later than that comes only while `armed`.
+fn strike_of(
+    fleet: &Fleet,
+    fault: Fault,
+    victim: &str,
+    other: &str,
+    armed: Arc<Mutex<bool>>,
+) -> Box<dyn FnOnce() + Send> {
     let conductor = fleet.conductor(victim);
     let kill = conductor.killer();
     match fault {
@@ -163,7 +169,8 @@
             Box::new(move || {
                 let adopted = move |r: &Record| r.event == "work.adopted" && r.text("peer") == dead;
                 history.once(adopted, move |r| {
-                    if let Some(kill) = killers.remove(&r.source) {
+                    let armed = armed.lock().unwrap();
+                    if let Some(kill) = killers.remove(&r.source).filter(|_| *armed) {
                         kill();
                     }
                 });
@@ -194,7 +201,8 @@
         let other = format!("c{}", (first + away) % 5 + 1);
         // A step may come when the client has its answer already, and would then strike the round after.
         let armed = Arc::new(Mutex::new(true));
-        let (still, act) = (armed.clone(), strike_of(&fleet, fault, &victim, &other));
+        let later = Arc::new(Mutex::new(true));
+        let (still, act) = (armed.clone(), strike_of(&fleet, fault, &victim, &other, later.clone()));
         let begun = fleet.history.len();
         strike(&fleet.history, step, &name, move || {
             let mut armed = still.lock().unwrap();
@@ -222,6 +230,13 @@
             hits.hit(step);
             *faults.entry(fault).or_default() += 1;
         }
+        // What it had out is on record, so that somebody adopts it.
+        if struck && fault == Fault::KillAdopter && (Step::ReadBegun..=Step::Call).contains(&step) {
+            let adopted = |r: &Record| r.event == "work.adopted" && r.text("peer") == victim;
+            if fleet.wait_for(begun, adopted).is_err() {
+                keep(&fleet, &format!("{what}: not adopted"));
+            }
+        }
         // Nothing of the round is left before the next begins: what its dead held is let go by the living. Only what is
         // held for one that lives and hears no host waits for it.
         if fault == Fault::CutHosts {
@@ -230,6 +245,7 @@
         if fleet.wait_for_release().is_err() {
             keep(&fleet, &format!("{what}, still held: {:?}", fleet.states.held()));
         }
+        *later.lock().unwrap() = false;
         let since = fleet.history.since(begun);
         let killed = since.iter().filter(|r| r.event == "fault.kill").count();
         adopters += u64::from(struck && fault == Fault::KillAdopter && killed > 1);
