--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod process;
 pub mod script;
 pub mod sim;
+pub mod sim_sites;
 pub mod steps;
 pub mod tools;
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -4,7 +4,7 @@
 //! bound that decides anything is itself in the log ([`Bounds`]). A further part of the fleet adds one variant each
 //! to [`Command`], [`Answer`] and [`Effect`], a field to [`FleetState`], and one arm in [`FleetState::apply`].
 
-use crate::fleet::{Incarnation, Index, MemberName, Who, lease, takeover};
+use crate::fleet::{Incarnation, Index, MemberName, Who, lease, sites, takeover};
 use crate::interface::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -54,6 +54,8 @@
     Lease(lease::Command),
     /// About work in hand.
     Takeover(takeover::Command),
+    /// About a lost or a returning site.
+    Sites(sites::epoch::Command),
 }
 
 /// What came of a proposal.
@@ -98,6 +100,8 @@
     Takeover(takeover::Notice),
     /// Other bounds are in force.
     Bounds(Bounds),
+    /// What is agreed of the sites has changed.
+    Sites(sites::epoch::Effect),
 }
 
 /// The bounds of the state's tables. They decide what is refused, so they are part of the state: a leader whose
@@ -140,6 +144,7 @@
     leases: lease::Table,
     work: takeover::Table,
     applied: Index,
+    sites: sites::epoch::Table,
 }
 
 impl FleetState {
@@ -168,6 +173,11 @@
         &self.work
     }
 
+    /// What is agreed of the sites.
+    pub fn sites(&self) -> &sites::epoch::Table {
+        &self.sites
+    }
+
     /// Whether this proposal has been decided (or would be refused as settled).
     pub fn decided(&self, origin: &Origin) -> bool {
         match self.sessions.get(&origin.who.name) {
@@ -215,6 +225,12 @@
                     out.extend(notices.into_iter().map(Effect::Takeover));
                     Answer::Takeover(reply)
                 }
+                Command::Sites(command) => {
+                    let mut effects = Vec::new();
+                    self.sites.apply(command, &mut effects);
+                    out.extend(effects.into_iter().map(Effect::Sites));
+                    Answer::Done
+                }
             },
         };
         out.push(Effect::Answered { origin, answer });
