--- a/lab/src/experiments/mod.rs
+++ b/lab/src/experiments/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod ground;
 pub mod sites;
+pub mod takeover;
 pub mod view;
 
 use std::error::Error;
@@ -15,6 +16,8 @@
     Ground(ground::GroundArgs),
     /// The loss of one of five sites and its return, with the plan, without, and spread evenly.
     Sites(sites::SitesArgs),
+    /// Real conductors: what the record of work in hand costs, and how long a dead one's work takes to be another's.
+    Takeover(takeover::TakeoverArgs),
     /// The view in simulation: time to detect, to settle, false deaths, messages and bytes, against size and loss.
     View(view::ViewArgs),
 }
@@ -28,6 +31,7 @@
         match self {
             Experiment::Ground(args) => ground::run(args),
             Experiment::Sites(args) => sites::run(args),
+            Experiment::Takeover(args) => takeover::run(args),
             Experiment::View(args) => view::run(args),
         }
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -197,7 +197,6 @@
     fn step(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         let margin = 2 * self.sweep_every();
-        let spent = r.attempts.len() as u32 >= r.most_attempts;
         // Of unknown fate, and no worker may repeat it: waiting gains its client nothing.
         let stuck = r.may_have_run() && !self.workers.values().any(|w| self.may_repeat_at(r, w));
         let hopeless = self.now + margin >= r.ask.deadline;
@@ -206,7 +205,7 @@
             // Its time-out is trimmed to the deadline and its outcome comes within the slack.
             Phase::Reading | Phase::Writing if self.now < r.ask.deadline => {}
             Phase::Reading | Phase::Writing => self.finish(id, out),
-            _ if hopeless || spent || stuck => self.finish(id, out),
+            _ if hopeless || r.spent() || stuck => self.finish(id, out),
             Phase::Waiting => self.begin(id, out),
             Phase::Held => {
                 let release_by = r.quiet_since + self.set.release.saturating_sub(margin + self.set.tick);
@@ -508,8 +507,7 @@
         let (Some(r), Some(w)) = (self.requests.get(&id), self.workers.get(worker)) else { return };
         let answered = matches!(r.phase, Phase::Done | Phase::Streaming);
         let repeat = r.may_have_run() && !self.may_repeat_at(r, w);
-        let spent = r.attempts.len() as u32 >= r.most_attempts;
-        if answered || repeat || spent || r.out().next().is_some() || w.status != Status::Ready {
+        if answered || repeat || r.spent() || r.out().next().is_some() || w.status != Status::Ready {
             return;
         }
         let class = &self.set.classes[r.class];
--- a/src/state.rs
+++ b/src/state.rs
@@ -172,6 +172,11 @@
         })
     }
 
+    /// Whether all its attempts have been made.
+    pub fn spent(&self) -> bool {
+        self.attempts.len() as u32 >= self.most_attempts
+    }
+
     /// Whether an attempt got no answer in time.
     pub fn unanswered(&self) -> bool {
         self.attempts.iter().any(|a| a.outcome == Some(Outcome::NoAnswer))
