--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -395,6 +395,11 @@
         names.iter().for_each(|name| self.end(name, Stop::Moved));
     }
 
+    /// Whether a tool call is out, or its outcome not on record yet.
+    pub fn is_calling(&self) -> bool {
+        self.ledger.is_busy()
+    }
+
     fn end(&self, name: &str, stop: Stop) {
         if let Some(active) = self.active.borrow().get(name) {
             active.stop.send_replace(stop);
--- a/src/front/ledger.rs
+++ b/src/front/ledger.rs
@@ -164,6 +164,11 @@
         outcome
     }
 
+    /// Whether a call is out, or its outcome not on record yet.
+    pub fn is_busy(&self) -> bool {
+        self.entries.borrow().values().any(|e| e.ended.is_none())
+    }
+
     /// Drops the calls of a request that are in flight; their outcome is unknown from then on.
     pub fn cancel(&self, request: &str) {
         let entries = self.entries.borrow();
--- a/src/run.rs
+++ b/src/run.rs
@@ -302,7 +302,9 @@
         pool.clear();
         let hand_over = work.as_ref().map(|w| Duration::from_millis(w.settings().hand_over_after_ms));
         let begun = Instant::now();
-        while open.count() > 0 {
+        // A call that is out has its time: without its outcome on record it is unknown wherever its request goes on.
+        let calls = || hand_over.is_some() && front.as_ref().is_some_and(|f| f.is_calling());
+        while open.count() > 0 || calls() {
             if hand_over.is_some_and(|after| begun.elapsed() >= after)
                 && let Some(front) = &front
             {
