Sites: a running conductor watches, agrees and sends by the plan for a lost site

With `[fleet]` and `[sites]` in an operator's file a conductor now makes the plans at its start, off the thread that serves, feeds the machine with the view, the leader heard, tries of hosts, discovery's list and the log's table, proposes what it says, and writes its orders into the list as weights. The history has `site.state`, `site.epoch` and `site.settled`. Without either table nothing of it runs.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! What a conductor is told at start: the platform's JSON, or an operator's TOML file of the same shape.
 
 use crate::fleet::config::FleetConfig;
+use crate::fleet::sites::describe::Fleet as Sites;
 use crate::interface::Settings;
 use crate::net::discovery::{ListMessage, Listing};
 use crate::wire::read_settings;
@@ -121,6 +122,7 @@
     fleet: Option<Value>,
     store: Option<Value>,
     takeover: Option<Value>,
+    sites: Option<Value>,
 }
 
 /// A conductor's configuration.
@@ -146,6 +148,8 @@
     pub tools: Option<ToolSettings>,
     /// The fleet that this conductor is a member of, if configured; in an operator's file only.
     pub fleet: Option<FleetConfig>,
+    /// What the plans for the loss of a site are made from; in a fleet only.
+    pub sites: Option<Sites>,
 }
 
 impl Config {
@@ -160,6 +164,7 @@
             fields.remove("fleet");
             fields.remove("store");
             fields.remove("takeover");
+            fields.remove("sites");
         }
         Self::from_value(value, env)
     }
@@ -186,6 +191,7 @@
             ("settings", a.settings != b.settings || a.idle_close != b.idle_close),
             ("tools", a.tools != b.tools),
             ("fleet", a.fleet != b.fleet),
+            ("sites", a.sites != b.sites),
         ];
         all.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
@@ -226,9 +232,23 @@
             );
             return Err(ConfigError(format!("tools.max_result_bytes: {what}")));
         }
+        let sites = match (&fleet, raw.sites) {
+            (Some(fleet), Some(tables)) => {
+                let tables =
+                    serde_json::from_value(tables).map_err(|e| ConfigError(format!("sites: {e}")))?;
+                let sites = Sites::new(tables, &settings).map_err(|e| ConfigError(e.to_string()))?;
+                if sites.site(fleet.site.as_str()).is_none() {
+                    let what = format!("fleet.site: {} is not among [[sites.site]]", fleet.site.as_str());
+                    return Err(ConfigError(what));
+                }
+                Some(sites)
+            }
+            _ => None,
+        };
         Ok(Config {
             name,
             fleet,
+            sites,
             listen,
             discovery,
             seed,
--- a/src/fleet/net/drive.rs
+++ b/src/fleet/net/drive.rs
@@ -14,6 +14,7 @@
 use crate::fleet::lease::{Standing, What, life};
 use crate::fleet::message::Message;
 use crate::fleet::node::{Action, Event, Lost, Node, Start};
+use crate::fleet::sites::epoch::Table;
 use crate::fleet::state::{Answer, Command, Effect, FleetState};
 use crate::fleet::{Index, LeaseName, MemberName, Who, group, view};
 use crate::interface::Micros;
@@ -62,6 +63,10 @@
     MayAct(bool),
     /// The log did something.
     Effect(Index, &'a Effect),
+    /// Another leader is known, or none.
+    Leading(Option<&'a MemberName>),
+    /// What is agreed of the sites has changed: this is it, or a later one.
+    Sites(&'a Table),
     /// The state was replaced by a snapshot: this is it, or a later one.
     Restored(&'a FleetState),
 }
@@ -455,6 +460,7 @@
                     shared.counters.leaders.up();
                 }
                 life.history.leading(leader.as_ref(), term);
+                self.fleet.tell(&Told::Leading(leader.as_ref()));
             }
             Action::MayAct(gained) => {
                 let table = life.node.state().leases();
@@ -472,6 +478,9 @@
                     }
                 }
                 self.fleet.tell(&Told::Effect(index, &effect));
+                if matches!(effect, Effect::Sites(_)) {
+                    self.fleet.tell(&Told::Sites(life.node.state().sites()));
+                }
             }
             Action::Refused(group::Refusal::FirstVotersDiffer) => {
                 life.history.note("another first voter names other first voters: the group can't start");
--- a/src/fleet/net/history.rs
+++ b/src/fleet/net/history.rs
@@ -4,6 +4,7 @@
 //! `docs/fleet.md`.
 
 use crate::fleet::lease::{Cause, LeaseChange, Standing};
+use crate::fleet::sites::{epoch::Standing as Agreed, watch};
 use crate::fleet::{Index, LeaseName, MemberName, Term, Token, Who, view};
 use crate::interface::Micros;
 use std::net::SocketAddr;
@@ -183,6 +184,34 @@
             "fleet: {times} frames of {peer} refused, the last one for {reason}");
     }
 
+    /// This member takes a site for something else.
+    pub fn site(&self, site: &str, change: &watch::Change) {
+        let [from, to] = [change.from, change.to].map(|status| format!("{status:?}").to_lowercase());
+        let (missing, cause) = (format!("{:?}", change.missing), format!("{:?}", change.cause));
+        let (missing, cause) = (missing.to_lowercase(), cause.to_lowercase());
+        event!(self, info, TARGET, "site.state", at unix_us(),
+            { site = site, from = from.as_str(), to = to.as_str(), missing = missing.as_str(), cause = cause.as_str() },
+            "sites: {site} from {from} to {to}, missing {missing} ({cause})");
+    }
+
+    /// The group has agreed on something about a site.
+    pub fn site_epoch(&self, epoch: u64, site: &str, from: Agreed, to: Agreed) {
+        let [(from, _), (to, step)] = [from, to].map(|standing| match standing {
+            Agreed::Sound => ("sound", None),
+            Agreed::Lost(_) => ("lost", None),
+            Agreed::Returning { step, .. } => ("returning", Some(step)),
+        });
+        event!(self, info, TARGET, "site.epoch", at unix_us(),
+            { epoch = epoch, site = site, from = from, to = to, step = step },
+            "sites: epoch {epoch}: {site} from {from} to {to}, step {}", step.unwrap_or_default());
+    }
+
+    /// All conductors have stepped.
+    pub fn site_settled(&self, epoch: u64) {
+        event!(self, info, TARGET, "site.settled", at unix_us(), { epoch = epoch },
+            "sites: epoch {epoch}: all have stepped");
+    }
+
     /// Something else that is to be known.
     pub fn note(&self, what: &str) {
         event!(self, warn, TARGET, "fleet.note", at unix_us(), { what = what }, "fleet: {what}");
--- a/src/fleet/net/mod.rs
+++ b/src/fleet/net/mod.rs
@@ -12,6 +12,7 @@
 mod reception;
 mod refusals;
 pub mod seal;
+pub mod sites;
 pub mod work;
 
 use crate::config::ConfigError;
--- a/src/fleet/net/work.rs
+++ b/src/fleet/net/work.rs
@@ -229,7 +229,7 @@
                 // What is waited for may have happened under the snapshot.
                 self.handle(Event::Restored);
             }
-            Told::View(_) | Told::Effect(..) => {}
+            Told::View(_) | Told::Effect(..) | Told::Leading(_) | Told::Sites(_) => {}
         }
     }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -102,6 +102,7 @@
 }
 
 struct Host {
+    zone: String,
     address: Option<SocketAddr>,
     status: Status,
     kind: String,
@@ -130,8 +131,13 @@
             if old.is_some_and(|h| h.started != entry.started || h.address != address) {
                 reborn.push(entry.worker.clone());
             }
-            let host =
-                Host { address, status: entry.status, kind: entry.kind.clone(), started: entry.started };
+            let host = Host {
+                zone: entry.zone.clone(),
+                address,
+                status: entry.status,
+                kind: entry.kind.clone(),
+                started: entry.started,
+            };
             hosts.insert(entry.worker.clone(), host);
         }
         // Machines are replaced under new ids for as long as this runs: what is gone is forgotten here, and its
@@ -170,6 +176,14 @@
         running.into_iter().map(|(w, _)| w.clone()).collect()
     }
 
+    /// The addresses of a zone's hosts, by their names, and whether each is in service.
+    pub fn of_zone(&self, zone: &str) -> Vec<(Option<SocketAddr>, bool)> {
+        let hosts = self.hosts.borrow();
+        let mut here: Vec<(&WorkerId, &Host)> = hosts.iter().filter(|(_, h)| h.zone == zone).collect();
+        here.sort_by(|(a, _), (b, _)| a.0.cmp(&b.0));
+        here.into_iter().map(|(_, h)| (h.address, h.status == Status::Ready)).collect()
+    }
+
     /// Whether hosts in service can do both stages between them.
     pub fn can_serve(&self, kinds: &[Kind]) -> bool {
         let hosts = self.hosts.borrow();
@@ -211,6 +225,9 @@
     }
 }
 
+/// Changes the entries of a list or of its changes.
+pub type Weigh = Box<dyn Fn(ListKind, &mut [Entry])>;
+
 /// Follows discovery for as long as the conductor runs.
 pub struct Follower {
     /// What it keeps.
@@ -225,6 +242,8 @@
     pub fetch_list: Rc<Notify>,
     /// Counters.
     pub counters: Rc<Counters>,
+    /// Changes what the core is told of a list, once the directory has it.
+    pub weigh: Option<Weigh>,
 }
 
 impl Follower {
@@ -238,7 +257,10 @@
         for worker in self.directory.apply(&listing) {
             (self.hang_up)(&worker);
         }
-        let entries = listing.entries.into_iter().map(|(entry, _)| entry).collect();
+        let mut entries: Vec<Entry> = listing.entries.into_iter().map(|(entry, _)| entry).collect();
+        if let Some(weigh) = &self.weigh {
+            weigh(kind, &mut entries);
+        }
         self.core.tell(Input::List { kind, entries });
     }
 
--- a/src/run.rs
+++ b/src/run.rs
@@ -13,13 +13,14 @@
 use whinhaven::core::{Clock, Core, CoreHandle, Outbound};
 use whinhaven::counters::Counters;
 use whinhaven::fleet::LeaseName;
+use whinhaven::fleet::net::sites::{Seen, Sites};
 use whinhaven::fleet::net::work::{Recording, Work};
 use whinhaven::fleet::net::{self, Fleet};
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::front::shared::Shared;
 use whinhaven::interface::{Class, Effect, Group, ListKind, Role, WorkerId};
 use whinhaven::net::client::Hosts;
-use whinhaven::net::discovery::{Directory, Follower};
+use whinhaven::net::discovery::{Directory, Follower, Weigh};
 use whinhaven::net::pool::Pool;
 use whinhaven::net::server::{Connections, Edge, Listener, OVER, Stage};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -172,10 +173,29 @@
         watch_again: watch_again.clone(),
         fetch_list: fetch_list.clone(),
     };
+    // Before the fleet begins: it would wait for this member meanwhile.
+    let own = config.fleet.as_ref().and_then(|f| config.sites.as_ref()?.site(f.site.as_str()));
+    let plans = match (own, config.sites.clone()) {
+        (Some(own), Some(tables)) => {
+            let plans = Sites::plan(tables).await.map_err(|e| ConfigError(format!("sites: {e}")))?;
+            log::info!("sites: plans {:016x}", plans.fingerprint());
+            Some((own, plans))
+        }
+        _ => None,
+    };
     let fleet = match &config.fleet {
         Some(settings) => Some(net::start(settings, clock, config.seed).await?),
         None => None,
     };
+    let sites = match (&fleet, plans) {
+        (Some(fleet), Some((own, plans))) => {
+            let seed = xxh3_64_with_seed(config.name.as_bytes(), config.seed);
+            let seen =
+                Seen { directory: directory.clone(), core: core.clone(), kinds: settings.kinds.clone() };
+            Some(Sites::start(fleet.clone(), clock, seen, plans, own, seed))
+        }
+        _ => None,
+    };
     let mut outbound: Rc<dyn Outbound> = Rc::new(hosts);
     let work = match (&fleet, config.fleet.as_ref().and_then(|f| Some((f, f.takeover.clone()?)))) {
         (Some(fleet), Some((settings, takeover))) => {
@@ -202,6 +222,9 @@
         ask: settings.list_on_request.then_some(watch_again),
         fetch_list: fetch_list.clone(),
         counters: counters.clone(),
+        weigh: sites
+            .clone()
+            .map(|sites| Box::new(move |kind, entries: &mut [_]| sites.weigh(kind, entries)) as Weigh),
     };
     let refresh_list = {
         let discovery = config.discovery.is_some();
