--- a/src/config.rs
+++ b/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::config::FleetConfig;
 use crate::fleet::policy_content;
+use crate::fleet::sites::describe::Fleet as Sites;
 use crate::interface::Settings;
 use crate::net::discovery::{ListMessage, Listing};
 use crate::wire::read_settings;
@@ -123,6 +124,7 @@
     store: Option<Value>,
     takeover: Option<Value>,
     policy: Option<Value>,
+    sites: Option<Value>,
 }
 
 /// A conductor's configuration.
@@ -150,6 +152,8 @@
     pub tools: Option<ToolSettings>,
     /// The fleet that this conductor is a member of, if configured; in an operator's file only.
     pub fleet: Option<FleetConfig>,
+    /// What the plans for the loss of a site are made from; in a fleet only.
+    pub sites: Option<Sites>,
 }
 
 impl Config {
@@ -165,6 +169,7 @@
             fields.remove("store");
             fields.remove("takeover");
             fields.remove("policy");
+            fields.remove("sites");
         }
         Self::from_value(value, env)
     }
@@ -191,6 +196,7 @@
             ("settings", a.settings != b.settings || a.idle_close != b.idle_close),
             ("tools", a.tools != b.tools),
             ("fleet", a.fleet != b.fleet),
+            ("sites", a.sites != b.sites),
         ];
         all.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
@@ -236,9 +242,23 @@
             );
             return Err(ConfigError(format!("tools.max_result_bytes: {what}")));
         }
+        let sites = match (&fleet, raw.sites) {
+            (Some(fleet), Some(tables)) => {
+                let tables =
+                    serde_json::from_value(tables).map_err(|e| ConfigError(format!("sites: {e}")))?;
+                let sites = Sites::new(tables, &settings).map_err(|e| ConfigError(e.to_string()))?;
+                if sites.site(fleet.site.as_str()).is_none() {
+                    let what = format!("fleet.site: {} is not among [[sites.site]]", fleet.site.as_str());
+                    return Err(ConfigError(what));
+                }
+                Some(sites)
+            }
+            _ => None,
+        };
         Ok(Config {
             name,
             fleet,
+            sites,
             listen,
             discovery,
             seed,
--- a/src/fleet/net/mod.rs
+++ b/src/fleet/net/mod.rs
@@ -13,6 +13,7 @@
 mod reception;
 mod refusals;
 pub mod seal;
+pub mod sites;
 pub mod work;
 
 use crate::config::ConfigError;
