--- a/src/fleet/net/policy.rs
+++ b/src/fleet/net/policy.rs
@@ -171,7 +171,7 @@
             Told::MayAct(false) => {}
             Told::Effect(_, Effect::Policy(notice)) => self.notice(notice),
             Told::Restored(state) => self.restore(state.policy()),
-            Told::View(_) | Told::Effect(..) => return,
+            Told::View(_) | Told::Leading(_) | Told::Sites(_) | Told::Effect(..) => return,
         }
         self.go_on();
         self.changed.notify_waiters();
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -45,7 +45,13 @@
         let folder = std::env::temp_dir().join(format!("whinhaven-fleet-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         std::fs::write(folder.join("key"), KEY).unwrap();
-        let peers: Vec<SocketAddr> = (0..size).map(|_| Peer::nobody()).collect();
+        // Loopback addresses of this fleet's own: a port that is only free for now may be a client's a moment later.
+        let (process, block) = (std::process::id(), number as usize * 8);
+        let address = |i: usize| {
+            let host = [127, 70 + (process / 256 % 30) as u8, (process % 256) as u8, (block + i + 1) as u8];
+            SocketAddr::from((host, 7100))
+        };
+        let peers: Vec<SocketAddr> = (0..size).map(address).collect();
         let names: Vec<String> = (1..=size).map(|i| format!("\"c{i}\"")).collect();
         let all: Vec<String> =
             peers.iter().enumerate().map(|(i, p)| format!("c{} = \"{p}\"", i + 1)).collect();
