Module: new settings are taken in where the module's others are, by one piece of code

Change: `new` is an empty module that takes its settings by `set`. What moves plain data (classes of requests in hand, levels of tenants) is in src/state.rs.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,8 +8,6 @@
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-mod set;
-
 // ---------------------------------------------------------------- constants, each with its reason
 
 /// A prefix not sent to a reader for this long is no longer credited there (the design's value).
@@ -91,12 +89,18 @@
 
 impl Policy {
     /// A module that knows nothing yet.
-    pub fn new(mut settings: Settings, seed: u64) -> Self {
-        // What the settings don't name is never repeated and is worth least.
-        settings.classes.push(Class { effect: Effect::Unsafe, ..Class::default() });
-        let part = |t: &Tenant| t.quota_per_s / f64::from(settings.routers.max(1));
-        let tenants = settings.tenants.iter().map(|t| (t.name.clone(), (part(t), f64::MAX, 0)));
-        Policy { tenants: tenants.collect(), set: settings, seed, ..Policy::default() }
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let mut policy = Policy { seed, ..Policy::default() };
+        policy.set(settings);
+        policy
+    }
+
+    /// New requests begin under these settings; see `settle` for what those in hand keep.
+    pub fn set(&mut self, settings: Settings) {
+        self.tenants = levels(&settings, &self.tenants);
+        self.workers.values_mut().for_each(|w| w.answers.clear());
+        let requests = self.requests.values_mut();
+        self.set = Settings { classes: settle(&self.set.classes, &settings.classes, requests), ..settings };
     }
 
     /// Takes one event in and appends the actions that answer it.
@@ -164,9 +168,7 @@
 
     fn ask(&mut self, ask: Ask, out: &mut Vec<Action>) {
         let id = ask.request;
-        // A class that the settings don't name is the last one: see `new`.
-        let classes = &self.set.classes;
-        let class = classes.iter().position(|c| c.name == ask.class).unwrap_or(classes.len() - 1);
+        let class = class_of(&self.set.classes, &ask.class);
         let over_share = self.over_share(ask.tenant.as_deref());
         self.learned.prompt.add(ask.prompt_tokens as f64, LEARN);
         self.requests.insert(id, Request::new(ask, class, self.now, over_share, self.set.max_attempts));
@@ -991,9 +993,7 @@
     }
 
     fn release(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        if let Some(r) = self.requests.get_mut(&id)
-            && r.state.take().is_some()
-        {
+        if self.requests.get_mut(&id).is_some_and(|r| r.state.take().is_some()) {
             out.push(Action::Release { request: id });
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! Plain data that the decisions in `src/policy.rs` keep. No decision and no tuned value is made here.
 
-use crate::interface::{Ask, Micros, Outcome, Report, Role, Status};
+use crate::interface::{Ask, Class, Effect, Micros, Outcome, Report, Role, Settings, Status, Tenant};
 use crate::interface::{RequestId, WorkerId};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -210,6 +210,45 @@
     }
 }
 
+/// The place of a class; the last one if the settings don't name it.
+pub(crate) fn class_of(classes: &[Class], name: &str) -> usize {
+    classes.iter().position(|c| c.name == name && !name.is_empty()).unwrap_or(classes.len() - 1)
+}
+
+/// The classes of new settings, and behind them those of requests in hand, which keep theirs with effect, worth and
+/// times. What is not the request's own (rules, permissions) is the new for all.
+pub(crate) fn settle<'a>(
+    old: &[Class],
+    new: &[Class],
+    requests: impl Iterator<Item = &'a mut Request>,
+) -> Vec<Class> {
+    let mut all = new.to_vec();
+    let mut moved = BTreeMap::new();
+    for request in requests {
+        let class = request.class;
+        request.class = *moved.entry(class).or_insert_with(|| {
+            // Without a name no new request finds it.
+            all.push(Class { name: String::new(), ..old[class].clone() });
+            all.len() - 1
+        });
+    }
+    // The last one is of requests whose class the settings don't name: never repeated, worth least.
+    all.push(Class { effect: Effect::Unsafe, ..Class::default() });
+    all
+}
+
+/// This router's part of each tenant's promised rate, with the level that the tenant had.
+pub(crate) fn levels(
+    settings: &Settings,
+    held: &BTreeMap<String, (f64, f64, Micros)>,
+) -> BTreeMap<String, (f64, f64, Micros)> {
+    let tenant = |t: &Tenant| {
+        let (_, level, at) = held.get(&t.name).copied().unwrap_or((0.0, f64::MAX, 0));
+        (t.name.clone(), (t.quota_per_s / f64::from(settings.routers.max(1)), level, at))
+    };
+    settings.tenants.iter().map(tenant).collect()
+}
+
 /// One send of a request.
 pub(crate) struct Attempt {
     pub worker: WorkerId,
@@ -272,4 +311,40 @@
         }
         assert!(worker.full.len() <= 10, "{}", worker.full.len());
     }
+
+    /// Guards against a repeat of what must not run twice, because the class was changed while it was in hand.
+    #[test]
+    fn requests_in_hand_keep_their_class_and_new_ones_find_the_new() {
+        let classes = |names: &[&str], effect| -> Vec<Class> {
+            names.iter().map(|n| Class { name: (*n).into(), effect, ..Class::default() }).collect()
+        };
+        let ask = |class: &str| Ask {
+            request: RequestId(1),
+            deadline: 1,
+            session: None,
+            prefix: None,
+            prefix_tokens: 0,
+            prompt_tokens: 1,
+            max_tokens: 0,
+            hint: None,
+            class: class.into(),
+            tenant: None,
+        };
+        let mut requests = Vec::new();
+        let mut all = settle(&[], &classes(&["explain", "send"], Effect::Unsafe), [].iter_mut());
+        for effect in [Effect::Safe, Effect::Unsafe, Effect::Safe] {
+            requests.push(Request::new(ask("send"), class_of(&all, "send"), 0, false, 6));
+            all = settle(&all, &classes(&["send", "new"], effect), requests.iter_mut());
+        }
+        let kept: Vec<Effect> = requests.iter().map(|r| all[r.class].effect).collect();
+        assert_eq!(kept, [Effect::Unsafe, Effect::Safe, Effect::Unsafe]);
+        assert_eq!(all[class_of(&all, "send")].effect, Effect::Safe);
+        // Those kept have no name, and a request without one does not find them either.
+        assert_eq!((class_of(&all, "explain"), class_of(&all, "")), (all.len() - 1, all.len() - 1));
+        // What no request in hand needs is gone, however often settings come.
+        for _ in 0..9 {
+            all = settle(&all, &classes(&["send"], Effect::Safe), requests.iter_mut());
+        }
+        assert_eq!(all.len(), 1 + 3 + 1);
+    }
 }
