Fleet tests say why a conductor did not start; the cause of their rare hang is named

Cause: the stories took peer ports from `Peer::nobody`, which gives its port back at once, so the system at times gave one port to two members. The conductors refused their files ("fleet.peers: c2 and c3 have the same address 127.0.0.1:44747") and the harness, which read JSON lines only, waited 80 s for a history that never came.

Change (tests/fleet.rs): lines that are no JSON are shown; the comment says the right cause.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -45,7 +45,7 @@
         let folder = std::env::temp_dir().join(format!("whinhaven-fleet-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         std::fs::write(folder.join("key"), KEY).unwrap();
-        // Loopback addresses of this fleet's own: a port that is only free for now may be a client's a moment later.
+        // Addresses of this fleet's own. A port that was free a moment ago is soon free for another member as well.
         let (process, block) = (std::process::id(), number as usize * 8);
         let address = |i: usize| {
             let host = [127, 70 + (process / 256 % 30) as u8, (process % 256) as u8, (block + i + 1) as u8];
@@ -87,8 +87,14 @@
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let (stderr, told) = (BufReader::new(child.stderr.take().unwrap()), self.told.clone());
         std::thread::spawn(move || {
-            let values = stderr.lines().map_while(Result::ok).map(|line| serde_json::from_str(&line));
-            values.map_while(Result::ok).all(|value| told.send((at, value)).is_ok())
+            stderr.lines().map_while(Result::ok).all(|line| match serde_json::from_str(&line) {
+                Ok(value) => told.send((at, value)).is_ok(),
+                // Why it could not start: without it a story only sees that nothing comes.
+                Err(_) => {
+                    eprintln!("{line}");
+                    true
+                }
+            })
         });
         self.members[at].child = Some(child);
     }
