Takeover: who waits for a request hears that a claim has settled it

Cause: a claim by the same owner that settles its record (src/fleet/takeover.rs, `claim`) gave the final answer to the asker alone. Others that waited for that request at another conductor heard nothing until their time was over. Change: the notice goes out.

--- a/src/fleet/takeover.rs
+++ b/src/fleet/takeover.rs
@@ -540,7 +540,10 @@
             record.changed = at;
         }
         if let Stage::Ended(answer) = &record.stage {
-            record.owner = None;
+            if record.owner.take().is_some() {
+                // Settled just now: others may wait for what comes of it.
+                out.push(Notice::Ended { name });
+            }
             return Ok(Reply::Ended(answer.clone()));
         }
         if let Some(owner) = record.owner.as_ref().filter(|o| *o != who) {
@@ -822,6 +825,8 @@
         let g = generation(log.claim("c1", false));
         log.send("c1", g, false);
         assert_eq!(log.claim("c1", false), Reply::Ended(Final::Failed));
+        // Whoever waits for it at another conductor hears of that.
+        assert_eq!(log.notices, [Notice::Ended { name: "r".into() }]);
     }
 
     #[test]
