Rounds of takeover and policy hold every answer's text against its plan

Need: the rounds took any final answer, so an answer with a gap or a word twice would have passed; the load counted as wrong what only says that a call's outcome is unknown (17 of 1,242 once, unexplained).

Change: `Plan::accepts` in lab/src/hosts.rs, asked by the rounds and by the load; the policy rounds ask for no wrong text.

--- a/lab/src/hosts.rs
+++ b/lab/src/hosts.rs
@@ -154,6 +154,22 @@
     }
 }
 
+/// What a writer says in a call's place when the tool was not reached, or its outcome is unknown for good.
+const SAID_OTHERWISE: [&str; 2] = ["[error-32010] ", "[error-32011] "];
+
+impl Plan {
+    /// Whether a text is the whole answer, each word once and in order; in a call's place it may
+    /// say that the tool was not reached, or that the outcome is unknown.
+    pub fn accepts(&self, text: &str) -> bool {
+        let wanted = self.answer();
+        let words = |text: &str| text.split_inclusive(' ').map(str::to_owned).collect::<Vec<_>>();
+        let (wanted, said) = (words(&wanted), words(text));
+        let fits =
+            |(w, s): (&String, &String)| w == s || w.starts_with('[') && SAID_OTHERWISE.contains(&s.as_str());
+        wanted.len() == said.len() && wanted.iter().zip(&said).all(fits)
+    }
+}
+
 /// What hosts hold, in one table of the whole stand-in fleet: a writer takes a state from whichever reader has it, and
 /// every host releases for all.
 #[derive(Default)]
--- a/lab/tests/processes_policy.rs
+++ b/lab/tests/processes_policy.rs
@@ -78,6 +78,7 @@
 
 fn end(fleet: Fleet, load: Load) {
     let counts = load.stop();
+    assert_eq!(counts.wrong.load(Ordering::Relaxed), 0, "{counts:?}");
     let report = check(&fleet.history.records(), &Limits::default());
     if !report.is_kept() || report.verdict(5).checked == 0 {
         let kept = std::env::temp_dir().join(format!("whinhaven-broken-{}.jsonl", std::process::id()));
