--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod discovery;
+pub mod drain;
 pub mod events;
 pub mod framing;
 pub mod pool;
