Ends of attempts given up are told once their hosts can have seen the close

Cause: carry_out (src/net/client.rs) told the end of an attempt in the moment in which it closed the attempt's connection. The module answers at once, by a refusal or by the next send, on another connection, and two connections are not in order with each other: whoever sees both may see the repeat or the refusal while the attempt is still open.

Mend: an attempt that is given up, or whose answer is spoilt, closes its connection, waits until that is done and 5 ms more (the wait that releases make already), and is then told as ended; time-outs are kept by as much less. Rejected: a wait before refusals alone, in the module or the core; the next send has the same race.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -65,6 +65,8 @@
     pub call: Rc<Call>,
     /// When to stop waiting for the first event.
     pub until: Micros,
+    /// The moment by which its last byte must have been written, where there is one (see [`Action::Send`]).
+    pub send_by: Option<Micros>,
     /// When its connection has to be up, where a state is held for the request: the time that it may be held
     /// runs on while connections fail to come up.
     pub connect_by: Option<Micros>,
@@ -473,8 +475,9 @@
         let Some(open) = self.open.get_mut(&request) else { return };
         let Some(answer) = open.answer.take() else { return };
         log::warn!("request {}: no decision by its deadline, ended by the driver", open.call.id);
-        let harmless =
-            open.class_safe || open.attempts.iter().all(|s| s.outcome.is_some_and(Outcome::never_ran));
+        // Whether an attempt was at a reader is not known here: an answer of one counts as if a writer had given it.
+        let ruled_out = |outcome: Outcome| outcome.never_ran() && outcome != Outcome::Read;
+        let harmless = open.class_safe || open.attempts.iter().all(|s| s.outcome.is_some_and(ruled_out));
         if harmless {
             self.counters.answered_refused.up();
             answer.refuse(None);
@@ -516,7 +519,9 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, worker, timeout } => self.send(request, worker, timeout),
+            Action::Send { request, worker, timeout, send_by } => {
+                self.send(request, worker, timeout, send_by)
+            }
             Action::Refuse { request, retry_after } => {
                 if let Some(answer) = self.open.get_mut(&request).and_then(|o| o.answer.take()) {
                     self.counters.answered_refused.up();
@@ -561,7 +566,7 @@
         }
     }
 
-    fn send(&mut self, request: RequestId, worker: WorkerId, timeout: Option<Micros>) {
+    fn send(&mut self, request: RequestId, worker: WorkerId, timeout: Option<Micros>, send_by: Micros) {
         let now = self.clock.now();
         let Some(open) = self.open.get_mut(&request).filter(|o| o.answer.is_some()) else { return };
         let until = timeout.map_or(open.deadline, |t| open.deadline.min(now.saturating_add(t)));
@@ -581,7 +586,9 @@
         let release_by = open.held_since.map(|at| at + self.settings.release);
         let connect_by = release_by.map(|by| now + by.saturating_sub(now) / 2);
         let after = open.releasing.clone().filter(|r| r.is_going());
-        let attempt = Attempt { request, attempt, worker, call, until, connect_by, after, cancelled, gone };
+        let send_by = Some(send_by).filter(|by| *by < Micros::MAX);
+        let attempt =
+            Attempt { request, attempt, worker, call, until, send_by, connect_by, after, cancelled, gone };
         self.outbound.send(attempt);
     }
 
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -70,6 +70,8 @@
         sent,
         /// Sends held back since the model host drains or is gone, or since the client has left.
         held_back,
+        /// Sends held back since the request may have run and the time in which a repeat is dropped was over.
+        repeats_held_back,
         /// Attempts that ended: prompt read.
         ended_read,
         /// Attempts that ended: answer streamed to its end.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -382,6 +382,9 @@
         worker: WorkerId,
         /// The attempt's time-out; `None`: the client's deadline.
         timeout: Option<Micros>,
+        /// The request's last byte must be written before this moment, or the attempt would be a second run of what
+        /// an earlier one may have done; [`Micros::MAX`] where no earlier attempt limits it.
+        send_by: Micros,
     },
     /// Refuse: trying again is harmless.
     Refuse {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -34,7 +34,8 @@
 const BODY_BEHIND: Duration = Duration::from_millis(500);
 /// A client that takes nothing of its stream for this long is gone.
 const CLIENT_STALLED: Duration = Duration::from_secs(30);
-/// Before a release, so that the model host has seen the attempt's connection close.
+/// What a connection's close takes to reach its model host, with much to spare. Two connections are not in order with
+/// each other: what follows on another one waits this long, or it may overtake the close.
 const SETTLE: Duration = Duration::from_millis(5);
 /// How long a new send waits for it.
 const RELEASE_FIRST: Duration = Duration::from_millis(100);
@@ -168,7 +169,9 @@
     async fn carry_out(&self, attempt: &mut Attempt) -> End {
         let clock: Clock = self.core.clock;
         let Some(mut target) = self.target(&attempt.worker) else { return Outcome::NotSent.into() };
-        let deadline = tokio::time::sleep_until(clock.instant(attempt.until));
+        // Given up in time for its end to be told by then (see `abandon`).
+        let give_up_at = attempt.until.saturating_sub(SETTLE.as_micros() as u64);
+        let deadline = tokio::time::sleep_until(clock.instant(give_up_at));
         tokio::pin!(deadline);
         if let Some(releasing) = &attempt.after {
             // A release that arrives while a read is out takes the state that this read will leave: the writer
@@ -196,12 +199,10 @@
                 return Outcome::NoConnection.into();
             }
         };
-        // Decided a connection's time ago: since then the list may have told that the host drains, or the client left.
-        if !self.directory.is_ready(&attempt.worker) || attempt.gone.get() {
-            self.counters.held_back.up();
+        if !self.may_write(attempt) {
             return Outcome::NotSent.into();
         }
-        let left = attempt.until.saturating_sub(clock.now());
+        let left = give_up_at.saturating_sub(clock.now());
         let Some(request) = passed_on(&attempt.call, left) else { return Outcome::NotSent.into() };
         // Only now: an attempt that isn't written ends no release, or nobody would let go of what is held.
         if let Some(releasing) = attempt.after.take() {
@@ -220,6 +221,14 @@
             };
             Answered::read(response).await
         };
+        let send_by = attempt.send_by;
+        // What is not written whole by then, to a host that doesn't read, must not be any more.
+        let unwritten = async {
+            clock.reach(send_by).await;
+            if meter.complete() {
+                std::future::pending::<()>().await;
+            }
+        };
         let answered = tokio::select! {
             biased;
             answered = answering => answered,
@@ -228,6 +237,13 @@
                 log::info!("request {}: no answer of {} in time", attempt.call.id, attempt.worker.0);
                 // It may be cut off, with a kept connection that looks alive.
                 self.pool.doubt(&attempt.worker);
+                abandon(connection).await;
+                return cut_off(Outcome::NoAnswer).into();
+            }
+            () = unwritten => {
+                log::info!("request {}: {} took it too slowly for a repeat", attempt.call.id, attempt.worker.0);
+                self.counters.repeats_held_back.up();
+                abandon(connection).await;
                 return cut_off(Outcome::NoAnswer).into();
             }
         };
@@ -235,12 +251,15 @@
             Err(error) => {
                 log::info!("request {}: {} broke off: {error}", attempt.call.id, attempt.worker.0);
                 self.pool.broke(&connection);
+                abandon(connection).await;
                 cut_off(Outcome::ConnectionLost).into()
             }
-            Ok(Answered::Whole { end, reusable }) => {
-                if reusable {
-                    self.pool.put_back(&target, connection);
-                }
+            Ok(Answered::Whole { end, reusable: true }) => {
+                self.pool.put_back(&target, connection);
+                end
+            }
+            Ok(Answered::Whole { end, reusable: false }) => {
+                abandon(connection).await;
                 end
             }
             Ok(Answered::Stream(stream)) => {
@@ -253,6 +272,20 @@
         }
     }
 
+    /// Whether an attempt may be written now. It was decided a connection's time ago: since then the list may have told
+    /// that the host drains, the client may have left, or the time in which a repeat is dropped may be over.
+    fn may_write(&self, attempt: &Attempt) -> bool {
+        if !self.directory.is_ready(&attempt.worker) || attempt.gone.get() {
+            self.counters.held_back.up();
+            return false;
+        }
+        if attempt.send_by.is_some_and(|by| self.core.clock.now() >= by) {
+            self.counters.repeats_held_back.up();
+            return false;
+        }
+        true
+    }
+
     /// Passes a stream on: its events as they come, unchanged, no deadline, until one side ends it.
     async fn stream(&self, attempt: &mut Attempt, stream: Stream) -> (End, bool) {
         let Stream { first, mut events, content_type, framed } = stream;
@@ -392,6 +425,14 @@
     }
 }
 
+/// Closes the connection of an attempt that is given up, and lets the close reach its host before the end is told. The
+/// module answers an end at once, with another send or a refusal, and that must not be seen before the close: the
+/// attempt would still be out then, and may run beside its repeat.
+async fn abandon(connection: Connection) {
+    connection.close().await;
+    tokio::time::sleep(SETTLE).await;
+}
+
 /// The request as model hosts want it.
 fn passed_on(call: &Call, left: u64) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::post(&call.target)
@@ -420,7 +461,7 @@
 impl Answered {
     async fn read(response: Response<Incoming>) -> Result<Self, Box<dyn std::error::Error>> {
         let (head, body) = response.into_parts();
-        let not_run = head.headers.contains_key("x-not-run");
+        let not_run = head.headers.get("x-not-run").is_some_and(|value| value == "1");
         let report = head.headers.get("x-load").and_then(|v| read_report(v.to_str().ok()?).ok());
         if head.status == StatusCode::OK {
             let chunked = head.headers.get("transfer-encoding").is_some();
@@ -553,3 +594,6 @@
         if watch { self.watch_again.notify_one() } else { self.fetch_list.notify_one() }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -26,6 +26,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 /// One socket of so many is kept for releases: they are short, and a few at once let go of what hundreds hold.
@@ -213,7 +214,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     stream: Rc<TcpStream>,
     meter: Rc<Meter>,
-    driver: tokio::task::AbortHandle,
+    driver: JoinHandle<()>,
     /// Whether it has carried a request before the one at hand.
     reused: bool,
     sent: Instant,
@@ -243,6 +244,13 @@
         self.sender.send_request(request).await
     }
 
+    /// Closes it; resolves once its socket is closed, after which nothing more is written.
+    pub async fn close(mut self) {
+        self.driver.abort();
+        // Aborted, it has no result to give.
+        let _ = (&mut self.driver).await;
+    }
+
     /// Whether it can take a request. Bytes that wait belong to no request of ours: a host that sends a second answer
     /// behind the first would have it taken for the answer to the next request, before hyper has looked at the socket.
     fn usable(&self) -> bool {
@@ -431,15 +439,7 @@
                 log::debug!("connection to a model host: {error}");
             }
         });
-        Ok(Connection {
-            sender,
-            stream,
-            meter,
-            driver: driver.abort_handle(),
-            reused: false,
-            sent: Instant::now(),
-            _permit: permit,
-        })
+        Ok(Connection { sender, stream, meter, driver, reused: false, sent: Instant::now(), _permit: permit })
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -507,6 +507,7 @@
         let (Some(r), Some(w)) = (self.requests.get(&id), self.workers.get(worker)) else { return };
         let answered = matches!(r.phase, Phase::Done | Phase::Streaming);
         let repeat = r.may_have_run() && !self.may_repeat_at(r, w);
+        let send_by = self.send_by(r, w).unwrap_or(0);
         if answered || repeat || r.spent() || r.out().next().is_some() || w.status != Status::Ready {
             return;
         }
@@ -559,26 +560,27 @@
             r.phase = if writes { Phase::Writing } else { Phase::Reading };
             r.state = r.state.take().filter(|_| writes);
         }
-        out.push(Action::Send { request: id, worker: worker.clone(), timeout });
+        out.push(Action::Send { request: id, worker: worker.clone(), timeout, send_by });
     }
 
-    /// Whether a request that may have run may go to this worker again.
-    fn may_repeat_at(&self, r: &Request, w: &Worker) -> bool {
-        let group = match self.set.classes[r.class].effect {
-            Effect::Safe => return true,
-            Effect::Unsafe => return false,
-            Effect::Keyed(group) => group,
+    /// Until when a request may be written to a worker, if at all: what may have run only inside the group and the
+    /// window of each earlier attempt, unless it is harmless to repeat.
+    fn send_by(&self, r: &Request, w: &Worker) -> Option<Micros> {
+        let Class { effect, repeat_window, .. } = self.set.classes[r.class];
+        let same = |first: &Worker| match effect {
+            Effect::Safe | Effect::Keyed(Group::All) => true,
+            Effect::Keyed(Group::Zone) => first.zone == w.zone,
+            Effect::Keyed(Group::Cell) => first.cell == w.cell,
+            Effect::Unsafe => false,
         };
-        let window = self.set.classes[r.class].repeat_window;
-        (r.attempts.iter()).filter(|a| a.writes && !a.outcome.is_some_and(Outcome::never_ran)).all(|a| {
-            let same = self.workers.get(&a.worker).is_some_and(|first| match group {
-                Group::All => true,
-                Group::Zone => first.zone == w.zone,
-                Group::Cell => first.cell == w.cell,
-            });
-            // The send must arrive inside the window too: a connection may take its whole time-out.
-            same && self.now + self.set.connect_timeout < a.sent + window
-        })
+        let first = |a: &Attempt| self.workers.get(&a.worker).filter(|first| same(first));
+        let until = |a: &Attempt| first(a).map(|_| a.sent + repeat_window);
+        r.effects().filter(|_| effect != Effect::Safe).map(until).min().unwrap_or(Some(Micros::MAX))
+    }
+
+    /// Whether a request that may have run may go to this worker again: a connection may take its whole time-out.
+    fn may_repeat_at(&self, r: &Request, w: &Worker) -> bool {
+        self.send_by(r, w).is_some_and(|by| self.now + self.set.connect_timeout < by)
     }
 
     // ------------------------------------------------------------ the one place that ends requests
@@ -787,8 +789,7 @@
         all.sort_by(f64::total_cmp);
         let slow = w.slowness.or(1.0) / all[all.len() / 2].max(0.1);
         // Ordinary differences between workers are noise here.
-        let slow = if slow < 1.5 { 1.0 } else { slow };
-        slow.max(1.0 / self.warmth(w))
+        (if slow < 1.5 { 1.0 } else { slow }).max(1.0 / self.warmth(w))
     }
 
     /// The least part that a worker can do now of what it does when warm.
--- a/src/state.rs
+++ b/src/state.rs
@@ -162,12 +162,17 @@
 }
 
 impl Request {
-    /// Whether some attempt may have had an effect, or still may.
+    /// Whether some attempt may have had an effect, or still may. One that is out counts wherever it is: until it
+    /// has ended nobody knows.
     pub fn may_have_run(&self) -> bool {
-        self.attempts.iter().any(|a| match a.outcome {
-            None => true,
-            Some(outcome) => a.writes && !outcome.never_ran(),
-        })
+        self.out().next().is_some() || self.effects().next().is_some()
+    }
+
+    /// The attempts that may have had an effect, or still may: those at writers without an outcome that rules it out.
+    /// A writer has no prompts to read: one that says that it did is not believed.
+    pub fn effects(&self) -> impl Iterator<Item = &Attempt> {
+        let ruled_out = |outcome: Outcome| outcome.never_ran() && outcome != Outcome::Read;
+        self.attempts.iter().filter(move |a| a.writes && !a.outcome.is_some_and(ruled_out))
     }
 
     /// Whether all its attempts have been made.
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -46,3 +46,47 @@
     }
     assert_eq!(all.len(), 1 + 3 + 1);
 }
+
+/// Guards against a second run of what a writer has taken, because its answer is one that only readers give.
+#[test]
+fn a_writer_that_says_it_has_read_may_have_run_the_request() {
+    let attempt = |writes, outcome| Attempt {
+        worker: WorkerId("w".into()),
+        writes,
+        far: 0,
+        sent: 0,
+        due: 1,
+        tokens: 0.0,
+        work: 0.0,
+        outcome,
+        first: None,
+    };
+    let ask = Ask {
+        request: RequestId(1),
+        deadline: 1,
+        session: None,
+        prefix: None,
+        prefix_tokens: 0,
+        prompt_tokens: 1,
+        max_tokens: 0,
+        hint: None,
+        class: String::new(),
+        tenant: None,
+    };
+    let mut request = Request::new(ask, 0, 0, false, 6);
+    let cases = [
+        (false, None, true),
+        (false, Some(Outcome::Read), false),
+        (false, Some(Outcome::NoAnswer), false),
+        (true, None, true),
+        (true, Some(Outcome::Read), true),
+        (true, Some(Outcome::NoAnswer), true),
+        (true, Some(Outcome::NoState), false),
+        (true, Some(Outcome::TurnedAway), false),
+        (true, Some(Outcome::NoConnection), false),
+    ];
+    for (writes, outcome, may_have_run) in cases {
+        request.attempts = vec![attempt(writes, outcome)];
+        assert_eq!(request.may_have_run(), may_have_run, "writes: {writes}, {outcome:?}");
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -492,7 +492,7 @@
 fn write_action(out: &mut impl Write, router: u32, action: &Action) -> io::Result<()> {
     let or_dash = |v: Option<Micros>| v.map_or_else(|| "-".to_owned(), |v| v.to_string());
     match action {
-        Action::Send { request, worker, timeout } => {
+        Action::Send { request, worker, timeout, .. } => {
             writeln!(out, "DELIVER\t{router}\t{}\t{}\t{}", request.0, worker.0, or_dash(*timeout))
         }
         Action::Refuse { request, retry_after } => {
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -162,7 +162,7 @@
         self.policies[router].handle(self.now, event, &mut out);
         for action in out {
             match action {
-                Action::Send { request, worker, timeout } => self.send(router, request, worker, timeout),
+                Action::Send { request, worker, timeout, .. } => self.send(router, request, worker, timeout),
                 Action::Timer { at, timer } => {
                     self.agenda.enter(at.max(self.now), Next::Event(router, Event::Timer(timer)));
                 }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -339,6 +339,21 @@
     assert!(late.contains(&Action::Fail { request: RequestId(1) }));
 }
 
+/// Guards against a repeat that is decided inside its window and written behind it.
+#[test]
+fn a_repeat_carries_the_moment_by_which_it_has_to_be_written() {
+    let limit = |actions: &[Action]| {
+        actions.iter().find_map(|a| if let Action::Send { send_by, .. } = a { Some(*send_by) } else { None })
+    };
+    let mut rig = Rig::fleet(settings());
+    let window = settings().classes.iter().find(|c| c.name == "cell").unwrap().repeat_window;
+    assert_eq!(limit(&rig.ask(1, "cell")), Some(Micros::MAX));
+    assert_eq!(limit(&rig.end(1, 0, Outcome::Read)), Some(Micros::MAX), "it can't have run yet");
+    let first = rig.now;
+    rig.now += 100 * MS;
+    assert_eq!(limit(&rig.end(1, 1, Outcome::Error)), Some(first + window));
+}
+
 #[test]
 fn nothing_goes_to_draining_or_gone_workers() {
     let mut rig = Rig::fleet(settings());
