Settings change at SIGHUP; a file that is not whole is turned down

Design: LiveSettings is the one way by which settings change: policy epochs (Gate) and SIGHUP (src/reload.rs) both end in LiveSettings::replace, which tells the core and whoever follows. What counts from a start only is the same for both and is named in the log; where the fleet has a policy, SIGHUP leaves the settings to it. A replacement is compared with the file in force key by key; items of lists with those of the same effect. Rejected: a second list of required keys beside the reader's. It would drift from the files that are really used, and it could not tell an optional key that was lost from one that never was there. Rejected: making a start as strict, since the platform's files may leave keys out. Cause: reload took discovery only, and read_settings fills in defaults for what a file has lost. Also: the attempts that a fleet's record allows were those of the newest settings, also for requests begun before; they now come with the attempt. A JSON-RPC claim is given back if the class changed while it was asked for. tests/releases.rs only gets the new field of Attempt.

--- a/src/config.rs
+++ b/src/config.rs
@@ -11,6 +11,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub mod replacement;
+
+use replacement::Document;
+
 /// The longest result of a tool that fits into an entry of the fleet's log.
 const MOST_RECORDED: usize = 80 * 1024;
 
@@ -146,6 +150,8 @@
     pub settings: Settings,
     /// The table they were read from.
     pub settings_table: Value,
+    /// The whole file, for its replacement to be compared with.
+    pub document: Document,
     /// When model hosts close idle connections.
     pub idle_close: Duration,
     /// The tool-call front, if configured.
@@ -171,7 +177,7 @@
             fields.remove("policy");
             fields.remove("sites");
         }
-        Self::from_value(value, env)
+        Self::from_document(Document { table: value, is_terminated: true }, env)
     }
 
     /// Reads an operator's file: the same shape, written as TOML.
@@ -183,7 +189,7 @@
             let line = e.span().map_or(0, |s| text[..s.start.min(text.len())].lines().count().max(1));
             ConfigError(format!("line {line}: {}", e.message().replace('\n', " ")))
         })?;
-        Self::from_value(value, |_| None)
+        Self::from_document(Document { table: value, is_terminated: text.ends_with('\n') }, |_| None)
     }
 
     /// The fields in which another configuration differs and that count at a start only.
@@ -193,16 +199,17 @@
             ("name", a.name != b.name),
             ("listen", a.listen != b.listen),
             ("limits", a.limits != b.limits),
-            ("settings", a.settings != b.settings || a.idle_close != b.idle_close),
+            ("settings.permissions.idle_close_us", a.idle_close != b.idle_close),
             ("tools", a.tools != b.tools),
             ("fleet", a.fleet != b.fleet),
             ("sites", a.sites != b.sites),
         ];
-        all.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+        let fixed = replacement::fixed_differences(&a.settings, &b.settings);
+        all.into_iter().chain(fixed).filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 
-    fn from_value(value: Value, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
-        let raw: Raw = serde_json::from_value(value).map_err(|e| ConfigError(e.to_string()))?;
+    fn from_document(document: Document, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let raw = Raw::deserialize(&document.table).map_err(|e| ConfigError(e.to_string()))?;
         let address = |given: Option<SocketAddr>, name: &str| match (given, env(name)) {
             (Some(address), _) => Ok(Some(address)),
             (None, Some(text)) => {
@@ -266,6 +273,7 @@
             known: raw.known.map(Listing::from).unwrap_or_default(),
             settings,
             settings_table: raw.settings,
+            document,
             idle_close: Duration::from_micros(idle.unwrap_or(30e6) as u64),
             tools: raw.tools,
         })
--- /dev/null
+++ b/src/config/replacement/tests.rs
@@ -0,0 +1,241 @@
+use super::*;
+use crate::interface::Effect;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+use serde_json::json;
+
+fn table() -> Value {
+    json!({
+        "name": "n1", "listen": "127.0.0.1:8000", "discovery": "127.0.0.1:8500", "seed": "8c1f30d27a5be964",
+        "limits": {"memory_mb": 192, "sockets": 1024},
+        "known": {"seq": 4, "whole": true, "hosts": []},
+        "settings": {
+            "my_zone": "here", "registry_mode": "pushed", "replicas_of_me": 3, "skus": ["rd", "wr"],
+            "family_info": {"role_by_kind": ["read", "write"], "token_aim_us": [60000, 80000, 80000]},
+            "permissions": {"max_attempts": 6, "may_cancel": true, "connect_timeout_us": 250000},
+            "rules": {
+                "drain_grace_us": 1000000, "cold_from": 0.3, "cold_us": 9000000, "fall_multiple": 2.5,
+                "fall_us": 1000000
+            },
+            "tenants": [{"name": "t1", "quota_rps": 2.5}],
+            "classes": [
+                {"name": "explain", "effect": "read_like", "objective_us": 1500000, "give_up_us": 6000000},
+                {"name": "send", "effect": "non_idempotent", "objective_us": 2500000, "give_up_us": 9000000},
+                {
+                    "name": "save", "effect": "idempotency_key", "dedup_scope": "zone", "repeat_window_us": 5000000,
+                    "objective_us": 2500000, "give_up_us": 9000000
+                }
+            ]
+        }
+    })
+}
+
+fn read(text: &str) -> Result<Config, ConfigError> {
+    Config::from_json(text, |_| None)
+}
+
+fn held() -> Config {
+    read(&table().to_string()).unwrap()
+}
+
+/// What becomes of a text at SIGHUP.
+fn load(text: &str) -> Result<Config, ConfigError> {
+    let new = read(text)?;
+    held().check_replacement(&new)?;
+    Ok(new)
+}
+
+fn changed(change: impl FnOnce(&mut Value)) -> String {
+    let mut table = table();
+    change(&mut table);
+    table.to_string()
+}
+
+fn classes(table: &mut Value) -> &mut Vec<Value> {
+    table["settings"]["classes"].as_array_mut().unwrap()
+}
+
+/// The pointers to all fields of tables, those in lists included.
+fn fields(value: &Value, path: &str) -> Vec<String> {
+    let children: Vec<(String, &Value)> = match value {
+        Value::Object(table) => table.iter().map(|(key, value)| (format!("{path}/{key}"), value)).collect(),
+        Value::Array(items) => {
+            let numbered = items.iter().enumerate();
+            return numbered.flat_map(|(i, item)| fields(item, &format!("{path}/{i}"))).collect();
+        }
+        _ => Vec::new(),
+    };
+    children
+        .into_iter()
+        .flat_map(|(path, value)| [vec![path.clone()], fields(value, &path)].concat())
+        .collect()
+}
+
+fn remove(table: &mut Value, pointer: &str) {
+    let (parent, key) = pointer.rsplit_once('/').unwrap();
+    table.pointer_mut(parent).unwrap().as_object_mut().unwrap().remove(key).unwrap();
+}
+
+#[test]
+fn classes_and_attempts_may_change() {
+    let text = changed(|table| {
+        classes(table)[0]["effect"] = json!("non_idempotent");
+        classes(table).remove(1);
+        let new = json!({"name": "plan", "effect": "read_like", "objective_us": 1, "give_up_us": 0.5});
+        classes(table).push(new);
+        table["settings"]["permissions"]["max_attempts"] = json!(2);
+    });
+    let (mut held, before) = (held(), held().settings);
+    let SettingsChange::New(settings) = held.replace_with(load(&text).unwrap()) else { panic!("no change") };
+    let effects: Vec<_> = settings.classes.iter().map(|c| (c.name.as_str(), c.effect)).collect();
+    assert_eq!(effects[0], ("explain", Effect::Unsafe));
+    assert_eq!(effects[2], ("plan", Effect::Safe));
+    assert_eq!((effects.len(), settings.max_attempts), (3, 2));
+    assert_eq!(
+        describe_changes(&before, &settings),
+        "class explain has another effect, class plan added, class send dropped, max_attempts 6 -> 2"
+    );
+    assert_eq!(held.settings, *settings);
+}
+
+#[test]
+fn a_keyed_class_may_become_another_and_drop_what_only_keyed_ones_have() {
+    let effect = |effect: &str| {
+        changed(|table| {
+            let class = classes(table)[2].as_object_mut().unwrap();
+            class.remove("dedup_scope");
+            class.remove("repeat_window_us");
+            class.insert("effect".into(), json!(effect));
+        })
+    };
+    assert!(load(&effect("read_like")).is_ok());
+    assert!(load(&effect("idempotency_key")).is_err());
+}
+
+#[test]
+fn lists_may_become_empty_but_not_vanish_and_one_class_is_needed() {
+    assert!(load(&changed(|table| table["settings"]["tenants"] = json!([]))).is_ok());
+    assert!(load(&changed(|table| table["settings"]["tenants"] = json!(null))).is_err());
+    assert!(load(&changed(|table| table["settings"]["tenants"] = json!("t1"))).is_err());
+    assert!(load(&changed(|table| table["settings"]["classes"] = json!([]))).is_err());
+}
+
+/// Guards against defaults that quietly take the place of what a file has lost.
+#[test]
+fn a_file_that_lacks_any_key_is_turned_down_by_its_name() {
+    let all = fields(&table(), "");
+    assert!(all.len() > 40, "{all:?}");
+    for pointer in all {
+        let text = changed(|table| remove(table, &pointer));
+        // Of classes that differ, none is the pattern for the others' keys.
+        let fault = load(&text).expect_err(&pointer).to_string();
+        assert!(!fault.contains('\n'), "{fault}");
+        let key = pointer.rsplit('/').next().unwrap();
+        assert!(fault.contains(key), "{pointer}: {fault}");
+    }
+}
+
+#[rstest]
+#[case("max_attempts", "/settings/permissions/max_attempts")]
+#[case("objective_us", "/settings/classes/1/objective_us")]
+#[case("give_up_us", "/settings/classes/2/give_up_us")]
+fn deadlines_and_attempts_are_numbers_above_0(#[case] key: &str, #[case] pointer: &str) {
+    let with = |value: Value| load(&changed(|table| *table.pointer_mut(pointer).unwrap() = value));
+    assert!(with(json!(1)).is_ok());
+    for wrong in [json!(0), json!(-1), json!("5"), json!(""), json!("x"), json!(true), json!([]), json!({})] {
+        let fault = with(wrong.clone()).expect_err(&wrong.to_string()).to_string();
+        assert!(fault.contains(key), "{wrong}: {fault}");
+    }
+}
+
+#[rstest]
+#[case::empty("")]
+#[case::blank(" \n")]
+#[case::null("null")]
+#[case::empty_table("{}")]
+#[case::list("[]")]
+#[case::not_json("listen = 5")]
+#[case::two_files("{}{}")]
+fn what_is_no_configuration_is_turned_down(#[case] text: &str) {
+    assert!(load(text).is_err());
+}
+
+#[test]
+fn what_counts_from_a_start_stays_and_is_named() {
+    let text = changed(|table| {
+        table["settings"]["skus"] = json!(["rd", "wr", "all"]);
+        table["settings"]["permissions"]["connect_timeout_us"] = json!(90000);
+        table["settings"]["permissions"]["max_attempts"] = json!(3);
+        table["listen"] = json!("127.0.0.1:8001");
+    });
+    let (mut held, new) = (held(), load(&text).unwrap());
+    let named = ["listen", "settings.skus", "settings.family_info.role_by_kind"];
+    let differences = held.differences(&new);
+    assert!(named.iter().all(|name| differences.contains(name)), "{differences:?}");
+    assert!(differences.contains(&"settings.permissions.connect_timeout_us"));
+    let before = held.settings.clone();
+    assert_eq!(held.replace_with(new), SettingsChange::New(Box::new(Settings { max_attempts: 3, ..before })));
+}
+
+/// Guards against two masters of one conductor's settings.
+#[test]
+fn settings_of_a_fleet_with_a_policy_are_left_to_it() {
+    let file = include_str!("../../../deploy/fleet/c1.toml");
+    let mut held = Config::from_toml(file).unwrap();
+    assert!(held.fleet.as_ref().is_some_and(|fleet| fleet.policy.is_some()));
+    let mut new = held.clone();
+    assert_eq!(held.replace_with(new.clone()), SettingsChange::None);
+    new.settings.max_attempts += 1;
+    let before = held.settings.clone();
+    assert_eq!(held.replace_with(new), SettingsChange::LeftToFleetPolicy);
+    assert_eq!(held.settings, before);
+}
+
+/// Guards against an operator's file that ends amid a number, which TOML can't tell.
+#[test]
+fn an_operators_file_is_cut_short_without_its_last_line_end() {
+    let text = toml::to_string(&table()).unwrap() + "max_out = 120\n";
+    let held = Config::from_toml(&text).unwrap();
+    assert!(held.check_replacement(&held).is_ok());
+    let cut = Config::from_toml(&text[..text.len() - 2]).unwrap();
+    assert!(held.check_replacement(&cut).unwrap_err().to_string().contains("cut short"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(31), failure_persistence: None, ..ProptestConfig::with_cases(512) })]
+
+    /// Guards against a file that is read while it is written: it means the same, or is turned down whole.
+    #[test]
+    fn a_file_cut_anywhere_means_the_same_or_is_turned_down(cut in any::<prop::sample::Index>(), indented: bool) {
+        let text = if indented { serde_json::to_string_pretty(&table()).unwrap() + "\n" } else { table().to_string() };
+        if let Ok(new) = load(&text[..cut.index(text.len() + 1)]) {
+            prop_assert_eq!(new.document.table, table());
+        }
+    }
+
+    /// The same for keys that are lost, any number of them, at any depth.
+    #[test]
+    fn a_file_that_has_lost_keys_is_turned_down(lost in prop::collection::vec(any::<prop::sample::Index>(), 0..4)) {
+        let mut table = table();
+        for index in &lost {
+            let left = fields(&table, "");
+            remove(&mut table, &left[index.index(left.len())]);
+        }
+        prop_assert_eq!(load(&table.to_string()).is_ok(), lost.is_empty());
+    }
+
+    /// Bytes lost amid the file: what loads has all keys and usable numbers, whatever the bytes were.
+    #[test]
+    fn a_file_that_has_lost_bytes_is_whole_or_turned_down(from in any::<prop::sample::Index>(), bytes in 1..200usize) {
+        let text = table().to_string();
+        let from = from.index(text.len());
+        let rest = &text[(from + bytes).min(text.len())..];
+        if let Ok(new) = load(&format!("{}{rest}", &text[..from])) {
+            prop_assert!(new.settings.max_attempts > 0);
+            prop_assert!(!new.settings.classes.is_empty());
+            let whole = new.settings.classes.iter().all(|c| c.give_up > 0 && c.aim > 0 && !c.name.is_empty());
+            prop_assert!(whole, "{:?}", new.settings.classes);
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -63,6 +63,8 @@
     pub worker: WorkerId,
     /// What is sent.
     pub call: Rc<Call>,
+    /// Attempts allowed for the request, by the settings it began under.
+    pub most_attempts: u32,
     /// When to stop waiting for the first event.
     pub until: Micros,
     /// When its connection has to be up, where a state is held for the request: the time that it may be held
@@ -247,7 +249,9 @@
     answer: Option<AnswerHandle>,
     /// Whether its client has left.
     gone: Rc<Cell<bool>>,
+    /// By the settings it began under, as the next.
     class_safe: bool,
+    most_attempts: u32,
     attempts: Vec<Slot>,
     /// The last release, from its order until a read has ended well or a stream has begun.
     releasing: Option<Rc<Releasing>>,
@@ -380,9 +384,11 @@
         let class = self.settings.classes.iter().find(|c| c.name == ask.class);
         let class_safe = class.is_some_and(|c| matches!(c.effect, Effect::Safe | Effect::Keyed(Group::All)));
         let (request, deadline) = (ask.request, ask.deadline);
+        let most_attempts = self.settings.max_attempts;
         log::debug!("request {}: {ask:?}", call.id);
         let (answer, attempts, releasing, held_since) = (Some(answer), Vec::new(), None, None);
-        let open = Open { call, deadline, answer, gone, class_safe, attempts, releasing, held_since };
+        let open =
+            Open { call, deadline, answer, gone, class_safe, most_attempts, attempts, releasing, held_since };
         self.open.insert(request, open);
         self.due.push(Reverse((deadline + self.settings.answer_slack, Due::Guard(request))));
         // Guards stand until their deadline, minutes away if the client says so, though most requests end long
@@ -568,7 +574,7 @@
         let attempt = AttemptIndex(open.attempts.len() as u32);
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push(Slot { sent: now, cancel: Some(cancel), outcome: None, streaming: false });
-        let (call, gone) = (open.call.clone(), open.gone.clone());
+        let (call, gone, most_attempts) = (open.call.clone(), open.gone.clone(), open.most_attempts);
         log::debug!(
             "request {}: attempt {} to {}, {} us",
             call.id,
@@ -581,7 +587,18 @@
         let release_by = open.held_since.map(|at| at + self.settings.release);
         let connect_by = release_by.map(|by| now + by.saturating_sub(now) / 2);
         let after = open.releasing.clone().filter(|r| r.is_going());
-        let attempt = Attempt { request, attempt, worker, call, until, connect_by, after, cancelled, gone };
+        let attempt = Attempt {
+            request,
+            attempt,
+            worker,
+            call,
+            most_attempts,
+            until,
+            connect_by,
+            after,
+            cancelled,
+            gone,
+        };
         self.outbound.send(attempt);
     }
 
--- a/src/fleet/net/policy.rs
+++ b/src/fleet/net/policy.rs
@@ -6,13 +6,14 @@
 
 use super::history::{History, unix_us};
 use super::{Fleet, Told};
-use crate::core::{CoreHandle, Input};
+use crate::core::CoreHandle;
 use crate::fleet::Who;
 use crate::fleet::config::PolicyConfig;
 use crate::fleet::policy_content as content;
 use crate::fleet::policy_epoch::{Command, Notice, Refusal, Reply, Table, digest};
 use crate::fleet::state::{self, Answer, Effect};
-use crate::interface::{Class, Micros, Settings};
+use crate::interface::{Class, Micros};
+use crate::live_settings::LiveSettings;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -25,9 +26,6 @@
 /// The span from which each member draws how long it waits before it proposes the first epoch, in microseconds.
 const FIRST_SPAN_US: u64 = 50_000;
 
-/// Told the settings of a new epoch.
-type Gone = Box<dyn Fn(&Settings)>;
-
 /// The proposal under way, as far as this member has followed the log.
 struct Staged {
     proposal: u64,
@@ -39,6 +37,7 @@
 pub struct Gate {
     fleet: Fleet,
     core: CoreHandle,
+    live: Rc<LiveSettings>,
     config: PolicyConfig,
     own: Value,
     own_content: String,
@@ -52,7 +51,6 @@
     passing: Cell<usize>,
     waiting: Cell<usize>,
     changed: Notify,
-    gone: RefCell<Vec<Gone>>,
     /// The life and proposal that this member has voted on, and closed for.
     voted: RefCell<Option<(Who, u64)>>,
     closed: RefCell<Option<(Who, u64)>>,
@@ -79,13 +77,15 @@
 }
 
 impl Gate {
-    /// Begins to follow the log. `own` is the table `[settings]` of this conductor's file.
+    /// Begins to follow the log. `own` is the table `[settings]` of this conductor's file; the settings of each epoch go
+    /// to `live`.
     ///
     /// # Errors
     /// What is wrong with the policy in that table.
     pub fn start(
         fleet: Fleet,
         core: CoreHandle,
+        live: Rc<LiveSettings>,
         config: PolicyConfig,
         own: Value,
     ) -> Result<Rc<Self>, String> {
@@ -93,6 +93,7 @@
         let gate = Rc::new(Gate {
             fleet: fleet.clone(),
             core,
+            live,
             config,
             own,
             own_content,
@@ -103,7 +104,6 @@
             passing: Cell::new(0),
             waiting: Cell::new(0),
             changed: Notify::new(),
-            gone: RefCell::default(),
             voted: RefCell::default(),
             closed: RefCell::default(),
         });
@@ -116,11 +116,6 @@
         Ok(gate)
     }
 
-    /// Has a function told the settings of each epoch, when this conductor goes over.
-    pub fn on_over(&self, gone: impl Fn(&Settings) + 'static) {
-        self.gone.borrow_mut().push(Box::new(gone));
-    }
-
     /// Whether this conductor holds the epoch in force, as far as it knows the log.
     pub fn is_ready(&self) -> bool {
         self.held.get()
@@ -225,8 +220,7 @@
         self.epoch.set(epoch);
         match content::read(content, &self.own) {
             Ok(settings) => {
-                self.gone.borrow().iter().for_each(|gone| gone(&settings));
-                self.core.tell(Input::Settings(Box::new(settings)));
+                self.live.replace(settings);
                 self.held.set(true);
                 history.policy_epoch(epoch, digest(content));
                 self.differences.replace(content::differences(content, &self.own_content));
--- a/src/fleet/net/work.rs
+++ b/src/fleet/net/work.rs
@@ -340,7 +340,6 @@
     work: Rc<Work>,
     core: CoreHandle,
     reads: Box<dyn Fn(&WorkerId) -> bool>,
-    most_attempts: Rc<Cell<u32>>,
     /// What is on record, by id.
     noted: RefCell<HashMap<String, Noted>>,
 }
@@ -356,16 +355,15 @@
 }
 
 impl Recording {
-    /// Stands before `inner`; `reads` says whether a host only reads, `most_attempts` follows the settings in force.
+    /// Stands before `inner`; `reads` says whether a host only reads.
     pub fn start(
         inner: Rc<dyn Outbound>,
         work: Rc<Work>,
         core: CoreHandle,
         reads: Box<dyn Fn(&WorkerId) -> bool>,
-        most_attempts: Rc<Cell<u32>>,
     ) -> Rc<Self> {
         let noted = RefCell::default();
-        let recording = Rc::new(Recording { inner, work, core, reads, most_attempts, noted });
+        let recording = Rc::new(Recording { inner, work, core, reads, noted });
         tokio::task::spawn_local(recording.clone().sweep());
         recording
     }
@@ -455,7 +453,7 @@
             worker: attempt.worker.0.to_string(),
             name: call.name.clone(),
             reads: (self.reads)(&attempt.worker),
-            most_attempts: self.most_attempts.get(),
+            most_attempts: attempt.most_attempts,
             bounds: self.work.bounds(),
         };
         let going = Going { inner: self.inner.clone(), work: self.work.clone(), core: self.core.clone() };
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -9,7 +9,7 @@
 use super::ledger::{CallKey, Ledger, Outcome};
 use super::platform::{AnswerBody, refusal};
 use super::record::{Claim, Claimed};
-use super::shared::{CUT_OFF, MOST_BODY, Shared};
+use super::shared::{COME_BACK, CUT_OFF, MOST_BODY, Shared};
 use crate::config::ToolSettings;
 use crate::exchange::{Answer, Call, Feed, Frame, Presence, is_plain_id};
 use crate::fleet::net::work::Work;
@@ -607,10 +607,16 @@
         if !self.shared.knows(&message.method) {
             return Err(NO_METHOD);
         }
-        let claim = match self.claim(&message.method, &params, deadline, &mut in_hand).await? {
+        let once = self.shared.is_once(&message.method);
+        let claim = match self.claim(once, &params, deadline, &mut in_hand).await? {
             Ok(claim) => claim,
             Err(answer) => return recorded(message.id, in_hand.name.clone(), &params, answer),
         };
+        // SIGHUP may have changed the class meanwhile, and the claim would promise what the core does not keep.
+        if !self.shared.knows(&message.method) || self.shared.is_once(&message.method) != once {
+            claim.iter().for_each(Claim::refused);
+            return Err(Fault::refused(Some(COME_BACK)));
+        }
         // One token is four characters.
         let prompt_tokens = params.prompt_len.unwrap_or(body.len() as u64 / 4);
         let ask = Ask {
@@ -669,14 +675,13 @@
     /// Asks the fleet for the request, where it keeps records: a claim, or the answer that it has had already.
     async fn claim(
         &self,
-        class: &str,
+        once: bool,
         params: &Params,
         deadline: Micros,
         in_hand: &mut InHand,
     ) -> Result<Result<Option<Claim>, Final>, Fault> {
         let Some(work) = self.work.clone() else { return Ok(Ok(None)) };
         let (name, resumes) = (params.request.clone(), params.resume.is_some());
-        let once = self.shared.is_once(class);
         // A task of its own: a claim that comes when nobody waits any more has to be let go of.
         let asking =
             tokio::task::spawn_local(async move { Claim::ask(&work, &name, once, resumes, deadline).await });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod front;
 pub mod haproxy;
 pub mod interface;
+pub mod live_settings;
 pub mod net;
 pub mod policy;
 mod state;
--- /dev/null
+++ b/src/live_settings.rs
@@ -0,0 +1,35 @@
+//! The one way by which settings change while the process runs.
+//!
+//! A policy epoch of the fleet and a configuration read at SIGHUP both end in [`LiveSettings::replace`].
+
+use crate::core::{CoreHandle, Input};
+use crate::interface::Settings;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+type Follower = Box<dyn Fn(&Settings)>;
+
+/// Tells every part that follows the settings of new ones.
+pub struct LiveSettings {
+    core: CoreHandle,
+    followers: RefCell<Vec<Follower>>,
+}
+
+impl LiveSettings {
+    /// Settings of which the core is told; others follow by [`LiveSettings::on_change`].
+    pub fn new(core: CoreHandle) -> Rc<Self> {
+        Rc::new(LiveSettings { core, followers: RefCell::default() })
+    }
+
+    /// Has a function called with all settings to come.
+    pub fn on_change(&self, follower: impl Fn(&Settings) + 'static) {
+        self.followers.borrow_mut().push(Box::new(follower));
+    }
+
+    /// Puts new settings into force. The core reads its inputs in order: requests handed to it before this keep their
+    /// rules, those handed to it afterwards begin under the new ones.
+    pub fn replace(&self, settings: Settings) {
+        self.followers.borrow().iter().for_each(|follower| follower(&settings));
+        self.core.tell(Input::Settings(Box::new(settings)));
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod logs;
 mod policies;
+mod reload;
 mod run;
 
 use cli::{Ask, Command, From, Where};
--- /dev/null
+++ b/src/reload.rs
@@ -0,0 +1,76 @@
+//! Reading the configuration again at SIGHUP.
+
+use crate::run::Source;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::watch;
+use whinhaven::config::replacement::{SettingsChange, describe_changes};
+use whinhaven::config::{Config, ConfigError};
+use whinhaven::counters::Counters;
+use whinhaven::live_settings::LiveSettings;
+
+/// What a reload needs and moves.
+pub struct Reload {
+    /// Where the configuration is read.
+    pub source: Source,
+    /// The configuration in force.
+    pub held: Config,
+    /// Tells of discovery's address.
+    pub discovery: watch::Sender<Option<SocketAddr>>,
+    /// Tells of settings.
+    pub live: Rc<LiveSettings>,
+    /// Counters.
+    pub counters: Rc<Counters>,
+}
+
+impl Reload {
+    /// Reads the configuration once and takes it in: discovery moves, and new requests begin under its settings. One
+    /// that can't be used changes nothing.
+    pub fn run(&mut self) {
+        let new = match self.load() {
+            Ok(new) => new,
+            Err(error) => {
+                self.counters.reloads_failed.up();
+                log::error!("reload: {error}; the configuration held stands");
+                return;
+            }
+        };
+        self.counters.reloads.up();
+        let fixed = self.held.differences(&new);
+        if !fixed.is_empty() {
+            log::warn!("reload: a new {} counts from the next start on", fixed.join(", "));
+        }
+        self.take(new);
+    }
+
+    fn load(&self) -> Result<Config, ConfigError> {
+        let new = self.source.load()?;
+        self.held.check_replacement(&new)?;
+        Ok(new)
+    }
+
+    fn take(&mut self, new: Config) {
+        let before = self.held.settings.clone();
+        match self.held.replace_with(new) {
+            SettingsChange::None => {}
+            SettingsChange::New(settings) => {
+                log::info!("reload: new settings: {}", describe_changes(&before, &settings));
+                self.live.replace(*settings);
+            }
+            SettingsChange::LeftToFleetPolicy => log::warn!(
+                "reload: new settings change nothing here, the fleet's policy is in force: propose them to the fleet"
+            ),
+        }
+        self.move_discovery();
+    }
+
+    fn move_discovery(&self) {
+        let address = self.held.discovery;
+        let moved = self.discovery.send_if_modified(|at| std::mem::replace(at, address) != address);
+        match address {
+            Some(address) if moved => log::info!("reload: discovery is now at {address}"),
+            None if moved => log::info!("reload: no discovery any more; the list stands"),
+            _ => log::info!("reload: discovery stays where it was"),
+        }
+    }
+}
--- a/src/run.rs
+++ b/src/run.rs
@@ -1,7 +1,7 @@
 //! Serving: wiring, signals, reload.
 
+use crate::reload::Reload;
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,6 +20,7 @@
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::front::shared::Shared;
 use whinhaven::interface::{ListKind, Role, WorkerId};
+use whinhaven::live_settings::LiveSettings;
 use whinhaven::net::client::{Hosts, Pending};
 use whinhaven::net::discovery::{Directory, Follower, Weigh};
 use whinhaven::net::pool::Pool;
@@ -94,40 +95,6 @@
     runtime.block_on(local.run_until(run(config, source)))
 }
 
-/// Takes a new configuration in: discovery moves, all else stays as it was at the start. A file that can't be used
-/// changes nothing.
-fn reload(
-    source: &Source,
-    held: &mut Config,
-    discovery: &watch::Sender<Option<SocketAddr>>,
-    counters: &Counters,
-) {
-    let new = match source.load() {
-        Ok(new) => new,
-        Err(error) => {
-            counters.reloads_failed.up();
-            log::error!("reload: {error}; the configuration held stands");
-            return;
-        }
-    };
-    counters.reloads.up();
-    let fixed = held.differences(&new);
-    if !fixed.is_empty() {
-        log::warn!("reload: a new {} counts from the next start on", fixed.join(", "));
-    }
-    let moved = discovery.send_if_modified(|at| {
-        let moved = *at != new.discovery;
-        *at = new.discovery;
-        moved
-    });
-    held.discovery = new.discovery;
-    match new.discovery {
-        Some(address) if moved => log::info!("reload: discovery is now at {address}"),
-        None if moved => log::info!("reload: no discovery any more; the list stands"),
-        _ => log::info!("reload: discovery stays where it was"),
-    }
-}
-
 /// The duty of one conductor for all: asks discovery for its whole list once a period, while it holds the lease.
 async fn refresh(fleet: Fleet, period: Duration, fetch: impl Fn()) {
     let lease = LeaseName::try_from("discovery-refresh").expect("a name");
@@ -153,6 +120,7 @@
     let counters = Rc::new(Counters::default());
     let clock = Clock::start();
     let (core, queue) = CoreHandle::channel(clock);
+    let live = LiveSettings::new(core.clone());
     let settings = config.settings.clone();
     // Every request in hand may hold a socket of either side; clients that say nothing hold some more of theirs.
     let spare = SPARE_SOCKETS
@@ -206,7 +174,7 @@
     let gate = match (&fleet, config.fleet.as_ref().and_then(|f| f.policy.clone())) {
         (Some(fleet), Some(policy)) => {
             let own = config.settings_table.clone();
-            let gate = Gate::start(fleet.clone(), core.clone(), policy, own);
+            let gate = Gate::start(fleet.clone(), core.clone(), live.clone(), policy, own);
             Some(gate.map_err(|e| ConfigError(format!("settings: {e}")))?)
         }
         _ => None,
@@ -222,12 +190,7 @@
     if let Some(work) = &work {
         let (directory, kinds) = (directory.clone(), settings.kinds.clone());
         let reads = Box::new(move |worker: &WorkerId| directory.role(worker, &kinds) == Some(Role::Reader));
-        let most = Rc::new(Cell::new(settings.max_attempts));
-        if let Some(gate) = &gate {
-            let most = most.clone();
-            gate.on_over(move |settings| most.set(settings.max_attempts));
-        }
-        outbound = Recording::start(outbound, work.clone(), core.clone(), reads, most);
+        outbound = Recording::start(outbound, work.clone(), core.clone(), reads);
     }
     let driver = Core::new(settings.clone(), own_seed, clock, outbound, counters.clone());
     let follower = Follower {
@@ -281,14 +244,14 @@
         budget: Cell::new(config.limits.memory_mb * 1024 * 1024 / 3),
         ids: RefCell::default(),
     });
-    if let Some(gate) = &gate {
+    live.on_change({
         let shared = Rc::downgrade(&shared);
-        gate.on_over(move |settings| {
+        move |settings| {
             if let Some(shared) = shared.upgrade() {
                 shared.classes.replace(settings.classes.clone());
             }
-        });
-    }
+        }
+    });
     // Ids of sends at model hosts: of this start alone, or two conductors, or two lives of one, would share what is held.
     let seed = xxh3_64_with_seed(format!("{} {}", config.name, clock.now()).as_bytes(), config.seed);
     let tools = {
@@ -310,6 +273,7 @@
         to_hosts
     );
 
+    let mut reload = Reload { source, held: config, discovery, live, counters: counters.clone() };
     let mut retire = tokio::time::interval(RETIRE);
     loop {
         tokio::select! {
@@ -321,7 +285,7 @@
                     log::info!("fleet counters: {}", fleet.counters());
                 }
             }
-            _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
+            _ = hangup.recv() => reload.run(),
             _ = retire.tick() => {
                 pool.retire();
                 if let Some(front) = &front {
@@ -375,7 +339,7 @@
     loop {
         tokio::select! {
             () = &mut ending => break,
-            _ = hangup.recv() => reload(&source, &mut config, &discovery, &counters),
+            _ = hangup.recv() => reload.run(),
         }
     }
     if let Some(fleet) = &fleet {
--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -140,6 +140,7 @@
                 keeps: None,
                 name: None,
             }),
+            most_attempts: 6,
             until: core.clock.now() + 60_000_000,
             connect_by: None,
             after: None,
