--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -48,3 +48,72 @@
     assert!(core.open.is_empty());
     assert!(core.due.len() <= MOST_DUE + 1, "{}", core.due.len());
 }
+
+/// Keeps the attempts that it is given.
+#[derive(Default)]
+struct Sent(std::cell::RefCell<Vec<Attempt>>);
+
+impl Outbound for Sent {
+    fn send(&self, attempt: Attempt) {
+        self.0.borrow_mut().push(attempt);
+    }
+    fn release(&self, _: Rc<Call>, _: Rc<Releasing>) {}
+    fn hold(&self, _: RequestId, _: Rc<Call>, _: WorkerId) {}
+    fn probe(&self, _: WorkerId) {}
+    fn hang_up(&self, _: &WorkerId) {}
+    fn ask_list(&self, _: bool) {}
+}
+
+/// Guards against a fleet's record that allows an open request fewer attempts than it began with.
+#[tokio::test]
+async fn attempts_carry_the_number_that_their_request_began_under() {
+    let clock = Clock::start();
+    let (handle, mut queue) = CoreHandle::channel(clock);
+    let class = Class { name: "chat".into(), aim: 1_000_000, give_up: 8_000_000, ..Class::default() };
+    let settings = |max_attempts| Settings {
+        routers: 1,
+        kinds: vec![Kind { name: "k".into(), role: Role::Mixed, memory_tokens: None }],
+        classes: vec![class.clone()],
+        max_attempts,
+        release: 500_000,
+        ..Settings::default()
+    };
+    let sent = Rc::<Sent>::default();
+    let mut core = Core::new(settings(6), 1, clock, sent.clone(), Rc::default());
+    let entries = (0..4).map(|i| Entry {
+        worker: WorkerId(format!("w{i}").into()),
+        zone: String::new(),
+        kind: "k".into(),
+        cell: 0,
+        status: Status::Ready,
+        weight: 1.0,
+        started: None,
+    });
+    core.input(Input::List { kind: ListKind::Full, entries: entries.collect() });
+    let ask = || {
+        let ask = Ask {
+            request: RequestId(0),
+            deadline: clock.now() + 8_000_000,
+            session: None,
+            prefix: None,
+            prefix_tokens: 0,
+            prompt_tokens: 10,
+            max_tokens: 10,
+            hint: None,
+            class: "chat".into(),
+            tenant: None,
+        };
+        let (id, target, body) = (String::new(), String::new(), Bytes::new());
+        handle.ask(ask, Call { id, target, headers: hyper::HeaderMap::new(), body, keeps: None, name: None })
+    };
+    let _open = ask();
+    core.input(queue.try_recv().unwrap());
+    core.input(Input::Settings(Box::new(settings(2))));
+    let (request, attempt) = sent.0.borrow().first().map(|a| (a.request, a.attempt)).unwrap();
+    let outcome = Outcome::NoConnection;
+    core.input(Input::Ended { request, attempt, outcome, kept: 0, report: None });
+    let _new = ask();
+    core.input(queue.try_recv().unwrap());
+    let sent: Vec<_> = sent.0.borrow().iter().map(|a| (a.request.0, a.most_attempts)).collect();
+    assert_eq!(sent, [(1, 6), (1, 6), (2, 2)]);
+}
