--- a/src/net/client/tests.rs
+++ b/src/net/client/tests.rs
@@ -64,6 +64,7 @@
             attempt: AttemptIndex(0),
             worker: WorkerId(HOST.into()),
             call: Rc::new(call),
+            most_attempts: 4,
             until: after(time),
             send_by: send_by.map(after),
             connect_by: None,
