--- a/src/config/replacement.rs
+++ b/src/config/replacement.rs
@@ -1,7 +1,7 @@
 //! Which configuration may replace the one in force at SIGHUP, and what of its settings counts then.
 //!
-//! A start is lenient: what a file leaves out has a default. A replacement has to be a whole file, since one that was
-//! cut short or lost a key would quietly put defaults in the place of what served until then.
+//! A start is lenient: what a file leaves out has a default. A replacement has to be a whole file, since one
+//! that was cut short or lost a key would quietly put defaults in the place of what served until then.
 
 use super::{Config, ConfigError};
 use crate::interface::Settings;
@@ -12,7 +12,8 @@
 pub struct Document {
     /// Its fields.
     pub(super) table: Value,
-    /// Whether its end can be seen: always in JSON, whose parser fails otherwise; by the last line's end in TOML.
+    /// Whether its end can be seen: always in JSON, whose parser fails otherwise; by the last line's end in
+    /// TOML.
     pub(super) is_terminated: bool,
 }
 
@@ -31,8 +32,8 @@
     /// Checks that another configuration is whole enough to replace this one.
     ///
     /// # Errors
-    /// Names the first fault: the text was cut short, a key is missing that this one has, or a deadline or the number
-    /// of attempts is no number above 0.
+    /// Names the first fault: the text was cut short, a key is missing that this one has, or a deadline or
+    /// the number of attempts is no number above 0.
     pub fn check_replacement(&self, new: &Config) -> Result<(), ConfigError> {
         if self.document.is_terminated && !new.document.is_terminated {
             return Err(ConfigError("cut short: its last line has no end".into()));
@@ -48,7 +49,8 @@
         self.fleet.as_ref().is_some_and(|fleet| fleet.policy.is_some())
     }
 
-    /// Takes over what a checked replacement may change while the process runs; what is to be done about its settings.
+    /// Takes over what a checked replacement may change while the process runs; what is to be done about its
+    /// settings.
     pub fn replace_with(&mut self, new: Config) -> SettingsChange {
         self.discovery = new.discovery;
         self.document = new.document;
@@ -64,8 +66,8 @@
     }
 }
 
-/// The settings that count from a start only, by their names in the file, and whether they differ. The same are each
-/// conductor's own in a fleet's policy.
+/// The settings that count from a start only, by their names in the file, and whether they differ. The same
+/// are each conductor's own in a fleet's policy.
 pub(super) fn fixed_differences(a: &Settings, b: &Settings) -> [(&'static str, bool); 12] {
     let roles = |s: &Settings| s.kinds.iter().map(|k| k.role).collect::<Vec<_>>();
     let memories = |s: &Settings| s.kinds.iter().map(|k| k.memory_tokens).collect::<Vec<_>>();
@@ -123,8 +125,9 @@
     }
 }
 
-/// The same in lists, which may become longer and shorter: a table of the new list needs the keys that all tables of
-/// its kind have in the old one. Classes of one effect are a kind, since keyed ones have keys of their own.
+/// The same in lists, which may become longer and shorter: a table of the new list needs the keys that all
+/// tables of its kind have in the old one. Classes of one effect are a kind, since keyed ones have keys of
+/// their own.
 fn missing_in_list(held: &[Value], new: &[Value], path: &str) -> Option<String> {
     let held: Vec<&Map<String, Value>> = held.iter().filter_map(Value::as_object).collect();
     new.iter().enumerate().find_map(|(i, item)| {
--- a/src/config/replacement/tests.rs
+++ b/src/config/replacement/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::interface::Effect;
 use proptest::prelude::*;
+use proptest::sample::Index;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
 use serde_json::json;
@@ -23,8 +24,8 @@
                 {"name": "explain", "effect": "read_like", "objective_us": 1500000, "give_up_us": 6000000},
                 {"name": "send", "effect": "non_idempotent", "objective_us": 2500000, "give_up_us": 9000000},
                 {
-                    "name": "save", "effect": "idempotency_key", "dedup_scope": "zone", "repeat_window_us": 5000000,
-                    "objective_us": 2500000, "give_up_us": 9000000
+                    "name": "save", "effect": "idempotency_key", "dedup_scope": "zone",
+                    "repeat_window_us": 5000000, "objective_us": 2500000, "give_up_us": 9000000
                 }
             ]
         }
@@ -203,12 +204,17 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(31), failure_persistence: None, ..ProptestConfig::with_cases(512) })]
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(512)
+    })]
 
     /// Guards against a file that is read while it is written: it means the same, or is turned down whole.
     #[test]
-    fn a_file_cut_anywhere_means_the_same_or_is_turned_down(cut in any::<prop::sample::Index>(), indented: bool) {
-        let text = if indented { serde_json::to_string_pretty(&table()).unwrap() + "\n" } else { table().to_string() };
+    fn a_file_cut_anywhere_means_the_same_or_is_turned_down(cut in any::<Index>(), indented: bool) {
+        let plain = table().to_string();
+        let text = if indented { serde_json::to_string_pretty(&table()).unwrap() + "\n" } else { plain };
         if let Ok(new) = load(&text[..cut.index(text.len() + 1)]) {
             prop_assert_eq!(new.document.table, table());
         }
@@ -216,7 +222,7 @@
 
     /// The same for keys that are lost, any number of them, at any depth.
     #[test]
-    fn a_file_that_has_lost_keys_is_turned_down(lost in prop::collection::vec(any::<prop::sample::Index>(), 0..4)) {
+    fn a_file_that_has_lost_keys_is_turned_down(lost in prop::collection::vec(any::<Index>(), 0..4)) {
         let mut table = table();
         for index in &lost {
             let left = fields(&table, "");
@@ -227,7 +233,7 @@
 
     /// Bytes lost amid the file: what loads has all keys and usable numbers, whatever the bytes were.
     #[test]
-    fn a_file_that_has_lost_bytes_is_whole_or_turned_down(from in any::<prop::sample::Index>(), bytes in 1..200usize) {
+    fn a_file_that_has_lost_bytes_is_whole_or_turned_down(from in any::<Index>(), bytes in 1..200usize) {
         let text = table().to_string();
         let from = from.index(text.len());
         let rest = &text[(from + bytes).min(text.len())..];
--- a/src/live_settings.rs
+++ b/src/live_settings.rs
@@ -26,8 +26,8 @@
         self.followers.borrow_mut().push(Box::new(follower));
     }
 
-    /// Puts new settings into force. The core reads its inputs in order: requests handed to it before this keep their
-    /// rules, those handed to it afterwards begin under the new ones.
+    /// Puts new settings into force. The core reads its inputs in order: requests handed to it before this
+    /// keep their rules, those handed to it afterwards begin under the new ones.
     pub fn replace(&self, settings: Settings) {
         self.followers.borrow().iter().for_each(|follower| follower(&settings));
         self.core.tell(Input::Settings(Box::new(settings)));
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -24,8 +24,8 @@
 }
 
 impl Reload {
-    /// Reads the configuration once and takes it in: discovery moves, and new requests begin under its settings. One
-    /// that can't be used changes nothing.
+    /// Reads the configuration once and takes it in: discovery moves, and new requests begin under its
+    /// settings. One that can't be used changes nothing.
     pub fn run(&mut self) {
         let new = match self.load() {
             Ok(new) => new,
@@ -58,7 +58,7 @@
                 self.live.replace(*settings);
             }
             SettingsChange::LeftToFleetPolicy => log::warn!(
-                "reload: new settings change nothing here, the fleet's policy is in force: propose them to the fleet"
+                "reload: new settings change nothing here, the fleet's policy is in force: propose them"
             ),
         }
         self.move_discovery();
--- a/tests/reload.rs
+++ b/tests/reload.rs
@@ -38,8 +38,8 @@
     })
 }
 
-/// Writers that break off every other request, counted over all of them, with the request taken whole and not answered:
-/// the first one only when told to.
+/// Writers that break off every other request, counted over all of them, with the request taken whole and not
+/// answered: the first one only when told to.
 struct Breaking {
     peers: Vec<Peer>,
     sends: Arc<AtomicU32>,
@@ -117,8 +117,8 @@
     assert_eq!(["reloads", "bad_requests", "taken"].map(|c| counters.get(c)), [2, 2, 4]);
 }
 
-/// Guards against open requests that go by the new rules: an unsafe one that may have run would be sent again since its
-/// class became safe or was dropped, or a safe one failed for nothing.
+/// Guards against open requests that go by the new rules: an unsafe one that may have run would be sent again
+/// since its class became safe or was dropped, or a safe one failed for nothing.
 #[rstest]
 #[case::unsafe_becomes_safe("send", &[("explain", "read_like"), ("send", "read_like")], 502, 1)]
 #[case::unsafe_is_dropped("send", &[("explain", "read_like")], 502, 1)]
