Drain: clients are sent away in order while the switch is on, and kept again after it

The switch makes healthz say no at once. From 0.4 s later the stage of client connections is Draining: each answer names the close, resting connections are half-closed by the code of the conductor's own end, new ones are accepted, served and closed after one answer, or after 0.5 s without a request. After the stop the stage is Open again, and a conductor that has begun to end is never moved back.

Mended with it: a connection that was used before and on which half a head had come was closed under it, at SIGTERM too: hyper takes it for idle until the head is whole. It is waited for now, as half a body was.

--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -1,7 +1,13 @@
-//! The switch with which operators send clients away from a conductor that keeps running.
+//! The switch with which operators send clients away from a conductor that keeps running, and what follows it.
 
+use super::server::Stage;
+use std::time::Duration;
 use tokio::sync::watch;
 
+/// Connections that were closed sooner would come straight back: a front asks for the health every 0.1 s, and new
+/// connections keep coming for 0.2 s after its first no.
+const FRONT_NOTICES: Duration = Duration::from_millis(400);
+
 /// Whether the conductor drains, for whoever switches it and for whoever has to act on it.
 #[derive(Debug)]
 pub struct DrainSwitch(watch::Sender<bool>);
@@ -38,5 +44,32 @@
     }
 }
 
+/// Has client connections follow the switch: they are closed in order from [`FRONT_NOTICES`] after the start of a
+/// drain on, and kept again from its stop on. Nothing moves once the conductor itself ends.
+pub async fn follow(mut switch: watch::Receiver<bool>, stage: watch::Sender<Stage>) {
+    while switch.wait_for(|draining| *draining).await.is_ok() {
+        log::info!("drain: not ready any more; connections close in {} ms", FRONT_NOTICES.as_millis());
+        let stopped =
+            async |switch: &mut watch::Receiver<bool>| _ = switch.wait_for(|draining| !*draining).await;
+        if tokio::time::timeout(FRONT_NOTICES, stopped(&mut switch)).await.is_err() {
+            advance(&stage, Stage::Open, Stage::Draining);
+            stopped(&mut switch).await;
+            advance(&stage, Stage::Draining, Stage::Open);
+        }
+        log::info!("drain: over, connections are kept again");
+    }
+}
+
+/// Sets the stage, unless it has moved on meanwhile.
+fn advance(stage: &watch::Sender<Stage>, from: Stage, to: Stage) {
+    stage.send_if_modified(|now| {
+        let is_due = *now == from;
+        if is_due {
+            *now = to;
+        }
+        is_due
+    });
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -34,6 +34,8 @@
 const ARRIVE: Duration = Duration::from_millis(2_400);
 /// A client that has said nothing since it connected is let go after this.
 const SILENT_CLIENT: Duration = Duration::from_millis(2_200);
+/// The same during a drain, where no place is wanted but none may be held for long.
+const LATE_CLIENT: Duration = Duration::from_millis(500);
 /// One that was answered before may come again: a session's next turn, and this conductor knows where its text is
 /// kept. It is let go after this, or as soon as its place is wanted.
 const IDLE_CLIENT: Duration = Duration::from_secs(30);
@@ -200,15 +202,33 @@
     }
 }
 
-/// How far an orderly end has come.
+/// What becomes of client connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// In service.
+    /// They are kept for further requests.
     Open,
-    /// Idle connections are closed, and each one after the answer under way.
+    /// Operators send clients away: idle ones are closed, and each one after the answer under way. New ones are
+    /// accepted and served, and closed after their first answer.
+    Draining,
+    /// The conductor ends: as while it drains, but none is accepted any more.
     Closing,
 }
 
+impl Stage {
+    fn keeps_connections(self) -> bool {
+        self == Stage::Open
+    }
+
+    /// How long a connection that has just been accepted is left open without a request.
+    fn first_request_within(self) -> Duration {
+        match self {
+            Stage::Open => SILENT_CLIENT,
+            Stage::Draining => LATE_CLIENT,
+            Stage::Closing => SETTLED,
+        }
+    }
+}
+
 /// The client connections that are open.
 #[derive(Default)]
 pub struct Connections {
@@ -301,7 +321,7 @@
     pub bound: usize,
     /// Most requests that wait for their first event.
     pub waiting: usize,
-    /// How far the end has come.
+    /// Whether connections are kept.
     pub stage: watch::Receiver<Stage>,
     /// Connections that are open.
     pub open: Rc<Connections>,
@@ -389,7 +409,7 @@
                             }
                         }
                     };
-                    if over || watch.is_spent() || *stage.borrow() == Stage::Closing {
+                    if over || watch.is_spent() || !stage.borrow().keeps_connections() {
                         let close = hyper::header::HeaderValue::from_static("close");
                         response.headers_mut().insert("connection", close);
                     }
@@ -418,12 +438,18 @@
     }
 }
 
-/// Resolves when a connection is to be closed for the conductor's own end. One that was just accepted may have its
-/// first request on the way.
+/// Resolves when a connection is to be closed for a drain or for the conductor's own end. One that was just accepted
+/// may have its first request on the way.
 async fn closing(stage: &mut watch::Receiver<Stage>, watch: &Watch, accepted: Instant) {
-    let _ = stage.wait_for(|s| *s == Stage::Closing).await;
-    if !watch.has_answered() {
-        tokio::time::sleep_until(accepted + SETTLED).await;
+    loop {
+        let Ok(now) = stage.wait_for(|s| !s.keeps_connections()).await.map(|s| *s) else { return };
+        if watch.has_answered() {
+            return;
+        }
+        tokio::select! {
+            () = tokio::time::sleep_until(accepted + now.first_request_within()) => return,
+            Ok(()) = stage.changed() => {}
+        }
     }
 }
 
@@ -461,6 +487,8 @@
     let ended = loop {
         room.shrink_to(watch.kept_ahead());
         let due = due(watch, accepted);
+        // hyper takes a kept connection for idle until a head is whole. What has begun to come gets its answer first.
+        let may_close = !stopping && !matches!(watch.standing(), Standing::Arriving(_));
         tokio::select! {
             biased;
             // First: what has come by now is looked at before any deadline is.
@@ -471,7 +499,7 @@
                     return;
                 }
             }
-            () = closing(&mut stage, watch, accepted), if !stopping => {
+            () = closing(&mut stage, watch, accepted), if may_close => {
                 if crossed(&socket, watch) {
                     tokio::task::yield_now().await;
                     continue;
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -11,7 +11,11 @@
 
 /// A client's socket, as a client uses it: blocking.
 fn connect(listener: &TcpListener) -> std::net::TcpStream {
-    let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    connect_to(listener.local_addr().unwrap())
+}
+
+fn connect_to(address: std::net::SocketAddr) -> std::net::TcpStream {
+    let client = std::net::TcpStream::connect(address).unwrap();
     client.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
     client.set_nodelay(true).unwrap();
     client
@@ -124,6 +128,7 @@
 /// Guards against requests lost to a close that they cross.
 #[rstest]
 #[case::at_the_end(|story: &Story| _ = story.stage.send(Stage::Closing))]
+#[case::in_a_drain(|story: &Story| _ = story.stage.send(Stage::Draining))]
 #[case::whose_place_is_wanted(|story: &Story| story.watch.evict())]
 #[tokio::test]
 async fn a_request_on_a_resting_connection_that_is_just_being_closed_is_answered(#[case] close: fn(&Story)) {
@@ -162,19 +167,35 @@
     LocalSet::new().run_until(tell).await;
 }
 
-/// Guards against a body cut off at the conductor's end: it is waited for, and its answer ends the connection.
+/// Guards against a request cut off in the middle: it is waited for, and its answer ends the connection.
+#[rstest]
+#[case::head_at_the_end(Stage::Closing, "POST /x HTTP/1.1\r\nhost: a\r\ncont", "ent-length: 0\r\n\r\n")]
+#[case::head_in_a_drain(Stage::Draining, "POST /x HTTP/1.1\r\nhost: a\r\ncont", "ent-length: 0\r\n\r\n")]
+#[case::body_at_the_end(Stage::Closing, "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nha", "lf")]
+#[case::body_in_a_drain(Stage::Draining, "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nha", "lf")]
 #[tokio::test]
-async fn a_request_that_is_half_there_at_the_end_is_answered() {
+async fn a_request_that_is_half_there_when_connections_close_is_answered(
+    #[case] stage: Stage,
+    #[case] first: &str,
+    #[case] second: &str,
+    #[values(false, true)] kept: bool,
+) {
     let tell = async {
         let story = Story::new().await;
         let (mut client, served) = story.serve("here").await;
-        client.write_all(b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nha").unwrap();
+        if kept {
+            client.write_all(ASKED).unwrap();
+            answer(&client).await;
+        }
+        client.write_all(first.as_bytes()).unwrap();
         while !matches!(story.watch.standing(), Standing::Arriving(_)) {
             tokio::task::yield_now().await;
         }
-        story.stage.send(Stage::Closing).unwrap();
-        tokio::task::yield_now().await;
-        client.write_all(b"lf").unwrap();
+        story.stage.send(stage).unwrap();
+        for _ in 0..10 {
+            tokio::task::yield_now().await;
+        }
+        client.write_all(second.as_bytes()).unwrap();
         let come = rest(client).await.unwrap();
         assert!(come.starts_with("HTTP/1.1 200 OK"), "{come:?}");
         served.await.unwrap();
@@ -182,6 +203,39 @@
     LocalSet::new().run_until(tell).await;
 }
 
+/// Guards against clients that a drain holds for long, or turns away before their first request can have come.
+#[tokio::test(start_paused = true)]
+async fn a_silent_connection_accepted_in_a_drain_is_let_go_soon() {
+    let tell = async {
+        let story = Story::new().await;
+        story.stage.send_replace(Stage::Draining);
+        let (client, served) = story.serve("here").await;
+        let begun = Instant::now();
+        served.await.unwrap();
+        assert!((LATE_CLIENT..=LATE_CLIENT + LINGER).contains(&begun.elapsed()), "{:?}", begun.elapsed());
+        assert_eq!(rest(client).await.expect("ended in order"), "");
+    };
+    LocalSet::new().run_until(tell).await;
+}
+
+/// Guards against a drain that goes on for connections that were accepted in it.
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_outlasts_the_drain_is_kept() {
+    let tell = async {
+        let story = Story::new().await;
+        story.stage.send_replace(Stage::Draining);
+        let (mut client, _served) = story.serve("here").await;
+        tokio::time::sleep(LATE_CLIENT / 2).await;
+        story.stage.send_replace(Stage::Open);
+        tokio::time::sleep(LATE_CLIENT).await;
+        for _ in 0..2 {
+            client.write_all(ASKED).unwrap();
+            answer(&client).await;
+        }
+    };
+    LocalSet::new().run_until(tell).await;
+}
+
 const LONG: usize = 100_000;
 
 fn long() -> &'static str {
@@ -241,6 +295,140 @@
     LocalSet::new().run_until(tell).await;
 }
 
+/// A listener in service, the requests that reach it counted.
+struct Served {
+    address: std::net::SocketAddr,
+    stage: watch::Sender<Stage>,
+    taken: Rc<Cell<u64>>,
+    open: Rc<Connections>,
+    accepting: tokio::task::JoinHandle<()>,
+}
+
+impl Served {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (stage, stages) = watch::channel(Stage::Open);
+        let (taken, open) = (Rc::<Cell<u64>>::default(), Rc::<Connections>::default());
+        let mut shared = Rc::into_inner(shared(1)).unwrap();
+        shared.ready = Box::new({
+            let taken = taken.clone();
+            move || {
+                taken.set(taken.get() + 1);
+                true
+            }
+        });
+        let edge = Edge { shared: Rc::new(shared), tools: None };
+        let accepting = Listener { edge, bound: 64, waiting: 64, stage: stages, open: open.clone() };
+        let accepting = spawn_local(accepting.accept(listener));
+        Served { address, stage, taken, open, accepting }
+    }
+
+    /// A client that asks on one connection, `most` times or until that closes in order; how many answers it got, and
+    /// whether the last one named the close.
+    async fn ask(&self, most: usize) -> (u64, bool) {
+        let address = self.address;
+        spawn_blocking(move || asking(address, most)).await.unwrap()
+    }
+}
+
+fn asking(address: std::net::SocketAddr, most: usize) -> (u64, bool) {
+    let mut client = connect_to(address);
+    let mut answered = 0;
+    for _ in 0..most {
+        // An end that the request crosses may already be known.
+        if client.write_all(ASKED).is_err() {
+            break;
+        }
+        let (mut come, mut piece) = (Vec::new(), [0; 1024]);
+        while !come.ends_with(b"ready\n") {
+            match client.read(&mut piece).expect("ended in order") {
+                0 => break,
+                n => come.extend_from_slice(&piece[..n]),
+            }
+        }
+        let come = String::from_utf8(come).unwrap();
+        if come.is_empty() {
+            break;
+        }
+        assert!(come.starts_with("HTTP/1.1 200 OK") && come.ends_with("ready\n"), "{come:?}");
+        answered += 1;
+        if come.contains("connection: close") {
+            assert_eq!(client.read(&mut piece).expect("ended in order"), 0);
+            return (answered, true);
+        }
+    }
+    (answered, false)
+}
+
+const WITHOUT_END: usize = usize::MAX;
+
+/// Guards against requests lost in a drain: clients use the connections that they have for as long as those stay open,
+/// and each request is answered or was never taken.
+#[tokio::test]
+async fn kept_connections_close_in_a_drain_and_no_request_is_lost() {
+    let tell = async {
+        let service = Served::start().await;
+        let mut resting = connect_to(service.address);
+        let drain = async {
+            while service.taken.get() < 200 {
+                tokio::task::yield_now().await;
+            }
+            service.stage.send_replace(Stage::Draining);
+        };
+        let clients = futures_util::future::join_all((0..8).map(|_| service.ask(WITHOUT_END)));
+        let (ends, ()) = tokio::join!(clients, drain);
+        assert_eq!(ends.iter().map(|(answered, _)| answered).sum::<u64>(), service.taken.get());
+        assert_eq!(spawn_blocking(move || resting.read(&mut [0]).unwrap()).await.unwrap(), 0);
+        // None is left, and the next ones are answered once.
+        while service.open.count() > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!([service.ask(2).await, service.ask(2).await], [(1, true); 2]);
+        assert!(!service.accepting.is_finished());
+        // Kept again, and closed again.
+        service.stage.send_replace(Stage::Open);
+        assert_eq!(service.ask(20).await, (20, false));
+        service.stage.send_replace(Stage::Draining);
+        assert_eq!(service.ask(2).await, (1, true));
+        // The conductor's own end comes during a drain.
+        service.stage.send_replace(Stage::Closing);
+        service.accepting.await.unwrap();
+        assert!(std::net::TcpStream::connect(service.address).is_err());
+    };
+    LocalSet::new().run_until(tell).await;
+}
+
+/// Guards against a stream cut off by a drain, and against a connection that outlives it: its head is out already and
+/// names no close.
+#[tokio::test]
+async fn a_stream_that_outlasts_a_drain_comes_to_its_end_and_its_connection_closes() {
+    let tell = async {
+        let story = Story::new().await;
+        let (mut client, stream) = narrow(&story.listener, 4096).await;
+        let (frames, lines) = tokio::sync::mpsc::channel(1);
+        let lines = RefCell::new(Some(lines));
+        let served =
+            story.serve_with(stream, move || Response::new(AnswerBody::Lines(lines.take().unwrap())));
+        client.write_all(ASKED).unwrap();
+        let frame = |text: &'static str| crate::exchange::Frame::Data(Bytes::from_static(text.as_bytes()));
+        frames.send(frame("one ")).await.unwrap();
+        for stage in [Stage::Draining, Stage::Open, Stage::Draining] {
+            for _ in 0..10 {
+                tokio::task::yield_now().await;
+            }
+            story.stage.send_replace(stage);
+        }
+        frames.send(frame("two ")).await.unwrap();
+        frames.send(crate::exchange::Frame::End).await.unwrap();
+        let come = rest(client).await.expect("ended in order");
+        assert!(come.contains("one ") && come.contains("two ") && come.ends_with("0\r\n\r\n"), "{come:?}");
+        assert!(!come.contains("connection: close"), "{come:?}");
+        served.await.unwrap();
+    };
+    LocalSet::new().run_until(tell).await;
+}
+
 /// Guards against events lost with a stream that breaks: what a slow client had not taken yet was dropped by hyper.
 #[tokio::test]
 async fn a_stream_that_breaks_gives_a_slow_client_all_that_came_before() {
--- a/src/run.rs
+++ b/src/run.rs
@@ -22,6 +22,7 @@
 use whinhaven::interface::{ListKind, Role, WorkerId};
 use whinhaven::net::client::{Hosts, Pending};
 use whinhaven::net::discovery::{Directory, Follower, Weigh};
+use whinhaven::net::drain::{self, DrainSwitch};
 use whinhaven::net::pool::Pool;
 use whinhaven::net::server::{Connections, Edge, Listener, OVER, Stage};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -256,12 +257,14 @@
     tokio::task::spawn_local(driver.run(queue));
     let (discovery, address_told) = watch::channel(config.discovery);
     tokio::task::spawn_local(follower.follow(address_told));
+    let drain = Rc::new(DrainSwitch::default());
     let stopping = Rc::new(Cell::new(false));
     let ready = {
+        let drain = drain.clone();
         let (directory, stopping, kinds) = (directory.clone(), stopping.clone(), settings.kinds.clone());
         let gate = gate.clone();
         let holds = move || gate.as_ref().is_none_or(|gate| gate.is_ready());
-        move || !stopping.get() && directory.can_serve(&kinds) && holds()
+        move || !stopping.get() && !drain.is_draining() && directory.can_serve(&kinds) && holds()
     };
     let may_serve: Box<dyn Fn() -> bool> = match fleet.clone() {
         Some(fleet) => Box::new(move || fleet.may_serve()),
@@ -297,6 +300,7 @@
     };
     let front = tools.clone();
     let (stage, stages) = watch::channel(Stage::Open);
+    tokio::task::spawn_local(drain::follow(drain.subscribe(), stage.clone()));
     let open = Rc::new(Connections::default());
     let bound = to_clients - OVER;
     let accepting =
