--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -393,3 +393,61 @@
         assert!(said.starts_with("whinhaven: configuration: ") && said.lines().count() == 1, "{said:?}");
     }
 }
+
+/// Guards against a door that takes its descriptors from those of the clients, or takes some where there is none.
+#[test]
+fn descriptors_are_set_aside_for_the_door_and_only_where_there_is_one() {
+    // Enough for what a conductor needs, and no more.
+    let limits = "limits = { sockets = 170 }";
+    let hosts = ["127.0.0.1:1".parse().unwrap()];
+    let conductor = Conductor::start(&operator_file(&hosts, &[], limits));
+    conductor.stop();
+    let file = std::env::temp_dir().join(format!("whinhaven-ops-{}.toml", std::process::id()));
+    std::fs::write(&file, operator_file(&hosts, &[], &format!("{limits}\n{DOOR}"))).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_whinhaven"));
+    let done = command.arg("serve").arg(&file).output().unwrap();
+    std::fs::remove_file(&file).unwrap();
+    let said = String::from_utf8(done.stderr).unwrap();
+    assert_eq!((done.status.code(), said.lines().count()), (Some(1), 1), "{said}");
+    assert!(said.contains("limits.sockets"), "{said}");
+}
+
+/// Guards against refusals that are worded ahead of the module, for want of room, and counted nowhere.
+#[test]
+fn refusals_for_want_of_room_are_dropped_requests() {
+    let (go, held) = mpsc::channel::<()>();
+    let held = Mutex::new(held);
+    let reader = Peer::start(move |message, conn| {
+        if message.method() == "DELETE" {
+            conn.answer("204 No Content", "", "");
+            return true;
+        }
+        let _ = held.lock().unwrap().recv();
+        read_at_once(message, conn)
+    });
+    let writer = Peer::start(write_by_id);
+    // Places for 65 clients, and 16 more that are told that there is none.
+    let more = format!("limits = {{ sockets = 204 }}\n{DOOR}");
+    let conductor = Conductor::start(&operator_file(&[reader.address], &[writer.address], &more));
+    let (answered, answers) = mpsc::channel();
+    for number in 0..81 {
+        let (mut client, answered) = (conductor.connect(), answered.clone());
+        client.write_all(request(&format!("ok-{number}"), "send", "hello").as_bytes()).unwrap();
+        std::thread::spawn(move || {
+            let answer = Message::read(&mut BufReader::new(client)).unwrap_or_default();
+            let _ = answered.send((answer.status(), answer.whole));
+        });
+    }
+    drop(answered);
+    let mut statuses = vec![answers.recv_timeout(STUCK).unwrap()];
+    drop(go);
+    statuses.extend(answers);
+    let of = |status| statuses.iter().filter(|answer| **answer == (status, true)).count() as u64;
+    assert_eq!((statuses.len(), of(200) + of(503) + of(502)), (81, 81), "{statuses:?}");
+    let stats = stats_once(&conductor, "conductor.passed.send", of(200));
+    assert_eq!(stats["conductor.dropped.send"], of(503));
+    assert_eq!(stats["conductor.bad_gateway.send"], of(502));
+    assert_eq!(stats["conductor.in_progress"], 0);
+    let counters = conductor.stop();
+    assert!(counters.get("connections_over_bound") + counters.get("over_bound") > 0, "{}", counters.0);
+}
