--- a/src/counters.rs
+++ b/src/counters.rs
@@ -68,6 +68,8 @@
         stale_connections,
         /// Requests sent to model hosts.
         sent,
+        /// Attempts whose last byte was written to a model host.
+        written_whole,
         /// Sends held back since the model host drains or is gone, or since the client has left.
         held_back,
         /// Sends held back since the request may have run and the time in which a repeat is dropped was over.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod interface;
 pub mod live_settings;
 pub mod net;
+pub mod ops;
 pub mod policy;
 mod state;
 pub mod store;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -7,6 +7,7 @@
 use crate::front::jsonrpc;
 use crate::front::platform::{self, AnswerBody, end_to_end, plain};
 use crate::front::shared::{COME_BACK, CUT_OFF, Held, InHand, MOST_BODY, Shared};
+use crate::ops::figures::{Ending, Tally};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -34,6 +35,8 @@
 const ARRIVE: Duration = Duration::from_millis(2_400);
 /// A client that has said nothing since it connected is let go after this.
 const SILENT_CLIENT: Duration = Duration::from_millis(2_200);
+/// The same during a drain, where no place is wanted but none may be held for long.
+const LATE_CLIENT: Duration = Duration::from_millis(500);
 /// One that was answered before may come again: a session's next turn, and this conductor knows where its text is
 /// kept. It is let go after this, or as soon as its place is wanted.
 const IDLE_CLIENT: Duration = Duration::from_secs(30);
@@ -70,8 +73,16 @@
         plain(status, text)
     }
 
+    /// Begins the tally of a request whose head has come; ahead of all that may refuse it.
+    fn tally(&self, request: &Request<Incoming>) -> Rc<Tally> {
+        let asks = request.uri().path() == platform::PATH && request.method() == Method::POST;
+        let class = request.headers().get("x-class").filter(|_| asks);
+        let class = class.and_then(|value| value.to_str().ok()).map(str::trim);
+        self.shared.figures.begin(class, &self.shared.classes.borrow())
+    }
+
     async fn respond(self, arrival: Arrival) -> Response<AnswerBody> {
-        let Arrival { request, watch } = arrival;
+        let Arrival { request, watch, tally } = arrival;
         if !watch.head() {
             return self.bad(StatusCode::BAD_REQUEST, "ambiguous framing\n");
         }
@@ -94,13 +105,18 @@
             };
         }
         match (path, request.method()) {
-            (platform::PATH, &Method::POST) => self.platform(request, &watch).await,
+            (platform::PATH, &Method::POST) => self.platform(request, &watch, &tally).await,
             (platform::PATH | "/healthz", _) => self.bad(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n"),
             _ => self.bad(StatusCode::NOT_FOUND, "no such path\n"),
         }
     }
 
-    async fn platform(self, request: Request<Incoming>, watch: &Watch) -> Response<AnswerBody> {
+    async fn platform(
+        self,
+        request: Request<Incoming>,
+        watch: &Watch,
+        tally: &Tally,
+    ) -> Response<AnswerBody> {
         let shared = self.shared.clone();
         if !(shared.may_serve)() {
             shared.counters.cut_off.up();
@@ -118,6 +134,7 @@
             Ok(body) => body,
             Err(response) => return response,
         };
+        tally.take();
         let headers = end_to_end(&head.headers);
         if !held.grow(headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()) {
             shared.counters.over_bound.up();
@@ -183,6 +200,7 @@
 pub struct Arrival {
     request: Request<Incoming>,
     watch: Rc<Watch>,
+    tally: Rc<Tally>,
 }
 
 impl Service<Arrival> for Edge {
@@ -200,15 +218,33 @@
     }
 }
 
-/// How far an orderly end has come.
+/// What becomes of client connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// In service.
+    /// They are kept for further requests.
     Open,
-    /// Idle connections are closed, and each one after the answer under way.
+    /// Operators send clients away: idle ones are closed, and each one after the answer under way. New ones are
+    /// accepted and served, and closed after their first answer.
+    Draining,
+    /// The conductor ends: as while it drains, but none is accepted any more.
     Closing,
 }
 
+impl Stage {
+    fn keeps_connections(self) -> bool {
+        self == Stage::Open
+    }
+
+    /// How long a connection that has just been accepted is left open without a request.
+    fn first_request_within(self) -> Duration {
+        match self {
+            Stage::Open => SILENT_CLIENT,
+            Stage::Draining => LATE_CLIENT,
+            Stage::Closing => SETTLED,
+        }
+    }
+}
+
 /// The client connections that are open.
 #[derive(Default)]
 pub struct Connections {
@@ -257,10 +293,20 @@
     }
 }
 
-/// An answer's body that tells its connection when it is over.
+/// An answer's body that tells its connection when it is over, and the figures how it ended.
 struct Answering {
     body: AnswerBody,
     watch: Rc<Watch>,
+    tally: Rc<Tally>,
+}
+
+impl Answering {
+    fn new(response: Response<AnswerBody>, watch: Rc<Watch>, tally: Rc<Tally>) -> Response<Self> {
+        if let AnswerBody::Fixed(_) = response.body() {
+            tally.end(Ending::of_status(response.status()));
+        }
+        response.map(|body| Answering { body, watch, tally })
+    }
 }
 
 impl Drop for Answering {
@@ -281,7 +327,13 @@
         if matches!(self.body, AnswerBody::Breaking) && self.watch.is_blocked() {
             return Poll::Pending;
         }
-        Pin::new(&mut self.body).poll_frame(cx)
+        let next = Pin::new(&mut self.body).poll_frame(cx);
+        match &next {
+            Poll::Ready(None) => self.tally.end(Ending::Passed),
+            Poll::Ready(Some(Err(_))) => self.tally.end(Ending::BadGateway),
+            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
+        }
+        next
     }
 
     fn is_end_stream(&self) -> bool {
@@ -301,7 +353,7 @@
     pub bound: usize,
     /// Most requests that wait for their first event.
     pub waiting: usize,
-    /// How far the end has come.
+    /// Whether connections are kept.
     pub stage: watch::Receiver<Stage>,
     /// Connections that are open.
     pub open: Rc<Connections>,
@@ -370,14 +422,17 @@
             counters.connections_over_bound.up();
         }
         let (stage, room) = (self.stage.clone(), Held::new(self.edge.shared.clone()));
+        let edge = self.edge.clone();
         tokio::task::spawn_local(async move {
             let _place = place;
             let (seen, count, now) = (watch.clone(), counters.clone(), stage.clone());
             let answer = move |request: Request<Incoming>| -> Answerer {
                 let (service, watch, counters, stage) =
                     (service.clone(), seen.clone(), count.clone(), now.clone());
+                let edge = edge.clone();
                 Box::pin(async move {
-                    let arrival = Arrival { request, watch: watch.clone() };
+                    let tally = edge.tally(&request);
+                    let arrival = Arrival { request, watch: watch.clone(), tally: tally.clone() };
                     let mut response = if over {
                         platform::refusal(Some(COME_BACK))
                     } else {
@@ -389,11 +444,11 @@
                             }
                         }
                     };
-                    if over || watch.is_spent() || *stage.borrow() == Stage::Closing {
+                    if over || watch.is_spent() || !stage.borrow().keeps_connections() {
                         let close = hyper::header::HeaderValue::from_static("close");
                         response.headers_mut().insert("connection", close);
                     }
-                    Ok(response.map(|body| Answering { body, watch }))
+                    Ok(Answering::new(response, watch, tally))
                 })
             };
             serve(stream, hyper::service::service_fn(answer), stage, &watch, room, &counters).await;
@@ -418,12 +473,18 @@
     }
 }
 
-/// Resolves when a connection is to be closed for the conductor's own end. One that was just accepted may have its
-/// first request on the way.
+/// Resolves when a connection is to be closed for a drain or for the conductor's own end. One that was just accepted
+/// may have its first request on the way.
 async fn closing(stage: &mut watch::Receiver<Stage>, watch: &Watch, accepted: Instant) {
-    let _ = stage.wait_for(|s| *s == Stage::Closing).await;
-    if !watch.has_answered() {
-        tokio::time::sleep_until(accepted + SETTLED).await;
+    loop {
+        let Ok(now) = stage.wait_for(|s| !s.keeps_connections()).await.map(|s| *s) else { return };
+        if watch.has_answered() {
+            return;
+        }
+        tokio::select! {
+            () = tokio::time::sleep_until(accepted + now.first_request_within()) => return,
+            Ok(()) = stage.changed() => {}
+        }
     }
 }
 
@@ -461,6 +522,8 @@
     let ended = loop {
         room.shrink_to(watch.kept_ahead());
         let due = due(watch, accepted);
+        // hyper takes a kept connection for idle until a head is whole. What has begun to come gets its answer first.
+        let may_close = !stopping && !matches!(watch.standing(), Standing::Arriving(_));
         tokio::select! {
             biased;
             // First: what has come by now is looked at before any deadline is.
@@ -471,7 +534,7 @@
                     return;
                 }
             }
-            () = closing(&mut stage, watch, accepted), if !stopping => {
+            () = closing(&mut stage, watch, accepted), if may_close => {
                 if crossed(&socket, watch) {
                     tokio::task::yield_now().await;
                     continue;
