A second process serves beside the running one and takes its clients' address over

Design: each process holds one of two seats of the address, files in $TMPDIR under an advisory lock (std File::lock), and says there how far it is and how many descriptors it may hold. The new one listens (SO_REUSEPORT) only when it can serve. At SIGTERM the old one, beside one that serves, has a packet filter on its listener drop new SYNs (the senders' repeats reach the other listener), accepts what waits, closes the listener, and closes each connection behind its next answer; what is idle after 0.7 s is closed as before. /healthz says yes meanwhile, since the address is served. Descriptors: the old one gives way to a half, the new one takes what that leaves, a half at most, until it is alone.

Rejected: accepting on for 0.7 s beside the other listener and closing then: what comes between the last accept and the close is reset. Rejected: finding the other process by a bind without SO_REUSEPORT: it doesn't tell the number of descriptors, whether the other serves, or when it has gone. That bind is still tried by a process that is alone, so that it joins no process with another $TMPDIR. Rejected: fork or handing the socket over: one process, no Unix sockets.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub mod reach;
 pub mod release;
 pub mod server;
+pub mod upgrade;
 
 use std::pin::Pin;
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -295,6 +295,8 @@
     sockets: std::sync::Arc<Semaphore>,
     /// Those that only releases may have.
     reserve: std::sync::Arc<Semaphore>,
+    /// Sockets at the most, those of the reserve included.
+    size: Rc<Cell<usize>>,
     connect_timeout: Duration,
     keep: Duration,
     /// Until when kept connections are not to be trusted.
@@ -307,11 +309,32 @@
 impl Pool {
     /// A pool of at most `sockets` connections, a sixteenth of them for releases alone, idle ones kept for `keep`.
     pub fn new(sockets: usize, connect_timeout: Duration, keep: Duration, counters: Rc<Counters>) -> Self {
-        let reserve = sockets / RESERVE;
+        let (size, reserve) = (Rc::new(Cell::new(sockets)), sockets / RESERVE);
         let semaphore = |n| std::sync::Arc::new(Semaphore::new(n));
         let (sockets, reserve) = (semaphore(sockets - reserve), semaphore(reserve));
         let (idle, distrust, reach) = (Rc::default(), Rc::default(), Rc::default());
-        Pool { idle, sockets, reserve, connect_timeout, keep, distrust, reach, counters }
+        Pool { idle, sockets, reserve, size, connect_timeout, keep, distrust, reach, counters }
+    }
+
+    /// Sockets at the most.
+    pub fn size(&self) -> usize {
+        self.size.get()
+    }
+
+    /// Moves the bound, the reserve aside. Downwards idle connections go first, and what is in use stays: the bound
+    /// comes down as far as that allows, and further at the next call.
+    pub fn resize(&self, sockets: usize) {
+        let size = self.size.get();
+        if sockets >= size {
+            self.sockets.add_permits(sockets - size);
+            self.size.set(sockets);
+            return;
+        }
+        let most = size - sockets;
+        if self.sockets.available_permits() < most {
+            self.clear();
+        }
+        self.size.set(size - self.sockets.forget_permits(most));
     }
 
     /// A connection has broken off before its answer. One that was kept and is reset as soon as a request is written
--- a/src/net/pool/tests.rs
+++ b/src/net/pool/tests.rs
@@ -48,3 +48,36 @@
         assert!(meter.complete(), "cut at {cut}");
     }
 }
+
+/// Guards against requests that a lowered bound cuts off, and against two processes that hold more than they share.
+#[tokio::test]
+async fn a_bound_comes_down_as_what_is_in_use_ends_and_goes_up_at_once() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let wait = Duration::from_secs(5);
+    let whole = 2 * RESERVE;
+    let pool = Pool::new(whole, wait, wait, Rc::default());
+    let target = Target { worker: WorkerId("a".into()), address, within: None, reserved: false };
+    let run = async {
+        let mut open = Vec::new();
+        for _ in 0..whole / 2 {
+            open.push(pool.clone().connect(target.clone()).await.unwrap());
+        }
+        pool.resize(whole / 4);
+        let reserve = whole / RESERVE;
+        assert_eq!(pool.size(), whole / 2 + reserve, "what is in use stays");
+        let refused = pool.clone().connect(target.clone()).await;
+        assert!(matches!(refused, Err(ConnectError::OverBound)));
+        open.truncate(1);
+        pool.resize(whole / 4);
+        assert_eq!(pool.size(), whole / 4);
+        // What idles goes first.
+        pool.put_back(&target, open.pop().unwrap());
+        pool.resize(reserve);
+        assert_eq!(pool.size(), reserve);
+        pool.resize(whole);
+        assert_eq!(pool.size(), whole);
+        pool.clone().connect(target.clone()).await.unwrap();
+    };
+    tokio::task::LocalSet::new().run_until(run).await;
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,6 +2,7 @@
 
 use super::Local;
 use super::framing::{Standing, Watch, Watched};
+use super::upgrade::socket::turn_away_new;
 use crate::counters::Counters;
 use crate::exchange::Call;
 use crate::front::jsonrpc;
@@ -51,6 +52,8 @@
 const MOST_LINGER: usize = 2 * MOST_BODY;
 /// Connections over the bound that are still told so; beyond them, new ones wait in the system's queue.
 pub const OVER: usize = 16;
+/// How long a listener that leaves an address to another one waits for the end of handshakes that had begun.
+const HANDSHAKE: Duration = Duration::from_millis(2);
 /// For a request that did not come in time.
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
@@ -205,6 +208,8 @@
 pub enum Stage {
     /// In service.
     Open,
+    /// Another process serves the address: nothing more is accepted, and each answer closes its connection.
+    Leaving,
     /// Idle connections are closed, and each one after the answer under way.
     Closing,
 }
@@ -214,6 +219,8 @@
 pub struct Connections {
     all: RefCell<BTreeMap<u64, Rc<Watch>>>,
     next: Cell<u64>,
+    /// The most that there may be now, where that is less than the listener's own bound.
+    most: Cell<Option<usize>>,
 }
 
 impl Connections {
@@ -222,6 +229,16 @@
         self.all.borrow().len()
     }
 
+    /// Moves the bound, never above the listener's own. What is idle goes at once, as far as it is over the bound.
+    pub fn bound_to(&self, most: usize, counters: &Counters) {
+        self.most.set(Some(most));
+        for _ in most..self.count() {
+            if !self.make_room(counters) {
+                return;
+            }
+        }
+    }
+
     fn enter(self: &Rc<Self>, watch: Rc<Watch>) -> Place {
         let number = self.next.get();
         self.next.set(number + 1);
@@ -322,7 +339,7 @@
             self.room().await;
             tokio::select! {
                 biased;
-                _ = stage.wait_for(|s| *s == Stage::Closing) => break,
+                _ = stage.wait_for(|s| *s != Stage::Open) => break,
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => self.begin(stream, service.clone()),
                     Err(error) => {
@@ -333,9 +350,25 @@
                 }
             }
         }
-        // The system is asked itself: the runtime may not have been told yet of what has come. Not for ever, though:
-        // clients may come without end.
         let Ok(listener) = listener.into_std() else { return };
+        if *stage.borrow() == Stage::Leaving {
+            if let Err(error) = turn_away_new(&listener) {
+                log::warn!("accept: new connections can't be turned away: {error}");
+            }
+            self.empty(&listener, &service).await;
+            // A handshake that had begun may still end.
+            tokio::time::sleep(HANDSHAKE).await;
+        }
+        self.empty(&listener, &service).await;
+    }
+
+    /// Accepts what waits. The system is asked itself: the runtime may not have been told yet of what has come. Not for
+    /// ever, though: clients may come without end.
+    async fn empty<S>(&self, listener: &std::net::TcpListener, service: &S)
+    where
+        S: Service<Arrival, Response = Response<AnswerBody>> + Clone + Unpin + 'static,
+        S::Future: 'static,
+    {
         for _ in 0..self.bound + OVER {
             self.room().await;
             let Ok((stream, _)) = listener.accept() else { return };
@@ -345,9 +378,14 @@
         }
     }
 
+    /// The most connections now, [`OVER`] aside.
+    fn most(&self) -> usize {
+        self.open.most.get().map_or(self.bound, |most| most.min(self.bound))
+    }
+
     /// Waits until there is room for one more connection, if only to be refused.
     async fn room(&self) {
-        while self.open.count() >= self.bound + OVER {
+        while self.open.count() >= self.most() + OVER {
             self.open.make_room(&self.edge.shared.counters);
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
@@ -364,8 +402,8 @@
         let place = self.open.enter(watch.clone());
         // Room is made before there is none: clients that keep their connections for good must not leave a burst
         // to those that are refused.
-        let crowded = self.open.count() > self.bound * 3 / 4;
-        let over = crowded && !self.open.make_room(&counters) && self.open.count() > self.bound;
+        let crowded = self.open.count() > self.most() * 3 / 4;
+        let over = crowded && !self.open.make_room(&counters) && self.open.count() > self.most();
         if over {
             counters.connections_over_bound.up();
         }
@@ -389,7 +427,7 @@
                             }
                         }
                     };
-                    if over || watch.is_spent() || *stage.borrow() == Stage::Closing {
+                    if over || watch.is_spent() || *stage.borrow() != Stage::Open {
                         let close = hyper::header::HeaderValue::from_static("close");
                         response.headers_mut().insert("connection", close);
                     }
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -241,6 +241,43 @@
     LocalSet::new().run_until(tell).await;
 }
 
+/// Guards against requests that cross the closing of their connection: as another process takes the address over, a
+/// client that rests is left in peace, and its next answer tells it to go.
+#[tokio::test]
+async fn as_another_process_takes_over_answers_close_their_connections_and_what_rests_stays() {
+    let tell = async {
+        let address = "127.0.0.1:0".parse().unwrap();
+        let listener = crate::net::upgrade::socket::listen(address, true).unwrap();
+        let _other = crate::net::upgrade::socket::listen(listener.local_addr().unwrap(), true).unwrap();
+        let (stage, stages) = watch::channel(Stage::Open);
+        let open = Rc::new(Connections::default());
+        let edge = Edge { shared: shared(1), tools: None };
+        let accepting = Listener { edge, bound: 64, waiting: 64, stage: stages, open: open.clone() };
+        // Some of them wait at the other listener, which nobody serves.
+        let mut clients: Vec<_> = (0..64).map(|_| connect(&listener)).collect();
+        let accepted = spawn_local(accepting.accept(listener));
+        stage.send(Stage::Leaving).unwrap();
+        accepted.await.unwrap();
+        let here = open.count();
+        assert!(here > 0 && here < clients.len());
+        for client in &mut clients {
+            client.write_all(ASKED).unwrap();
+        }
+        while open.count() > 0 {
+            tokio::task::yield_now().await;
+        }
+        let mut answered = 0;
+        for mut client in clients {
+            client.set_nonblocking(true).unwrap();
+            let mut come = String::new();
+            let _ = client.read_to_string(&mut come);
+            answered += usize::from(come.starts_with("HTTP/1.1 200 OK") && come.contains("connection: close"));
+        }
+        assert_eq!(answered, here);
+    };
+    LocalSet::new().run_until(tell).await;
+}
+
 /// Guards against events lost with a stream that breaks: what a slow client had not taken yet was dropped by hyper.
 #[tokio::test]
 async fn a_stream_that_breaks_gives_a_slow_client_all_that_came_before() {
--- /dev/null
+++ b/src/net/upgrade/socket.rs
@@ -0,0 +1,50 @@
+//! Listeners that stand beside another one at the same address.
+
+use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, Type};
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// Opens a listener; with `beside`, one that admits others at the same address (SO_REUSEPORT).
+///
+/// # Errors
+/// The system's.
+pub fn listen(address: SocketAddr, beside: bool) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(beside)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Has the system drop each new connection's first packet (SYN) that it hands to this listener. Its sender repeats it
+/// after a second, and by then it goes to the listener that is left. A listener that is closed without this resets
+/// what came between its last accept and the close.
+///
+/// # Errors
+/// The system's: it knows no packet filters. New connections come as before then.
+pub fn turn_away_new(listener: &std::net::TcpListener) -> io::Result<()> {
+    const LOAD_BYTE: u16 = 0x30;
+    const AND: u16 = 0x54;
+    const JUMP_IF_EQUAL: u16 = 0x15;
+    const RETURN: u16 = 0x06;
+    const TCP_FLAGS_AT: u32 = 13;
+    const SYN: u32 = 0x02;
+    const ACK: u32 = 0x10;
+    // The last packet of a handshake under way carries no SYN and passes.
+    SockRef::from(listener).attach_filter(&[
+        SockFilter::new(LOAD_BYTE, 0, 0, TCP_FLAGS_AT),
+        SockFilter::new(AND, 0, 0, SYN | ACK),
+        SockFilter::new(JUMP_IF_EQUAL, 0, 1, SYN),
+        SockFilter::new(RETURN, 0, 0, 0),
+        SockFilter::new(RETURN, 0, 0, u32::MAX),
+    ])
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/run.rs
+++ b/src/run.rs
@@ -5,7 +5,6 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, MissedTickBehavior};
@@ -24,6 +23,9 @@
 use whinhaven::net::discovery::{Directory, Follower, Weigh};
 use whinhaven::net::pool::Pool;
 use whinhaven::net::server::{Connections, Edge, Listener, OVER, Stage};
+use whinhaven::net::upgrade::seat::Phase;
+use whinhaven::net::upgrade::share::{Shares, Split};
+use whinhaven::net::upgrade::{self, Place, Sharing};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
@@ -32,6 +34,8 @@
 const RELEASED: Duration = Duration::from_secs(2);
 /// How often idle connections are looked at.
 const RETIRE: Duration = Duration::from_millis(500);
+/// The list of the configuration is the first that is taken; the next is of discovery.
+const LISTS_OF_ITS_OWN: u64 = 1;
 /// Descriptors for everything that is neither a client nor a model host.
 const SPARE_SOCKETS: usize = 24;
 
@@ -147,9 +151,11 @@
     let mut term = signal(SignalKind::terminate()).map_err(failed)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
     let mut usr1 = signal(SignalKind::user_defined1()).map_err(failed)?;
-    let listener = TcpListener::bind(config.listen).await;
-    let bound = listener.and_then(|l| Ok((l.local_addr()?, l)));
-    let (address, listener) = bound.map_err(|e| ConfigError(format!("listen {}: {e}", config.listen)))?;
+    // A member of a fleet is known to the others by its peer address, which two processes can't share.
+    let place = match config.fleet {
+        None => Place::take(&std::env::temp_dir(), config.listen).await?,
+        Some(_) => Place::Exclusive,
+    };
     let counters = Rc::new(Counters::default());
     let clock = Clock::start();
     let (core, queue) = CoreHandle::channel(clock);
@@ -158,15 +164,18 @@
     let spare = SPARE_SOCKETS
         + config.tools.as_ref().map_or(0, |t| t.max_calls_at_once)
         + config.fleet.as_ref().map_or(0, |f| f.sockets());
-    let sockets = config.limits.sockets.saturating_sub(spare);
-    let (to_hosts, to_clients) = (sockets * 9 / 20, sockets - sockets * 9 / 20);
+    let shares = Shares::new(config.limits.sockets, spare);
+    let Split { hosts: to_hosts, clients: to_clients } = Split::of(shares.whole(), spare);
     if to_hosts < 64 {
         return Err(ConfigError(format!("limits.sockets: {} are too few", config.limits.sockets)));
     }
+    let (first_share, beside) = place.first_share(shares).await?;
+    let not_bound = |e: std::io::Error| ConfigError(format!("listen {}: {e}", config.listen));
+    let listener = if beside { None } else { Some(place.listen_alone(config.listen).map_err(not_bound)?) };
     // What conductors draw by chance has to differ between them, also where no file states a seed.
     let own_seed = xxh3_64_with_seed(config.name.as_bytes(), config.seed);
     let connect_timeout = Duration::from_micros(settings.connect_timeout.max(10_000));
-    let pool = Pool::new(to_hosts, connect_timeout, config.idle_close / 3, counters.clone());
+    let pool = Pool::new(Split::of(first_share, spare).hosts, connect_timeout, config.idle_close / 3, counters.clone());
     let directory = Rc::new(Directory::default());
     let (watch_again, fetch_list) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
     let pending = Rc::<Pending>::default();
@@ -257,11 +266,19 @@
     let (discovery, address_told) = watch::channel(config.discovery);
     tokio::task::spawn_local(follower.follow(address_told));
     let stopping = Rc::new(Cell::new(false));
+    let (listening, other_serves) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+    let able = {
+        let (directory, kinds) = (directory.clone(), settings.kinds.clone());
+        move || directory.can_serve(&kinds)
+    };
     let ready = {
         let (directory, stopping, kinds) = (directory.clone(), stopping.clone(), settings.kinds.clone());
         let gate = gate.clone();
         let holds = move || gate.as_ref().is_none_or(|gate| gate.is_ready());
-        move || !stopping.get() && directory.can_serve(&kinds) && holds()
+        let (listening, other_serves) = (listening.clone(), other_serves.clone());
+        // Clients ask at the address. It is served on where another process stays there.
+        let stays = move || listening.get() && (!stopping.get() || other_serves.get());
+        move || stays() && directory.can_serve(&kinds) && holds()
     };
     let may_serve: Box<dyn Fn() -> bool> = match fleet.clone() {
         Some(fleet) => Box::new(move || fleet.may_serve()),
@@ -299,6 +316,33 @@
     let (stage, stages) = watch::channel(Stage::Open);
     let open = Rc::new(Connections::default());
     let bound = to_clients - OVER;
+    let sharing = Rc::new(Sharing {
+        place,
+        shares,
+        spare,
+        pool: pool.clone(),
+        open: open.clone(),
+        left_to_other: shared.budget.get() / 2,
+        shared: shared.clone(),
+        phase: Cell::new(Phase::Starting),
+        other_serves: other_serves.clone(),
+    });
+    tokio::task::spawn_local(sharing.clone().look_after());
+    let listener = match listener {
+        Some(listener) => listener,
+        None => {
+            let has_list = || config.discovery.is_none() || counters.lists.get() > LISTS_OF_ITS_OWN;
+            tokio::select! {
+                () = sharing.wait_to_serve(able, has_list) => {}
+                _ = term.recv() => return Ok(()),
+                _ = interrupt.recv() => return Ok(()),
+            }
+            upgrade::socket::listen(config.listen, true).map_err(not_bound)?
+        }
+    };
+    let address = listener.local_addr().map_err(not_bound)?;
+    listening.set(true);
+    sharing.enter(Phase::Serving);
     let accepting =
         Listener { edge: Edge { shared, tools }, bound, waiting: bound, stage: stages, open: open.clone() };
     let accepting = tokio::task::spawn_local(accepting.accept(listener));
@@ -330,7 +374,12 @@
             }
         }
     }
-    log::info!("stopping: accepting for {} ms more", ACCEPT_ON.as_millis());
+    sharing.enter(Phase::Stopping);
+    if other_serves.get() {
+        log::info!("stopping: another process serves {address}; this one leaves it");
+    } else {
+        log::info!("stopping: accepting for {} ms more", ACCEPT_ON.as_millis());
+    }
     stopping.set(true);
     let leave = async || {
         if let Some(fleet) = &fleet {
@@ -345,7 +394,14 @@
                 leave().await;
             }
         };
-        tokio::join!(early, tokio::time::sleep(ACCEPT_ON));
+        let successor = async {
+            while !other_serves.get() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+            let _ = stage.send(Stage::Leaving);
+            std::future::pending::<()>().await;
+        };
+        tokio::join!(early, tokio::time::timeout(ACCEPT_ON, successor)).1.unwrap_or_default();
         let _ = stage.send(Stage::Closing);
         // What the system has accepted by now is taken.
         let _ = accepting.await;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -35,24 +35,40 @@
 }
 
 impl Conductor {
+    /// Starts it and waits until it serves.
     pub fn start(operator_file: &str) -> Conductor {
+        Conductor::launch(operator_file, &std::env::temp_dir()).serving()
+    }
+
+    /// Starts it with a temporary folder.
+    pub fn launch(operator_file: &str, temporary: &std::path::Path) -> Conductor {
         static NUMBER: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("whinhaven-{}-{number}.toml", std::process::id()));
         std::fs::write(&file, operator_file).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_whinhaven"))
             .args(["serve", file.to_str().unwrap()])
+            .env("TMPDIR", temporary)
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (lines, log) = mpsc::channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).all(|line| lines.send(line).is_ok()));
-        let mut conductor = Conductor { child, address: "127.0.0.1:1".parse().unwrap(), log, file };
-        let line = conductor.wait_for("serves on ");
+        Conductor { child, address: "127.0.0.1:1".parse().unwrap(), log, file }
+    }
+
+    /// Waits until it serves.
+    pub fn serving(mut self) -> Conductor {
+        let line = self.wait_for("serves on ");
         let address = line.split("serves on ").nth(1).unwrap().split(',').next().unwrap();
-        conductor.address = address.parse().unwrap();
-        conductor
+        self.address = address.parse().unwrap();
+        self
+    }
+
+    /// Waits for its end; whether that was in order.
+    pub fn ends_well(mut self) -> bool {
+        self.child.wait().unwrap().success()
     }
 
     /// Waits for a line of the log.
