--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -71,7 +71,7 @@
         let client = |number: u64| {
             let (stop, answered) = (stop.clone(), answered.clone());
             thread::spawn(move || {
-                let mut client = Client { address, keeps: number % 2 == 0, kept: None };
+                let mut client = Client { address, keeps: number.is_multiple_of(2), kept: None };
                 for turn in 0.. {
                     if stop.load(Ordering::SeqCst) {
                         return;
