--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -279,6 +279,37 @@
     LocalSet::new().run_until(tell).await;
 }
 
+/// Guards against clients that are reset as the listener closes: from then on the other one gets them.
+#[tokio::test(start_paused = true)]
+async fn as_another_process_takes_over_the_system_hands_nothing_new_to_this_one() {
+    let tell = async {
+        let listener = crate::net::upgrade::socket::listen("127.0.0.1:0".parse().unwrap(), true).unwrap();
+        let address = listener.local_addr().unwrap();
+        let _other = crate::net::upgrade::socket::listen(address, true).unwrap();
+        let (stage, stages) = watch::channel(Stage::Open);
+        let open = Rc::new(Connections::default());
+        let edge = Edge { shared: shared(1), tools: None };
+        let accepting = Listener { edge, bound: 128, waiting: 128, stage: stages, open: open.clone() };
+        let accepted = spawn_local(accepting.accept(listener));
+        stage.send(Stage::Leaving).unwrap();
+        // It waits for the end of handshakes then: the clock stands for as long as there is something to do.
+        for _ in 0..100 {
+            tokio::task::yield_now().await;
+        }
+        assert!(!accepted.is_finished());
+        let begin = |_| {
+            let client = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            client.set_nonblocking(true).unwrap();
+            let _ = client.connect(&address.into());
+            client
+        };
+        let _clients: Vec<_> = (0..64).map(begin).collect();
+        accepted.await.unwrap();
+        assert_eq!(open.count(), 0);
+    };
+    LocalSet::new().run_until(tell).await;
+}
+
 /// Guards against events lost with a stream that breaks: what a slow client had not taken yet was dropped by hyper.
 #[tokio::test]
 async fn a_stream_that_breaks_gives_a_slow_client_all_that_came_before() {
