--- a/src/ops/door.rs
+++ b/src/ops/door.rs
@@ -294,3 +294,6 @@
         self.connections.left.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests;
