--- a/src/ops/door.rs
+++ b/src/ops/door.rs
@@ -1,7 +1,8 @@
 //! The operators' door: HTTP/1.1 on an address of its own, one call a connection.
 //!
-//! Nothing here waits on requests, model hosts or discovery, and a caller that doesn't finish its call can't hold the
-//! others up: connections are few, their time is bounded, and the oldest one without a whole call makes room.
+//! Nothing here waits on requests, model hosts or discovery, and a caller that doesn't finish its call can't
+//! hold the others up: connections are few, their time is bounded, and the oldest one without a whole call
+//! makes room.
 
 use super::figures::{Figures, Gauges};
 use crate::core::Input;
@@ -216,8 +217,8 @@
     response
 }
 
-/// Ends the sending, then reads and forgets until the caller has closed: it can take its answer though more of its
-/// bytes come.
+/// Ends the sending, then reads and forgets until the caller has closed: it can take its answer though more
+/// of its bytes come.
 async fn linger(stream: TcpStream) {
     let _ = socket2::SockRef::from(&stream).shutdown(Shutdown::Write);
     let drained = async {
--- a/src/ops/door/tests.rs
+++ b/src/ops/door/tests.rs
@@ -5,8 +5,8 @@
     (0..=MOST_CONNECTIONS).map(|_| connections.enter()).collect()
 }
 
-/// Guards against callers without a whole call that hold all places until their time is over, and against one that is
-/// displaced before its call has been looked at.
+/// Guards against callers without a whole call that hold all places until their time is over, and against one
+/// that is displaced before its call has been looked at.
 #[tokio::test(start_paused = true)]
 async fn the_oldest_connection_without_a_whole_call_makes_room_once_it_has_settled() {
     let connections = Rc::<Connections>::default();
--- a/src/ops/figures.rs
+++ b/src/ops/figures.rs
@@ -1,7 +1,8 @@
 //! Figures for operators: how requests of each class ended, what is in hand, what is known of model hosts.
 //!
-//! [`Figures`] hands out one [`Tally`] for each request as its head arrives. The tally is ended once, by the status of
-//! a short answer or by the end of a stream, where the answer leaves for the client: whoever worded it, it is counted.
+//! [`Figures`] hands out one [`Tally`] for each request as its head arrives. The tally is ended once, by the
+//! status of a short answer or by the end of a stream, where the answer leaves for the client: whoever worded
+//! it, it is counted.
 
 use crate::counters::Count;
 use crate::interface::Class;
@@ -50,7 +51,8 @@
     }
 }
 
-/// The figures of this process from its start on. Classes that the settings no longer name keep what they counted.
+/// The figures of this process from its start on. Classes that the settings no longer name keep what they
+/// counted.
 #[derive(Debug, Default)]
 pub struct Figures {
     classes: RefCell<BTreeMap<String, Rc<ClassFigures>>>,
@@ -58,8 +60,8 @@
 }
 
 impl Figures {
-    /// Begins the tally of a request of this class. Names that the settings don't have are not counted: clients may
-    /// make up any number of them.
+    /// Begins the tally of a request of this class. Names that the settings don't have are not counted:
+    /// clients may make up any number of them.
     pub fn begin(self: &Rc<Self>, class: Option<&str>, known: &[Class]) -> Rc<Tally> {
         let class = class.filter(|name| known.iter().any(|c| c.name == *name));
         let class = class.map(|name| self.class(name));
@@ -138,7 +140,8 @@
     }
 }
 
-/// One request on its way through the conductor. Dropped without an ending, its client has left: it is not counted.
+/// One request on its way through the conductor. Dropped without an ending, its client has left: it is not
+/// counted.
 #[derive(Debug)]
 pub struct Tally {
     figures: Rc<Figures>,
--- a/src/ops/figures/tests.rs
+++ b/src/ops/figures/tests.rs
@@ -46,7 +46,8 @@
     assert!(lines(&figures, &known).iter().all(|line| line.ends_with("=0")));
 }
 
-/// Guards against memory that grows with each name that a client makes up, and against counts lost at a reload.
+/// Guards against memory that grows with each name that a client makes up, and against counts lost at a
+/// reload.
 #[test]
 fn classes_that_are_unknown_leave_nothing_and_those_that_went_keep_their_counts() {
     let (figures, known) = (Rc::new(Figures::default()), classes(&["chat"]));
