--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -6,6 +6,7 @@
 use std::net::TcpStream;
 use std::sync::{Mutex, mpsc};
 use std::thread::JoinHandle;
+use std::time::Instant;
 use support::*;
 
 const DOOR: &str = "ops = \"127.0.0.1:0\"";
@@ -32,6 +33,14 @@
     assert_eq!(client.read(&mut [0]).expect("ended in order"), 0);
 }
 
+/// A connection that rests: one request has been answered on it.
+fn resting(conductor: &Conductor) -> BufReader<TcpStream> {
+    let mut client = BufReader::new(conductor.connect());
+    client.get_mut().write_all(HEALTH).unwrap();
+    assert_eq!(Message::read(&mut client).unwrap().header("connection"), None);
+    client
+}
+
 /// A writer that answers at once.
 fn prompt_writer() -> Peer {
     Peer::start(|_, conn| {
@@ -72,10 +81,11 @@
         let mut client = BufReader::new(conductor.connect());
         let (begun, name) = (begun.clone(), format!("{name}-{number}"));
         std::thread::spawn(move || {
-            let mut answered = 0;
+            let (mut answered, since) = (0, Instant::now());
             while let Some(answer) = ask(&mut client, &format!("{name}-{answered}")) {
                 answered += 1;
                 _ = begun.send(());
+                assert!(since.elapsed() < STUCK, "the connection is kept");
                 if answer.header("connection") == Some("close") {
                     break;
                 }
@@ -152,7 +162,7 @@
     let mut client = BufReader::new(conductor.connect());
     client.get_mut().write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
     client.fill_buf().unwrap();
-    let mut resting = conductor.connect();
+    let mut resting = resting(&conductor);
     drain(&conductor, "start");
     ends(&mut resting);
     conductor.reload(&file);
@@ -177,7 +187,7 @@
     let mut client = BufReader::new(conductor.connect());
     client.get_mut().write_all(request("id-1", "send", "hello").as_bytes()).unwrap();
     client.fill_buf().unwrap();
-    let mut resting = conductor.connect();
+    let mut resting = resting(&conductor);
     drain(&conductor, "start");
     ends(&mut resting);
     conductor.signal("-TERM");
