--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,20 +1,18 @@
 //! The client side: carries out attempts at model hosts and the calls around them.
 
 use super::Local;
+use super::answer::{Answered, End, MOST_ANSWER, Stream, Tail};
 use super::discovery::Directory;
-use super::events::Events;
 use super::pool::{ConnectError, Connection, Pool, Target};
 use super::release::{Fanout, HEDGE};
 use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
 use crate::counters::Counters;
 use crate::exchange::{Call, FeedSource, Frame, Reply, feed, is_plain_id};
-use crate::interface::{AttemptIndex, Outcome, Report, Reports, RequestId, WorkerId};
+use crate::interface::{AttemptIndex, Micros, Outcome, Reports, RequestId, WorkerId};
 use crate::wire::read_report;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::{Request, Response, StatusCode};
-use serde::Deserialize;
+use hyper::{Request, StatusCode};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -23,15 +21,11 @@
 use tokio::time::Instant;
 use tower::{Service, ServiceExt};
 
-/// The longest answer that is not a stream.
-const MOST_ANSWER: usize = 64 * 1024;
 /// A stream without an event for this long is dead, whatever its connection says: a machine that vanished
 /// says nothing, and a client left waiting 5 s has lost its answer.
 const STALLED: Duration = Duration::from_millis(4500);
 /// The head of an answer comes whole, from its first byte on.
 const HEAD_WHOLE: Duration = Duration::from_millis(500);
-/// The short body of an answer that is no stream comes with its head.
-const BODY_BEHIND: Duration = Duration::from_millis(500);
 /// A client that takes nothing of its stream for this long is gone.
 const CLIENT_STALLED: Duration = Duration::from_secs(30);
 /// What a connection's close takes to reach its model host, with much to spare. Two connections are not in order with
@@ -44,8 +38,6 @@
 /// A release that no host has taken is given up then. Its limit is long past, but what is held must not fill a host's
 /// memory for good: the longest cut or hang that operators have recorded is over by then.
 const RELEASE_WITHIN: Duration = Duration::from_secs(30);
-/// Bytes at the end of a stream in which the report of kept tokens is looked for.
-const TAIL: usize = 512;
 
 /// The client side: an [`Outbound`] for the core, and a tower service for one call at one model host.
 #[derive(Clone)]
@@ -106,34 +98,6 @@
     body: usize,
 }
 
-/// An attempt's end, and what it found.
-struct End {
-    outcome: Outcome,
-    kept: u64,
-    report: Option<Report>,
-}
-
-impl From<Outcome> for End {
-    fn from(outcome: Outcome) -> Self {
-        End { outcome, kept: 0, report: None }
-    }
-}
-
-#[derive(Deserialize)]
-struct ReadDone {
-    cached_tokens: f64,
-}
-
-#[derive(Deserialize)]
-struct LastEvent {
-    usage: Usage,
-}
-
-#[derive(Deserialize)]
-struct Usage {
-    prompt_tokens_details: ReadDone,
-}
-
 /// Reports an attempt's end however its task ends: a panic in it must not leave the request without an outcome.
 struct Ending {
     core: CoreHandle,
@@ -167,18 +131,29 @@
     }
 
     async fn carry_out(&self, attempt: &mut Attempt) -> End {
-        let clock: Clock = self.core.clock;
-        let Some(mut target) = self.target(&attempt.worker) else { return Outcome::NotSent.into() };
         // Given up in time for its end to be told by then (see `abandon`).
         let give_up_at = attempt.until.saturating_sub(SETTLE.as_micros() as u64);
-        let deadline = tokio::time::sleep_until(clock.instant(give_up_at));
-        tokio::pin!(deadline);
+        match self.connect_for(attempt, give_up_at).await {
+            Ok(_) if !self.may_write(attempt) => Outcome::NotSent.into(),
+            Ok((target, connection)) => self.exchange(attempt, target, connection, give_up_at).await,
+            Err(outcome) => outcome.into(),
+        }
+    }
+
+    /// Waits for a release that goes first, and connects.
+    async fn connect_for(
+        &self,
+        attempt: &mut Attempt,
+        give_up_at: Micros,
+    ) -> Result<(Target, Connection), Outcome> {
+        let clock: Clock = self.core.clock;
+        let mut target = self.target(&attempt.worker).ok_or(Outcome::NotSent)?;
         if let Some(releasing) = &attempt.after {
             // A release that arrives while a read is out takes the state that this read will leave: the writer
             // would find nothing. So it goes first.
             tokio::select! {
                 biased;
-                _ = &mut attempt.cancelled => return Outcome::Dropped.into(),
+                _ = &mut attempt.cancelled => return Err(Outcome::Dropped),
                 () = releasing.over() => {}
                 () = tokio::time::sleep(RELEASE_FIRST) => {}
             }
@@ -187,21 +162,29 @@
         let connecting = self.connect(&target);
         let connected = tokio::select! {
             biased;
-            _ = &mut attempt.cancelled => return Outcome::Dropped.into(),
+            _ = &mut attempt.cancelled => return Err(Outcome::Dropped),
             connected = connecting => connected,
-            () = &mut deadline => return Outcome::NoConnection.into(),
+            () = clock.reach(Some(give_up_at)) => return Err(Outcome::NoConnection),
         };
-        let mut connection = match connected {
-            Ok(connection) => connection,
-            Err(ConnectError::OverBound) => return Outcome::NotSent.into(),
+        match connected {
+            Ok(connection) => Ok((target, connection)),
+            Err(ConnectError::OverBound) => Err(Outcome::NotSent),
             Err(error) => {
                 log::info!("request {}: {} not reached: {error}", attempt.call.id, attempt.worker.0);
-                return Outcome::NoConnection.into();
+                Err(Outcome::NoConnection)
             }
-        };
-        if !self.may_write(attempt) {
-            return Outcome::NotSent.into();
         }
+    }
+
+    /// Writes an attempt and waits for its end.
+    async fn exchange(
+        &self,
+        attempt: &mut Attempt,
+        target: Target,
+        mut connection: Connection,
+        give_up_at: Micros,
+    ) -> End {
+        let clock: Clock = self.core.clock;
         let left = give_up_at.saturating_sub(clock.now());
         let Some(request) = passed_on(&attempt.call, left) else { return Outcome::NotSent.into() };
         // Only now: an attempt that isn't written ends no release, or nobody would let go of what is held.
@@ -234,7 +217,7 @@
             biased;
             answered = answering => answered,
             _ = &mut attempt.cancelled => return cut_off(Outcome::Dropped).into(),
-            () = &mut deadline => {
+            () = clock.reach(Some(give_up_at)) => {
                 log::info!("request {}: no answer of {} in time", attempt.call.id, attempt.worker.0);
                 // It may be cut off, with a kept connection that looks alive.
                 self.pool.doubt(&attempt.worker);
@@ -293,12 +276,12 @@
         let (FeedSource { frames, mut replies, paused }, feed) = feed(content_type);
         let (request, index) = (attempt.request, attempt.attempt);
         self.core.tell(Input::First { request, attempt: index, feed });
-        let mut tail = Vec::with_capacity(2 * TAIL);
+        let mut tail = Tail::new();
         let mut next = Some(first);
         let mut heard = Instant::now();
         loop {
             if let Some(data) = next.take() {
-                keep_tail(&mut tail, &data);
+                tail.keep(&data);
                 // The channel is short: a slow client makes the model host wait, not this memory grow.
                 match tokio::time::timeout(CLIENT_STALLED, frames.send(Frame::Data(data))).await {
                     Ok(Ok(())) => heard = Instant::now(),
@@ -316,9 +299,9 @@
                 // From the last whole event on: bytes that make none are no sign of life.
                 came = tokio::time::timeout_at(heard + STALLED, events.next()) => match came {
                     Ok(Ok(Some(data))) => next = Some(data),
-                    Ok(Ok(None)) if framed || ends_done(&tail) => {
+                    Ok(Ok(None)) if framed || tail.ends_done() => {
                         let _ = frames.send(Frame::End).await;
-                        return (End { outcome: Outcome::Served, kept: kept(&tail), report: None }, framed);
+                        return (End { outcome: Outcome::Served, kept: tail.kept_tokens(), report: None }, framed);
                     }
                     // A writer that waits for a tool's result has nothing to say.
                     Err(_) if paused.get() => heard = Instant::now(),
@@ -446,79 +429,6 @@
     request.body(Full::new(call.body.clone())).ok()
 }
 
-struct Stream {
-    first: Bytes,
-    events: Events,
-    content_type: Option<String>,
-    framed: bool,
-}
-
-/// A model host's answer, up to its end or to the first event of a stream.
-enum Answered {
-    Whole { end: End, reusable: bool },
-    Stream(Stream),
-}
-
-impl Answered {
-    async fn read(response: Response<Incoming>) -> Result<Self, Box<dyn std::error::Error>> {
-        let (head, body) = response.into_parts();
-        let not_run = head.headers.get("x-not-run").is_some_and(|value| value == "1");
-        let report = head.headers.get("x-load").and_then(|v| read_report(v.to_str().ok()?).ok());
-        if head.status == StatusCode::OK {
-            let chunked = head.headers.get("transfer-encoding").is_some();
-            let framed = chunked || body.size_hint().exact().is_some();
-            let text = |v: &hyper::header::HeaderValue| v.to_str().ok().map(str::to_owned);
-            let content_type = head.headers.get("content-type").and_then(text);
-            let checked = content_type.as_ref().is_some_and(|t| t.starts_with("text/event-stream"));
-            let mut events = Events::new(body, checked);
-            // The head alone is no event: until one has come, the attempt is still this conductor's.
-            return match events.next().await? {
-                Some(first) => Ok(Answered::Stream(Stream { first, events, content_type, framed })),
-                None => Ok(Answered::Whole { end: Outcome::ConnectionLost.into(), reusable: false }),
-            };
-        }
-        // The status says it all: a body that doesn't come, or not to an end, costs the connection alone.
-        let whole = tokio::time::timeout(BODY_BEHIND, Limited::new(body, MOST_ANSWER).collect()).await;
-        let (reusable, bytes) =
-            whole.ok().and_then(Result::ok).map_or((false, Bytes::new()), |b| (true, b.to_bytes()));
-        let outcome = match head.status {
-            StatusCode::ACCEPTED => Outcome::Read,
-            StatusCode::GONE if not_run => Outcome::NoState,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::TurnedAway,
-            _ => Outcome::Error,
-        };
-        let kept = match outcome {
-            Outcome::Read => serde_json::from_slice::<ReadDone>(&bytes).map_or(0, |r| r.cached_tokens as u64),
-            _ => 0,
-        };
-        Ok(Answered::Whole { end: End { outcome, kept, report }, reusable })
-    }
-}
-
-fn keep_tail(tail: &mut Vec<u8>, data: &[u8]) {
-    if data.len() >= TAIL {
-        tail.clear();
-    }
-    tail.extend_from_slice(&data[data.len().saturating_sub(TAIL)..]);
-    if tail.len() > TAIL {
-        tail.drain(..tail.len() - TAIL);
-    }
-}
-
-fn ends_done(tail: &[u8]) -> bool {
-    tail.trim_ascii_end().ends_with(b"data: [DONE]")
-}
-
-/// The prompt tokens found kept, as the last events report them.
-fn kept(tail: &[u8]) -> u64 {
-    let text = String::from_utf8_lossy(tail);
-    let events = text.lines().rev().filter_map(|l| l.strip_prefix("data: "));
-    events
-        .filter_map(|e| serde_json::from_str::<LastEvent>(e).ok())
-        .next()
-        .map_or(0, |e| e.usage.prompt_tokens_details.cached_tokens as u64)
-}
-
 impl Service<SmallCall> for Hosts {
     type Response = (StatusCode, Bytes);
     type Error = Box<dyn std::error::Error>;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The conductor on sockets: tower services over hyper. [`server`] faces clients; [`client`], [`pool`] and
 //! [`discovery`] face model hosts and discovery. The two sides meet in an exchange only.
 
+mod answer;
 pub mod client;
 pub mod discovery;
 pub mod drain;
