--- a/src/policy.rs
+++ b/src/policy.rs
@@ -563,8 +563,8 @@
         out.push(Action::Send { request: id, worker: worker.clone(), timeout, send_by });
     }
 
-    /// Until when a request may be written to a worker, if at all: what may have run only inside the group and the
-    /// window of each earlier attempt, unless it is harmless to repeat.
+    /// Until when a request may be written to a worker, if at all: what may have run, and is not harmless to
+    /// repeat, only inside the group and the window of each earlier attempt.
     fn send_by(&self, r: &Request, w: &Worker) -> Option<Micros> {
         let Class { effect, repeat_window, .. } = self.set.classes[r.class];
         let same = |first: &Worker| match effect {
@@ -578,7 +578,7 @@
         r.effects().filter(|_| effect != Effect::Safe).map(until).min().unwrap_or(Some(Micros::MAX))
     }
 
-    /// Whether a request that may have run may go to this worker again: a connection may take its whole time-out.
+    /// Whether what may have run may go to this worker again: a connection may take its whole time-out.
     fn may_repeat_at(&self, r: &Request, w: &Worker) -> bool {
         self.send_by(r, w).is_some_and(|by| self.now + self.set.connect_timeout < by)
     }
