--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1,7 +1,6 @@
 //! The module's behaviour, one failure at a time, without any bench.
 
 use rstest::rstest;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use whinhaven::Policy;
 use whinhaven::interface::*;
