--- a/src/policy.rs
+++ b/src/policy.rs
@@ -352,8 +352,9 @@
         from(near).or_else(|| from(false)).cloned()
     }
 
-    /// Homes of a shared text, among which its sessions are spread: its part of all requests, in readers, where
-    /// there are many. A rare one would be read anew at each; a frequent one is more than one reader can take.
+    /// Homes of a shared text, among which its sessions are spread: its part of all requests, in readers,
+    /// where there are many. A rare one would be read anew at each; a frequent one is more than one reader
+    /// can take.
     fn homes(&self, ask: &Ask) -> u64 {
         let readers = self.most[Role::Reader as usize] as u64;
         let part = self.kept.share(ask, self.now, PREFIX_TTL);
@@ -919,8 +920,8 @@
         w.started.is_some_and(|at| self.now < at.saturating_add(self.set.cold))
     }
 
-    /// The one reader in slow start that may get this request, once: one in whose budget this router is one of
-    /// few with a share, for a session of which it knows no reader, else the home of its text.
+    /// The one reader in slow start that may get this request, once: one in whose budget this router is one
+    /// of few with a share, for a session of which it knows no reader, else the home of its text.
     fn slow_start_reader(&self, r: &Request) -> Option<WorkerId> {
         let ready = || self.ready(Role::Reader);
         let known = self.kept.knows_session(&r.ask);
@@ -946,9 +947,9 @@
         }
     }
 
-    /// The sends that a worker in slow start may get from all routers within `fall`: what it bears, and half of
-    /// what the rule puts down to chance, since what it bears is estimated. A warm one can do what warm ones
-    /// were seen to complete, or its part of the promised.
+    /// The sends that a worker in slow start may get from all routers within `fall`: what it bears, and half
+    /// of what the rule puts down to chance, since what it bears is estimated. A warm one can do what warm
+    /// ones were seen to complete, or its part of the promised.
     fn slow_start_budget(&self, w: &Worker) -> f64 {
         let promised = self.tenants.values().map(|t| t.0).sum::<f64>() / 1e6;
         let role = w.role as usize;
