A client's deadline runs from when its request came, also behind another one

Seen by reading: a request written behind the one in hand waits in the connection's read-ahead buffer until that is answered, and its deadline began when hyper was handed its head, so hosts were told more than the client had left. Change: heads are stamped with the moment at which their last bytes came from the socket; both fronts count from there.

--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -54,6 +54,9 @@
     method: String,
     #[serde(default, deserialize_with = "present")]
     params: Option<Box<RawValue>>,
+    /// When it came: its client's deadline runs from then on.
+    #[serde(skip)]
+    arrived: Micros,
 }
 
 impl Message {
@@ -408,11 +411,11 @@
     }
 
     /// Answers one HTTP message: a request, a notification or a batch.
-    pub async fn respond(self: Rc<Self>, body: Bytes) -> Response<AnswerBody> {
+    pub async fn respond(self: Rc<Self>, body: Bytes, arrived: Micros) -> Response<AnswerBody> {
         if !body.trim_ascii_start().starts_with(b"[") {
             return match serde_json::from_slice::<Box<RawValue>>(&body) {
                 Err(_) => self.fault(None, PARSE),
-                Ok(raw) => match self.decode(&raw) {
+                Ok(raw) => match self.decode(&raw, arrived) {
                     Err((id, fault)) => self.fault(id.as_deref(), fault),
                     Ok(message) => self.single(message).await,
                 },
@@ -426,7 +429,7 @@
         let mut running = Vec::new();
         for raw in items {
             let front = self.clone();
-            running.push(tokio::task::spawn_local(async move { front.of_batch(&raw).await }));
+            running.push(tokio::task::spawn_local(async move { front.of_batch(&raw, arrived).await }));
         }
         let mut answers = Vec::new();
         for task in running {
@@ -443,14 +446,14 @@
         fixed(StatusCode::OK, body)
     }
 
-    fn decode(&self, raw: &RawValue) -> Result<Message, (Option<Box<RawValue>>, Fault)> {
+    fn decode(&self, raw: &RawValue, arrived: Micros) -> Result<Message, (Option<Box<RawValue>>, Fault)> {
         #[derive(Deserialize)]
         struct IdOnly {
             id: Option<Box<RawValue>>,
         }
         let id = || serde_json::from_str::<IdOnly>(raw.get()).ok().and_then(|m| m.id).filter(|id| is_id(id));
         match serde_json::from_str::<Message>(raw.get()) {
-            Ok(message) if message.is_valid() => Ok(message),
+            Ok(message) if message.is_valid() => Ok(Message { arrived, ..message }),
             _ => Err((id(), INVALID)),
         }
     }
@@ -521,8 +524,8 @@
         }
     }
 
-    async fn of_batch(self: Rc<Self>, raw: &RawValue) -> Option<Vec<u8>> {
-        let message = match self.decode(raw) {
+    async fn of_batch(self: Rc<Self>, raw: &RawValue, arrived: Micros) -> Option<Vec<u8>> {
+        let message = match self.decode(raw, arrived) {
             Ok(message) => message,
             Err((id, Fault(_, error))) => return Some(error_line(id.as_deref(), &error)),
         };
@@ -599,7 +602,7 @@
             return Err(Fault::refused(Some(CUT_OFF)));
         }
         let mut in_hand = self.take_in_hand(params.request.as_str().into(), params.resume.is_some())?;
-        let deadline = self.shared.core.clock.now() + params.deadline_ms * 1000;
+        let deadline = message.arrived + params.deadline_ms * 1000;
         let pass = tokio::select! {
             pass = self.shared.begin(deadline) => pass.map_err(|advice| Fault::refused(Some(advice)))?,
             _ = in_hand.stop.wait_for(|s| *s != Stop::No) => return Err(CANCELLED),
@@ -797,6 +800,7 @@
                     id: event.id,
                     method,
                     params: event.params,
+                    arrived: self.shared.core.clock.now(),
                 };
                 if !message.is_valid() {
                     return Err(Ended::Broken);
--- a/src/net/client/tests.rs
+++ b/src/net/client/tests.rs
@@ -49,6 +49,18 @@
 
     /// Sends one attempt that has this long; the other end of its cancellation.
     fn send(&self, body: Bytes, time: Duration, send_by: Option<Duration>) -> oneshot::Sender<()> {
+        let (attempt, cancel) = self.attempt(body, time, send_by);
+        self.hosts.send(attempt);
+        cancel
+    }
+
+    /// An attempt that has this long, and the other end of its cancellation.
+    fn attempt(
+        &self,
+        body: Bytes,
+        time: Duration,
+        send_by: Option<Duration>,
+    ) -> (Attempt, oneshot::Sender<()>) {
         let after = |time: Duration| self.hosts.core.clock.now() + time.as_micros() as u64;
         let call = Call {
             id: "id-1".into(),
@@ -59,7 +71,7 @@
             name: None,
         };
         let (cancel, cancelled) = oneshot::channel();
-        self.hosts.send(Attempt {
+        let attempt = Attempt {
             request: RequestId(1),
             attempt: AttemptIndex(0),
             worker: WorkerId(HOST.into()),
@@ -71,8 +83,8 @@
             after: None,
             cancelled,
             gone: Rc::default(),
-        });
-        cancel
+        };
+        (attempt, cancel)
     }
 
     /// The end of the attempt.
@@ -91,11 +103,12 @@
 }
 
 /// Reads a request without a body.
-async fn read_head(stream: &mut TcpStream) {
+async fn read_head(stream: &mut TcpStream) -> String {
     let mut read = Vec::new();
     while !read.ends_with(b"\r\n\r\n") {
         read.push(stream.read_u8().await.unwrap());
     }
+    String::from_utf8(read).unwrap()
 }
 
 async fn read_to_end(stream: &mut TcpStream) -> usize {
@@ -163,6 +176,52 @@
         .await;
 }
 
+/// Guards against an attempt that begins after its client has closed its connection or cancelled: that was seen while
+/// the attempt's own connection came up.
+#[tokio::test]
+async fn nothing_is_written_for_a_client_that_has_gone() {
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listen().await;
+            let mut rig = Rig::new(address);
+            let (attempt, _cancel) = rig.attempt(Bytes::new(), Duration::from_secs(60), None);
+            let gone = attempt.gone.clone();
+            rig.hosts.send(attempt);
+            gone.set(true);
+            let (mut stream, _) = listener.accept().await.unwrap();
+            assert_eq!(rig.ended().await, Outcome::NotSent);
+            assert_eq!(read_to_end(&mut stream).await, 0);
+            assert_eq!(rig.hosts.counters.held_back.get(), 1);
+        })
+        .await;
+}
+
+/// Guards against a host that is told of more time than the client has left: what goes before the head takes its part.
+#[tokio::test(start_paused = true)]
+async fn the_deadline_passed_on_is_what_is_left_when_the_head_is_written() {
+    const TIME: Duration = Duration::from_secs(60);
+    const RELEASE: Duration = Duration::from_millis(80);
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = listen().await;
+            let rig = Rig::new(address);
+            let (mut attempt, _cancel) = rig.attempt(Bytes::new(), TIME, None);
+            let releasing = Rc::<Releasing>::default();
+            attempt.after = Some(releasing.clone());
+            rig.hosts.send(attempt);
+            tokio::time::advance(RELEASE).await;
+            // From here on sockets are waited for.
+            tokio::time::resume();
+            releasing.set_done();
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let head = read_head(&mut stream).await;
+            let told = head.lines().find_map(|line| line.strip_prefix("x-deadline: ")?.strip_suffix('u'));
+            let told = Duration::from_micros(told.expect("a deadline").parse().unwrap());
+            assert!(told <= TIME - RELEASE, "{told:?}");
+        })
+        .await;
+}
+
 /// Guards against a repeat that a host which hangs takes in whole long after its window.
 #[tokio::test]
 async fn a_repeat_that_is_not_taken_whole_in_its_window_never_is() {
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -41,13 +41,27 @@
     answered: Cell<bool>,
     changed: Notify,
     scan: RefCell<Scan>,
+    /// One for each head that has passed and was not handed to the service.
+    heads: RefCell<VecDeque<Head>>,
     ahead: RefCell<Ahead>,
 }
 
+/// What is known of a request's head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// Whether its framing can be read in one way only.
+    pub is_sound: bool,
+    /// When its last bytes came from the socket. A request that is written behind another one waits here, and its
+    /// client's deadline runs.
+    pub arrived: Instant,
+}
+
 /// What was read ahead of hyper.
 #[derive(Default)]
 struct Ahead {
     bytes: VecDeque<u8>,
+    /// The pieces that `bytes` came in: their lengths, and when they came.
+    pieces: VecDeque<(usize, Instant)>,
     /// There was more than is kept: what follows the request in hand is not read as requests any more.
     cut: bool,
 }
@@ -62,6 +76,7 @@
             answered: Cell::new(false),
             changed: Notify::new(),
             scan: RefCell::default(),
+            heads: RefCell::default(),
             ahead: RefCell::default(),
         })
     }
@@ -96,9 +111,11 @@
         self.changed.notify_one();
     }
 
-    /// The next head is handed to the service; whether its framing can be read in one way only.
-    pub fn head(&self) -> bool {
-        self.scan.borrow_mut().verdicts.pop_front().unwrap_or(false)
+    /// The next head is handed to the service.
+    pub fn head(&self) -> Head {
+        self.scan.borrow_mut().verdicts.pop_front();
+        let head = self.heads.borrow_mut().pop_front();
+        head.unwrap_or_else(|| Head { is_sound: false, arrived: Instant::now() })
     }
 
     /// The request in hand has come whole.
@@ -153,11 +170,16 @@
         self.ahead.borrow().bytes.len()
     }
 
-    fn read(&self, bytes: &[u8]) {
+    /// Takes in bytes that are handed to hyper, and when they came.
+    fn read(&self, bytes: &[u8], arrived: Instant) {
         if let Standing::Idle(_) = self.standing.get() {
             self.stand(Standing::Arriving(Instant::now()));
         }
-        self.scan.borrow_mut().take(bytes);
+        let mut scan = self.scan.borrow_mut();
+        let before = scan.verdicts.len();
+        scan.take(bytes);
+        let heads = scan.verdicts.iter().skip(before).map(|is_sound| Head { is_sound: *is_sound, arrived });
+        self.heads.borrow_mut().extend(heads);
     }
 }
 
@@ -166,19 +188,27 @@
         self.cut = self.cut || self.bytes.len() + bytes.len() > MOST_AHEAD || !room.grow(bytes.len());
         if self.cut {
             self.bytes = VecDeque::new();
+            self.pieces = VecDeque::new();
             room.shrink_to(0);
         } else {
             self.bytes.extend(bytes);
+            self.pieces.push_back((bytes.len(), Instant::now()));
         }
     }
 
-    /// Hands on what is there; whether that is all there is for now, or for good.
-    fn hand_on(&mut self, buf: &mut ReadBuf<'_>) -> bool {
+    /// Hands on what is left of the first piece and when that came; `None`: there is none.
+    fn hand_on(&mut self, buf: &mut ReadBuf<'_>) -> Option<Instant> {
+        let (length, arrived) = self.pieces.front_mut()?;
         let (first, _) = self.bytes.as_slices();
-        let part = first.len().min(buf.remaining());
+        let part = first.len().min(buf.remaining()).min(*length);
         buf.put_slice(&first[..part]);
         self.bytes.drain(..part);
-        part > 0 || self.cut
+        *length -= part;
+        let arrived = *arrived;
+        if self.pieces.front().is_some_and(|(length, _)| *length == 0) {
+            self.pieces.pop_front();
+        }
+        Some(arrived)
     }
 }
 
@@ -288,8 +318,9 @@
 impl AsyncRead for Watched {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
+        let kept = self.watch.ahead.borrow_mut().hand_on(buf);
         let mut done = Ok(0);
-        while !self.watch.ahead.borrow_mut().hand_on(buf) {
+        while kept.is_none() && !self.watch.ahead.borrow().cut {
             ready!(self.stream.poll_read_ready(cx))?;
             done = self.stream.try_read_buf(buf);
             if !matches!(&done, Err(error) if error.kind() == io::ErrorKind::WouldBlock) {
@@ -298,7 +329,7 @@
         }
         let come = &buf.filled()[before..];
         if !come.is_empty() {
-            self.watch.read(come);
+            self.watch.read(come, kept.unwrap_or_else(Instant::now));
         }
         Poll::Ready(done.map(|_| ()))
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -8,6 +8,7 @@
 use crate::front::jsonrpc;
 use crate::front::platform::{self, AnswerBody, end_to_end, plain};
 use crate::front::shared::{COME_BACK, CUT_OFF, Held, InHand, MOST_BODY, Shared};
+use crate::interface::Micros;
 use crate::ops::figures::{Ending, Tally};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -86,9 +87,12 @@
 
     async fn respond(self, arrival: Arrival) -> Response<AnswerBody> {
         let Arrival { request, watch, tally } = arrival;
-        if !watch.head() {
+        let head = watch.head();
+        if !head.is_sound {
             return self.bad(StatusCode::BAD_REQUEST, "ambiguous framing\n");
         }
+        let waited = head.arrived.elapsed().as_micros() as Micros;
+        let arrived = self.shared.core.clock.now().saturating_sub(waited);
         let path = request.uri().path();
         if path == "/healthz" && request.method() == Method::GET {
             let ready = (self.shared.ready)() && (self.shared.may_serve)();
@@ -103,12 +107,12 @@
                 return self.bad(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n");
             }
             return match self.body(request.into_body(), &watch).await {
-                Ok((body, _held)) => front.respond(body).await,
+                Ok((body, _held)) => front.respond(body, arrived).await,
                 Err(response) => response,
             };
         }
         match (path, request.method()) {
-            (platform::PATH, &Method::POST) => self.platform(request, &watch, &tally).await,
+            (platform::PATH, &Method::POST) => self.platform(request, arrived, &watch, &tally).await,
             (platform::PATH | "/healthz", _) => self.bad(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n"),
             _ => self.bad(StatusCode::NOT_FOUND, "no such path\n"),
         }
@@ -117,6 +121,7 @@
     async fn platform(
         self,
         request: Request<Incoming>,
+        arrived: Micros,
         watch: &Watch,
         tally: &Tally,
     ) -> Response<AnswerBody> {
@@ -126,7 +131,7 @@
             return platform::refusal(Some(CUT_OFF));
         }
         let (head, body) = request.into_parts();
-        let mut intake = match platform::decode(&head.headers, shared.core.clock.now()) {
+        let mut intake = match platform::decode(&head.headers, arrived) {
             Ok(intake) => intake,
             Err(what) => return self.bad(StatusCode::BAD_REQUEST, what),
         };
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -6,6 +6,7 @@
 use crate::ops::figures::Figures;
 use rstest::rstest;
 use std::io::{Read, Write};
+use tokio::io::AsyncReadExt;
 use tokio::task::{LocalSet, spawn_blocking, spawn_local};
 
 const ASKED: &[u8] = b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -549,3 +550,26 @@
     drop(room);
     assert_eq!(shared.budget.get(), budget);
 }
+
+/// Guards against a deadline that begins anew where a request was written behind another one: it waits unread by hyper
+/// while that is answered, and its client's time runs.
+#[tokio::test(start_paused = true)]
+async fn a_request_behind_the_one_in_hand_counts_from_when_it_came() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut client = connect(&listener);
+    let (stream, _) = listener.accept().await.unwrap();
+    let (stream, watch) = (Rc::new(stream), Watch::new());
+    let mut room = Held::new(shared(64 * 1024));
+    client.write_all(ASKED).unwrap();
+    while watch.kept_ahead() < ASKED.len() {
+        assert!(!watch.read_ahead(&stream, &mut room).await);
+    }
+    let came = Instant::now();
+    tokio::time::advance(Duration::from_secs(2)).await;
+    let mut piece = [0; 1024];
+    let read = Watched::new(stream, watch.clone()).read(&mut piece).await.unwrap();
+    assert_eq!(&piece[..read], ASKED);
+    let head = watch.head();
+    assert!(head.is_sound);
+    assert_eq!(head.arrived, came);
+}
