Answers after a panic; settings that can't be are turned down; a thousand workers

- A request whose answering panics is answered 500 and counted; the end of its task closed the connection unanswered.
- Settings with figures that are negative, not finite, absurdly large, or zero where zero makes nonsense (memory, a tenant's rate, the fall multiple) are turned down in one line that names the field; NaN was read as 0 before.
- Tests: the above over loopback sockets and by field (each fails without its change); a list of 1,024 workers and changes of all of them at one of 350 routers (held before, had no test).

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -11,6 +11,7 @@
 use crate::interface::Micros;
 use crate::ops::figures::{Ending, Tally};
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -23,6 +24,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::mem::MaybeUninit;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -489,13 +491,7 @@
                     let mut response = if over {
                         platform::refusal(Some(COME_BACK))
                     } else {
-                        match service.oneshot(arrival).await {
-                            Ok(response) => response,
-                            Err(_) => {
-                                counters.over_bound.up();
-                                platform::refusal(Some(COME_BACK))
-                            }
-                        }
+                        answer_always(service.oneshot(arrival), &counters).await
                     };
                     if over || watch.is_spent() || !stage.borrow().keeps_connections() {
                         let close = hyper::header::HeaderValue::from_static("close");
@@ -509,6 +505,26 @@
     }
 }
 
+/// The service's answer; a refusal where it has no room, and a failure where it panics: a request that was read is
+/// never left without an answer.
+async fn answer_always<E>(
+    answering: impl Future<Output = Result<Response<AnswerBody>, E>>,
+    counters: &Counters,
+) -> Response<AnswerBody> {
+    match AssertUnwindSafe(answering).catch_unwind().await {
+        Ok(Ok(response)) => response,
+        Ok(Err(_)) => {
+            counters.over_bound.up();
+            platform::refusal(Some(COME_BACK))
+        }
+        Err(_) => {
+            counters.panics.up();
+            log::error!("answering a request panicked; it is answered as failed");
+            plain(StatusCode::INTERNAL_SERVER_ERROR, "failed\n")
+        }
+    }
+}
+
 /// When a connection is to be closed as it stands.
 fn due(watch: &Watch, accepted: Instant) -> Option<Instant> {
     match watch.standing() {
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -573,3 +573,47 @@
     assert!(head.is_sound);
     assert_eq!(head.arrived, came);
 }
+
+/// Guards against a request that was read and has no answer: the end of its task closed its connection.
+#[tokio::test]
+async fn a_request_whose_answering_panics_is_answered_as_failed() {
+    let counters = Counters::default();
+    let panicking = async { panic!("on purpose") };
+    let response = answer_always::<Infallible>(panicking, &counters).await;
+    assert_eq!(response.status(), StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(counters.panics.get(), 1);
+    let full = async { Err("no room") };
+    assert_eq!(answer_always(full, &counters).await.status(), StatusCode::SERVICE_UNAVAILABLE);
+}
+
+/// Guards against the same over loopback sockets: the connection lives on.
+#[tokio::test]
+async fn a_panic_costs_one_request_and_no_connection() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let mut client = connect(&listener);
+            let (core, _) = crate::core::CoreHandle::channel(Clock::start());
+            let panics = Cell::new(true);
+            let ready = Box::new(move || !panics.take() || panic!("on purpose"));
+            let shared = Rc::new(Shared { core, ready, ..Rc::into_inner(shared(64 * 1024)).unwrap() });
+            let counters = shared.counters.clone();
+            let edge = Edge { shared, tools: None };
+            let (_stage, stage) = watch::channel(Stage::Open);
+            let listening = Listener { edge, bound: 8, waiting: 8, stage, open: Rc::default() };
+            spawn_local(listening.accept(listener));
+            for wanted in ["HTTP/1.1 500 ", "HTTP/1.1 200 "] {
+                client.write_all(ASKED).unwrap();
+                let mut reading = client.try_clone().unwrap();
+                let read = move || {
+                    let mut piece = [0; 1024];
+                    let read = reading.read(&mut piece).unwrap();
+                    String::from_utf8_lossy(&piece[..read]).into_owned()
+                };
+                let come = spawn_blocking(read).await.unwrap();
+                assert!(come.starts_with(wanted), "{come:?}");
+            }
+            assert_eq!(counters.panics.get(), 1);
+        })
+        .await;
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -374,8 +374,22 @@
         self.get(key)?.ok_or_else(|| format!("INIT: setting {key} is missing"))
     }
 
+    /// A number from `least` to `most`, if it is stated.
+    fn number(&self, key: &str, least: f64, most: f64) -> Parsed<Option<f64>> {
+        in_range(key, self.get(key)?, least, most)
+    }
+
+    /// The same of a list's item.
+    fn nth_number(&self, key: &str, index: usize, least: f64, most: f64) -> Parsed<Option<f64>> {
+        in_range(key, self.nth(key, index)?, least, most)
+    }
+
+    fn optional_micros(&self, key: &str) -> Parsed<Option<Micros>> {
+        Ok(self.number(key, 0.0, MOST_MICROS)?.map(|v| v as Micros))
+    }
+
     fn micros(&self, key: &str) -> Parsed<Micros> {
-        self.need::<f64>(key).map(|v| v as Micros)
+        self.optional_micros(key)?.ok_or_else(|| format!("INIT: setting {key} is missing"))
     }
 
     fn flag(&self, key: &str) -> Parsed<bool> {
@@ -395,6 +409,21 @@
     }
 }
 
+/// The longest time that settings may state: some thirty years.
+const MOST_MICROS: f64 = 1e15;
+/// The largest memory, in tokens, that settings may state.
+const MOST_MEMORY: f64 = 1e12;
+/// The largest rate, in requests a second, and the largest multiple that settings may state.
+const MOST_RATE: f64 = 1e9;
+
+/// A figure that is no finite number from `least` to `most` would make nonsense of all that follows from it.
+fn in_range(key: &str, value: Option<f64>, least: f64, most: f64) -> Parsed<Option<f64>> {
+    match value {
+        Some(v) if !(least..=most).contains(&v) => Err(bad("INIT", key, &v.to_string())),
+        value => Ok(value),
+    }
+}
+
 /// Reads the settings from path and value pairs, in the form of the wire's INIT. Unknown paths are skipped.
 ///
 /// # Errors
@@ -409,7 +438,7 @@
             Some("both") | None => Role::Mixed,
             Some(v) => return Err(bad("INIT", "family_info.role_by_kind", v)),
         };
-        let memory: Option<f64> = pairs.nth("family_info.kv_tokens", i)?;
+        let memory = pairs.nth_number("family_info.kv_tokens", i, 1.0, MOST_MEMORY)?;
         kinds.push(Kind { name: name.to_owned(), role, memory_tokens: memory.map(|m| m as u64) });
     }
     let mut classes = Vec::new();
@@ -426,25 +455,29 @@
             }),
             v => return Err(bad("INIT", &key("effect"), v)),
         };
-        let per_1000: Option<f64> = pairs.nth("family_info.aim_us_per_1000_prompt_tokens", i)?;
-        let token_aim: Option<f64> = pairs.nth("family_info.token_aim_us", i)?;
+        // Zero: nothing is stated.
+        let per_1000 = "family_info.aim_us_per_1000_prompt_tokens";
+        let per_1000 = pairs.nth_number(per_1000, i, 0.0, MOST_MICROS)?;
+        let token_aim = pairs.nth_number("family_info.token_aim_us", i, 0.0, MOST_MICROS)?;
         classes.push(Class {
             name: pairs.text(&key("name"))?.to_owned(),
             effect,
-            repeat_window: pairs.get::<f64>(&key("repeat_window_us"))?.unwrap_or(0.0) as Micros,
+            repeat_window: pairs.optional_micros(&key("repeat_window_us"))?.unwrap_or(0),
             aim: pairs.micros(&key("objective_us"))?,
             aim_per_1000_tokens: per_1000.unwrap_or(0.0) as Micros,
             token_aim: token_aim.unwrap_or(0.0) as Micros,
             give_up: pairs.micros(&key("give_up_us"))?,
-            worth: pairs.get(&key("value"))?.unwrap_or(1.0),
-            late_share: pairs.get(&key("late_share"))?.unwrap_or(0.0),
+            worth: pairs.number(&key("value"), 0.0, MOST_RATE)?.unwrap_or(1.0),
+            late_share: pairs.number(&key("late_share"), 0.0, 1.0)?.unwrap_or(0.0),
         });
     }
     let mut tenants = Vec::new();
     for i in 0..pairs.get::<usize>("tenants.count")?.unwrap_or(0) {
+        let quota = format!("tenants.{i}.quota_rps");
+        let quota_per_s = pairs.number(&quota, f64::MIN_POSITIVE, MOST_RATE)?;
         tenants.push(Tenant {
             name: pairs.text(&format!("tenants.{i}.name"))?.to_owned(),
-            quota_per_s: pairs.need(&format!("tenants.{i}.quota_rps"))?,
+            quota_per_s: quota_per_s.ok_or_else(|| format!("INIT: setting {quota} is missing"))?,
         });
     }
     let reports = match pairs.0.get("load_report.how").copied() {
@@ -453,7 +486,10 @@
         Some("none") | None => Reports::None,
         Some(v) => return Err(bad("INIT", "load_report.how", v)),
     };
-    let optional = |key: &str| pairs.get::<f64>(key).map(|v| v.map(|v| v as Micros));
+    let optional = |key: &str| pairs.optional_micros(key);
+    let needed = |key: &str, least: f64, most: f64| {
+        pairs.number(key, least, most)?.ok_or_else(|| format!("INIT: setting {key} is missing"))
+    };
     Ok(Settings {
         index: pairs.get("self_index")?,
         routers: pairs.need::<u32>("replicas_of_me")?.max(1),
@@ -461,7 +497,7 @@
         kinds,
         classes,
         tenants,
-        over_share_worth: pairs.get("over_share_worth")?.unwrap_or(1.0),
+        over_share_worth: pairs.number("over_share_worth", 0.0, MOST_RATE)?.unwrap_or(1.0),
         reports,
         list_on_request: pairs.text("registry_mode")? == "on_request",
         ask_within: optional("rules.ask_within_us")?.unwrap_or(Micros::MAX),
@@ -478,9 +514,9 @@
         release: optional("family_info.release_us")?.unwrap_or(Micros::MAX),
         answer_slack: optional("rules.answer_slack_us")?.unwrap_or(0),
         drain_grace: pairs.micros("rules.drain_grace_us")?,
-        cold_from: pairs.need("rules.cold_from")?,
+        cold_from: needed("rules.cold_from", 0.0, 1.0)?,
         cold: pairs.micros("rules.cold_us")?,
-        fall_multiple: pairs.need("rules.fall_multiple")?,
+        fall_multiple: needed("rules.fall_multiple", f64::MIN_POSITIVE, MOST_RATE)?,
         fall: pairs.micros("rules.fall_us")?,
     })
 }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1244,3 +1244,28 @@
         rig.event(Event::Started { request, attempt, elapsed: 20 * MS });
     }
 }
+
+/// Guards against bounds that a large fleet meets: a whole list of 1,024 workers and a change of all of them, at one of
+/// 350 routers.
+#[test]
+fn a_router_of_many_takes_a_list_of_a_thousand_workers_and_a_change_of_it() {
+    let mut rig = Rig::new(Settings { routers: 350, index: Some(349), ..settings() });
+    let list = |status, started| {
+        let of = |role: &'static str| (0..512).map(move |i| (format!("{role}{i}"), i / 6));
+        of("r").chain(of("w")).map(|(w, cell)| entry(&w, cell, status, started)).collect::<Vec<_>>()
+    };
+    let sent = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Send { .. })).count();
+    rig.list(ListKind::Saved, list(Status::Ready, None));
+    for id in 1..=64 {
+        assert_eq!(sent(&rig.ask(id, "safe")), 1, "request {id}");
+        assert_eq!(sent(&rig.end(id, 0, Outcome::Read)), 1, "request {id}");
+        rig.end(id, 1, Outcome::Served);
+    }
+    rig.now += 2 * SECOND;
+    let started = Some(rig.now);
+    rig.list(ListKind::Changes, list(Status::Ready, started));
+    rig.list(ListKind::Changes, list(Status::Draining, started));
+    assert_eq!(sent(&rig.ask(65, "safe")), 0);
+    rig.list(ListKind::Full, list(Status::Ready, None));
+    assert_eq!(sent(&rig.ask(66, "safe")), 1);
+}
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,9 @@
 //! Transcripts through the host program.
 
+use rstest::rstest;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
+use whinhaven::wire::read_settings;
 
 fn host(input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_whinhaven-drill"))
@@ -18,34 +20,35 @@
     fields.join("\t") + "\n"
 }
 
+const SETTINGS: [&str; 21] = [
+    "classes.count=1",
+    "classes.0.name=chat",
+    "classes.0.effect=read_like",
+    "classes.0.objective_us=1000000",
+    "classes.0.give_up_us=8000000",
+    "skus=rd,wr",
+    "family_info.role_by_kind=read,write",
+    "family_info.kv_tokens=200000,150000",
+    "family_info.release_us=500000",
+    "my_zone=here",
+    "registry_mode=pushed",
+    "replicas_of_me=2",
+    "permissions.max_attempts=4",
+    "permissions.may_cancel=true",
+    "permissions.connect_timeout_us=250000",
+    "rules.drain_grace_us=500000",
+    "rules.cold_from=0.3",
+    "rules.cold_us=9000000",
+    "rules.fall_multiple=2.5",
+    "rules.fall_us=1000000",
+    "a.key.nobody.knows=1",
+];
+
 fn init(router: &str) -> String {
-    let pairs = [
-        "classes.count=1",
-        "classes.0.name=chat",
-        "classes.0.effect=read_like",
-        "classes.0.objective_us=1000000",
-        "classes.0.give_up_us=8000000",
-        "skus=rd,wr",
-        "family_info.role_by_kind=read,write",
-        "family_info.kv_tokens=200000,150000",
-        "family_info.release_us=500000",
-        "my_zone=here",
-        "registry_mode=pushed",
-        "replicas_of_me=2",
-        "permissions.max_attempts=4",
-        "permissions.may_cancel=true",
-        "permissions.connect_timeout_us=250000",
-        "rules.drain_grace_us=500000",
-        "rules.cold_from=0.3",
-        "rules.cold_us=9000000",
-        "rules.fall_multiple=2.5",
-        "rules.fall_us=1000000",
-        "a.key.nobody.knows=1",
-    ];
     let list = line(&["MEMBERSHIP", router, "SAVED", "1", "2"])
         + &line(&["ENTRY", "10.0.0.1:1", "here", "rd", "0", "in_service", "1", "-"])
         + &line(&["ENTRY", "10.0.0.2:1", "here", "wr", "0", "in_service", "1", "-"]);
-    line(&[&["INIT", router, "7"], &pairs[..]].concat()) + &list
+    line(&[&["INIT", router, "7"], &SETTINGS[..]].concat()) + &list
 }
 
 fn ask(router: &str, id: &str) -> String {
@@ -126,3 +129,55 @@
     assert!(output.status.success());
     assert_eq!(output.stdout, b"OK\n");
 }
+
+/// Guards against settings from which nonsense follows: they are turned down whole, and the line names the field.
+#[rstest]
+fn settings_with_figures_that_can_t_be_are_turned_down(
+    #[values(
+        "family_info.kv_tokens=0,150000",
+        "family_info.kv_tokens=-5,150000",
+        "family_info.kv_tokens=1e30,150000",
+        "family_info.aim_us_per_1000_prompt_tokens=-1",
+        "family_info.token_aim_us=inf",
+        "family_info.release_us=-500000",
+        "classes.0.objective_us=NaN",
+        "classes.0.give_up_us=1e300",
+        "classes.0.repeat_window_us=-1",
+        "classes.0.value=-3",
+        "classes.0.late_share=NaN",
+        "rules.cold_from=1.5",
+        "rules.cold_from=NaN",
+        "rules.cold_us=-9",
+        "rules.fall_multiple=0",
+        "rules.fall_multiple=inf",
+        "rules.fall_us=NaN",
+        "over_share_worth=-0.1"
+    )]
+    wrong: &str,
+) {
+    let (field, _) = wrong.split_once('=').unwrap();
+    let pairs = SETTINGS.into_iter().chain([wrong]).filter_map(|pair| pair.split_once('='));
+    let error = read_settings(pairs).unwrap_err();
+    assert!(error.contains(field) && !error.contains('\n'), "{error}");
+}
+
+#[rstest]
+#[case("0")]
+#[case("-1")]
+#[case("inf")]
+fn a_tenants_rate_that_can_t_be_is_turned_down(#[case] rate: &str) {
+    let rate = format!("tenants.0.quota_rps={rate}");
+    let tenant = ["tenants.count=1", "tenants.0.name=t", &rate];
+    let pairs = SETTINGS.into_iter().chain(tenant).filter_map(|pair| pair.split_once('='));
+    assert!(read_settings(pairs).unwrap_err().contains("tenants.0.quota_rps"));
+}
+
+/// Guards against an estimate without its settings: what none of them states has a default.
+#[test]
+fn settings_without_aims_by_length_memory_or_number_are_enough() {
+    let bare = SETTINGS.into_iter().filter(|pair| !pair.starts_with("family_info.kv_tokens"));
+    let settings = read_settings(bare.filter_map(|pair| pair.split_once('='))).unwrap();
+    assert_eq!(settings.index, None);
+    assert_eq!(settings.kinds[0].memory_tokens, None);
+    assert_eq!(settings.classes[0].aim_per_1000_tokens, 0);
+}
