--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -694,6 +694,20 @@
     rig
 }
 
+/// A process that starts anew in the ramp of a worker: its predecessor may have spent the router's share just before.
+#[test]
+fn a_new_process_sends_nothing_to_workers_in_slow_start_for_a_window() {
+    let mut rig = Rig::new(Settings { index: Some(0), routers: 1, ..settings() });
+    let started = rig.now - SECOND;
+    let list = vec![entry("w1", 0, Status::Ready, None), entry("r1", 0, Status::Ready, Some(started))];
+    rig.list(ListKind::Saved, list);
+    assert_eq!(sends(&rig.ask(1, "safe")).len(), 0);
+    rig.now += SECOND - MS;
+    assert_eq!(sends(&rig.ask(2, "safe")).len(), 0);
+    rig.now += MS;
+    assert_eq!(sends(&rig.ask(3, "safe")).len(), 1);
+}
+
 /// Two processes of one router share what it may send: the older one sends nothing more once it stops, and the newer
 /// one begins a window later.
 #[test]
