--- a/src/interface.rs
+++ b/src/interface.rs
@@ -362,9 +362,10 @@
         /// The worker's load, if told.
         report: Option<Report>,
     },
-    /// Whether this process may send to workers in slow start: of two processes of one router, one may.
+    /// Whether this process may send to workers in slow start: of two processes of one router, one may. It may not until
+    /// it is told so.
     SlowStart {
-        /// Until told otherwise it may.
+        /// It may, a pause from now on.
         allowed: bool,
     },
     /// A message of another router.
--- a/src/net/upgrade/slow_start.rs
+++ b/src/net/upgrade/slow_start.rs
@@ -15,12 +15,14 @@
         SlowStartRight { is_newer: beside, told: None }
     }
 
-    /// Takes in how far both processes are; whether this one may send now, if that has changed.
+    /// Takes in how far both processes are; whether this one may send now, if that has changed. One that stops with no
+    /// other beside it keeps the right: what it has in hand may need a model host in slow start.
     pub fn update(&mut self, own: Phase, other: Option<Phase>) -> Option<bool> {
         if other.is_none_or(|phase| phase == Phase::Stopping) {
             self.is_newer = false;
         }
-        let allowed = own != Phase::Stopping && !self.is_newer;
+        let hands_over = own == Phase::Stopping && other.is_some();
+        let allowed = !hands_over && !self.is_newer;
         (self.told.replace(allowed) != Some(allowed)).then_some(allowed)
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -68,7 +68,7 @@
     hung_far: Fading,  // states that did not reach a writer out of the reader's cell in time
     patience: [u32; 2],
     most: [usize; 3],        // workers of each role seen in service at once
-    slow_start_from: Micros, // before this nothing goes to workers in slow start: a predecessor may have sent
+    slow_start_from: Micros, // nothing goes to workers in slow start before: a predecessor may have sent
     swept: bool,
     call_failures: u32,
     call_due: Option<Micros>,
@@ -87,7 +87,7 @@
 impl Policy {
     /// A module that knows nothing yet.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let mut policy = Policy { seed, ..Policy::default() };
+        let mut policy = Policy { seed, slow_start_from: Micros::MAX, ..Policy::default() };
         policy.set(settings);
         policy
     }
@@ -102,9 +102,6 @@
 
     /// Takes one event in and appends the actions that answer it.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
-        if self.now == 0 {
-            self.slow_start_from = now.saturating_add(self.set.fall);
-        }
         self.now = self.now.max(now);
         let ended = matches!(
             event,
@@ -119,7 +116,8 @@
             Event::Timer(timer) if timer == SWEEP => self.sweep(out),
             Event::Probed { worker, report, .. } => self.heard(&worker, report),
             Event::SlowStart { allowed } => {
-                self.slow_start_from = if allowed { now.saturating_add(self.set.fall) } else { Micros::MAX };
+                let from = now.saturating_add(self.slow_start_window());
+                self.slow_start_from = if allowed { from } else { Micros::MAX };
             }
             // Nothing is told to peers. Places are never held ahead: the writer is picked after the read.
             Event::Timer(_) | Event::Place { .. } | Event::Peer { .. } => {}
@@ -540,9 +538,8 @@
         if !writes {
             self.kept.credit(&r.ask, worker, self.now);
         }
-        let now = self.now;
-        let fall = self.set.fall;
-        self.workers.entry(worker.clone()).and_modify(|w| w.slow_start_sends.push(now, fall));
+        let (now, window) = (self.now, self.slow_start_window());
+        self.workers.entry(worker.clone()).and_modify(|w| w.slow_start_sends.push(now, window));
         let (due, sent, outcome, first) = (self.now + due, self.now, None, None);
         let attempt =
             Attempt { worker: worker.clone(), writes, far, sent, due, tokens, work, outcome, first };
@@ -924,9 +921,9 @@
     /// of few with a share, for a session of which it knows no reader, else the home of its text.
     fn slow_start_reader(&self, r: &Request) -> Option<WorkerId> {
         let ready = || self.ready(Role::Reader);
-        let known = self.kept.knows_session(&r.ask);
         let rank = |id: &WorkerId| xxh3_64_with_seed(id.0.as_bytes(), hash_key(&r.ask, self.seed, 1));
         let shares = |id, w| self.cold(w) && self.is_concentrated(w) && self.has_room(id, w);
+        let known = self.kept.knows_session(&r.ask);
         let one = ready().filter(|(id, w)| r.attempts.is_empty() && !known && shares(id, w));
         let one = one.max_by_key(|(id, _)| rank(id)).map(|(id, _)| id.clone());
         let home = || self.home(&r.ask, &ready().map(|(id, _)| id.clone()).collect::<Vec<_>>());
@@ -947,9 +944,8 @@
         }
     }
 
-    /// The sends that a worker in slow start may get from all routers within `fall`: what it bears, and half
-    /// of what the rule puts down to chance, since what it bears is estimated. A warm one can do what warm
-    /// ones were seen to complete, or its part of the promised.
+    /// The sends that a worker in slow start may get from all routers within `fall`: what it bears by what
+    /// warm ones complete or its part of the promised, and half of what the rule puts down to chance.
     fn slow_start_budget(&self, w: &Worker) -> f64 {
         let promised = self.tenants.values().map(|t| t.0).sum::<f64>() / 1e6;
         let role = w.role as usize;
@@ -958,8 +954,8 @@
         let age = self.now.saturating_sub(w.started.unwrap_or(0)).saturating_sub(self.set.fall);
         let age = age as f64 / self.set.cold.max(1) as f64;
         let part = self.set.cold_from + (1.0 - self.set.cold_from) * age.min(1.0);
-        let fall = self.set.fall_multiple * self.set.fall as f64;
-        let bears = (each * f64::from(self.set.routers) * part * fall).max(1.0);
+        let all = each * f64::from(self.set.routers) * part * self.set.fall as f64;
+        let bears = (all * self.set.fall_multiple).max(1.0);
         // Where all are in slow start nothing is drawn, so nothing is put down to chance.
         let roots = match self.ready(w.role).any(|(_, p)| !self.cold(p)) {
             false => 0.0,
@@ -969,25 +965,30 @@
         bears + roots * (bears.sqrt() + 1.0)
     }
 
+    /// Sends are counted as they are decided, and written up to a connect time-out later.
+    fn slow_start_window(&self) -> Micros {
+        self.set.fall.max(1).saturating_add(self.set.connect_timeout)
+    }
+
     /// Whether too many routers share a worker's budget for each to have a part of it.
     fn is_concentrated(&self, w: &Worker) -> bool {
         self.slow_start_budget(w) < f64::from(self.set.routers)
     }
 
-    /// Whether a worker in slow start may get another send of this router: its share of the budget in whole
-    /// sends within `fall`, half of it within half of that. Where there are too many routers, some have one
-    /// each, as many as the worker can do, in turns from a place that differs between workers.
+    /// Whether a worker in slow start may get another send of this router: its share of the budget in a
+    /// window, half of it in half of that. Of too many routers, some have one send each, in turns.
     fn has_room(&self, id: &WorkerId, w: &Worker) -> bool {
-        let (routers, fall) = (f64::from(self.set.routers.max(1)), self.set.fall.max(1));
+        let (routers, window) = (f64::from(self.set.routers.max(1)), self.slow_start_window());
         let budget = self.slow_start_budget(w);
-        let few = (budget / self.set.fall_multiple.max(1.0)).max(1.0);
+        let senders = budget / self.set.fall_multiple.max(1.0) * window as f64 / self.set.fall.max(1) as f64;
         let start = unit(xxh3_64_with_seed(id.0.as_bytes(), w.started.unwrap_or(0)));
-        let turn = |index| (f64::from(index) + self.now as f64 / fall as f64) / routers + start;
+        let turn = |index| (f64::from(index) + self.now as f64 / window as f64) / routers + start;
         // A router without a number counts on no rest.
         let place = self.set.index.map_or(0.0, |index| turn(index).fract());
-        let share = (if budget < routers { few } else { budget } / routers + place) as usize;
+        let share =
+            (if budget < routers { senders.min(budget).max(1.0) } else { budget } / routers + place) as usize;
         let room = |time, most| w.slow_start_sends.within(self.now, time) < most;
-        self.now >= self.slow_start_from && room(fall, share) && room(fall / 2, share.div_ceil(2))
+        self.now >= self.slow_start_from && room(window, share) && room(window / 2, share.div_ceil(2))
     }
 
     fn release(&mut self, id: RequestId, out: &mut Vec<Action>) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -182,7 +182,9 @@
             if message == "INIT" {
                 let seed = fields.number("nonce64")?;
                 let settings = read_settings(fields.rest.filter_map(|f| f.split_once('=')))?;
-                self.instances.insert(router, Policy::new(settings, seed));
+                let mut policy = Policy::new(settings, seed);
+                policy.handle(now, Event::SlowStart { allowed: true }, &mut Vec::new());
+                self.instances.insert(router, policy);
                 return Ok((router, None));
             }
             if !self.instances.contains_key(&router) {
