--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,6 +7,7 @@
 use whinhaven_lab::experiments::Experiment;
 use whinhaven_lab::history;
 use whinhaven_lab::play::Play;
+use whinhaven_lab::scale::{self, ScaleArgs};
 
 /// Fleets of conductors on loopback: faults to try, histories to check, experiments.
 #[derive(Parser)]
@@ -31,6 +32,8 @@
         #[command(subcommand)]
         which: Experiment,
     },
+    /// Measures what each part costs against its size: hollow members, real processes, the deciding module.
+    Scale(ScaleArgs),
 }
 
 fn main() -> ExitCode {
@@ -45,6 +48,7 @@
             }
             Err(error) => Err(format!("{}: {error}", history.display())),
         },
+        Task::Scale(args) => scale::run(&args).map(|()| true).map_err(|e| e.to_string()),
         Task::Experiment { which } => which.run().map(|()| true).map_err(|e| e.to_string()),
     };
     match done {
--- a/lab/src/sim/network.rs
+++ b/lab/src/sim/network.rs
@@ -63,6 +63,8 @@
     on_the_way: BTreeMap<(Micros, u64), Arrived<M>>,
     count: u64,
     sent: Vec<Traffic>,
+    /// What the way from one node to another adds to the delay of a link.
+    ways: Box<dyn Fn(usize, usize) -> Micros>,
 }
 
 /// How long a stream waits before it sends a lost segment again.
@@ -78,9 +80,15 @@
             on_the_way: BTreeMap::new(),
             count: 0,
             sent: vec![Traffic::default(); nodes],
+            ways: Box::new(|_, _| 0),
         }
     }
 
+    /// With a further delay that depends on who sends to whom.
+    pub fn with_ways(self, ways: impl Fn(usize, usize) -> Micros + 'static) -> Network<M> {
+        Network { ways: Box::new(ways), ..self }
+    }
+
     /// Changes all links. What is on its way is not touched.
     pub fn set_link(&mut self, link: Link) {
         self.link = link;
@@ -121,12 +129,13 @@
         self.sent[from].messages += 1;
         self.sent[from].bytes += sent.bytes as u64;
         let Sent { to, message, reliable, .. } = sent;
-        let mut wait = 0;
+        let mut wait = (self.ways)(from, to);
+        let most_wait = wait + 10 * RESEND;
         if reliable {
             if self.is_cut(from, to) || self.is_cut(to, from) {
                 return;
             }
-            while wait < 10 * RESEND && self.lost() {
+            while wait < most_wait && self.lost() {
                 wait += RESEND;
             }
         } else if self.lost() {
