Lease renewals off the log and relays; a decision no longer sorts all hosts for each host

Now [fleet.lease] renewal = "leader" (default log): the leader counts a lease anew at once and answers when a majority has confirmed its term since; relays = [..] in [fleet]: members to learn from and to renew through. A leader takes a lease's end from itself only. Decision: slowness() took the median of all hosts for each host; it is kept up with each change. Ruled out: the walk of slow_start_budget, which the profile shows at under 1%.

--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -75,6 +75,7 @@
             voters: names[..layout.voters()].iter().cloned().collect(),
             restored: group::Restored::default(),
             seed: node as u64 * 7_919 + life,
+            relays: layout.relays_of(node).into_iter().map(|relay| names[relay].clone()).collect(),
         };
         HollowMember { node: Node::new(start, settings, now), counts: Counts::default(), names }
     }
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -89,6 +89,8 @@
     pub voters: BTreeSet<MemberName>,
     /// The other members' addresses as this one reaches them; they win over what members say of themselves.
     pub peers: BTreeMap<MemberName, SocketAddr>,
+    /// Members that this one learns from and renews through before it turns to the voters, the nearest first.
+    pub relays: Vec<MemberName>,
     /// The most members that are known at once, this one included.
     pub most_members: usize,
     /// The most bytes that wait for one peer.
@@ -180,7 +182,7 @@
         if let Some(policy) = &policy {
             settings.node.policy_within_ms = policy.within_ms;
         }
-        let most_members: usize = fleet.bounded("most_members", 32, 1, 1_000)?;
+        let most_members: usize = fleet.bounded("most_members", 32, 1, 16_384)?;
         settings.view.most_members = most_members.max(2);
         settings.group.most_learners = most_members;
         let config = FleetConfig {
@@ -189,6 +191,7 @@
             key_file: fleet.required("key_file")?,
             voters: fleet.required("voters")?,
             peers: fleet.optional("peers")?.unwrap_or_default(),
+            relays: fleet.optional("relays")?.unwrap_or_default(),
             most_members,
             most_queue_bytes: fleet.bounded("most_queue_bytes", 256 * 1024, 1, 1 << 30)?,
             most_frames_per_s: fleet.bounded("most_frames_per_s", 2_000, 50, 1_000_000)?,
@@ -216,6 +219,7 @@
         if let Some(voter) = self.voters.iter().find(|v| **v != self.name && !self.peers.contains_key(v)) {
             return Err(("fleet.voters", format!("{voter} has no address in fleet.peers")));
         }
+        self.check_relays().map_err(|what| ("fleet.relays", what))?;
         if self.name.as_str() == ADMINISTRATOR || self.name.as_str().len() > lease::MOST_MEMBER_NAME {
             let most = lease::MOST_MEMBER_NAME;
             return Err((
@@ -288,6 +292,22 @@
         Ok(())
     }
 
+    fn check_relays(&self) -> Result<(), String> {
+        let mut seen = BTreeSet::new();
+        for relay in &self.relays {
+            if *relay == self.name {
+                return Err(format!("{relay} is this conductor"));
+            }
+            if !self.peers.contains_key(relay) {
+                return Err(format!("{relay} has no address in fleet.peers"));
+            }
+            if !seen.insert(relay) {
+                return Err(format!("{relay} is named twice"));
+            }
+        }
+        Ok(())
+    }
+
     /// Bytes of the longest message over a connection.
     pub fn most_frame_bytes(&self) -> usize {
         let group = &self.settings.group;
--- a/src/fleet/group.rs
+++ b/src/fleet/group.rs
@@ -446,6 +446,10 @@
     /// What was last told by `Leading`.
     told: (Option<MemberName>, Term),
     restoring: bool,
+    /// Members to pull from before the voters, the nearest first.
+    relays: Vec<MemberName>,
+    /// Since when it has pulled from another one than the first.
+    away_since: Micros,
 }
 
 impl Group {
@@ -483,6 +487,8 @@
             source: 0,
             source_heard: now,
             told: (None, Term(0)),
+            relays: Vec::new(),
+            away_since: now,
         };
         group.hard.term = group.hard.term.max(group.log.last_term());
         group.source = group.draw(MOST_VOTERS as u64);
@@ -490,6 +496,21 @@
         group
     }
 
+    /// With members to pull from before the voters, the nearest first.
+    pub fn with_relays(mut self, relays: Vec<MemberName>) -> Group {
+        if !relays.is_empty() {
+            self.source = 0;
+        }
+        self.relays = relays;
+        self
+    }
+
+    /// Whether this member follows that leader in that term as a voter, and so has voted for no later one.
+    pub fn confirms(&self, leader: &MemberName, term: Term) -> bool {
+        let follows = matches!(self.doing, Doing::Follow) && self.leader.as_ref() == Some(leader);
+        follows && self.is_voter() && self.hard.term == term
+    }
+
     /// Takes an event in. Appends what to do, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if std::mem::take(&mut self.restoring) {
@@ -714,7 +735,8 @@
         self.now.contains(voter) && (founded || !self.founders.contains(voter))
     }
 
-    fn majority(&self) -> usize {
+    /// How many voters make a majority.
+    pub fn majority(&self) -> usize {
         self.now.len() / 2 + 1
     }
 
--- a/src/fleet/group/follow.rs
+++ b/src/fleet/group/follow.rs
@@ -14,6 +14,9 @@
     data: Vec<u8>,
 }
 
+/// A learner that pulls from another member than its first relay tries that one again after this.
+const RETURN_AFTER: Micros = 30_000_000;
+
 impl Group {
     /// Whether the message comes from the leader of this member's term, to which it may go for that.
     pub(super) fn hear_leader(
@@ -145,6 +148,10 @@
             self.source += 1;
             self.source_heard = now;
             self.leader = None;
+            self.away_since = now;
+        } else if !self.relays.is_empty() && now.saturating_sub(self.away_since) > RETURN_AFTER {
+            self.source = 0;
+            self.away_since = now;
         }
         let next = Index(self.commit.0 + 1);
         let taking = self.incoming.as_ref().map(|i| (i.head.index, i.data.len() as u64));
@@ -162,14 +169,16 @@
         match &self.leader {
             Some(leader) if self.shall_vote() => Some(leader.clone()),
             _ => {
-                let others: Vec<_> = names.into_iter().filter(|n| **n != self.me.name).collect();
+                let relays = self.relays.iter();
+                let names = relays.chain(names.into_iter().filter(|n| !self.relays.contains(n)));
+                let others: Vec<_> = names.filter(|n| **n != self.me.name).collect();
                 let at = (self.source % others.len().max(1) as u64) as usize;
                 others.get(at).map(|n| (*n).clone())
             }
         }
     }
 
-    fn shall_vote(&self) -> bool {
+    pub(super) fn shall_vote(&self) -> bool {
         self.voters().map_or(&self.first, |v| &v.wanted).contains(&self.me.name)
     }
 
--- a/src/fleet/group/lead.rs
+++ b/src/fleet/group/lead.rs
@@ -81,6 +81,11 @@
         self.beat(now, out);
     }
 
+    /// Whether this member leads and has applied all that was committed before its term.
+    pub fn is_established(&self) -> bool {
+        matches!(&self.doing, Doing::Lead(lead) if self.applied >= lead.first)
+    }
+
     /// Whether a majority was heard from lately.
     pub(super) fn in_touch(&self, lead: &Lead, now: Micros) -> bool {
         self.voters().is_some_and(|v| self.in_touch_with(lead, v, now) >= v.majority())
@@ -423,7 +428,7 @@
             let waiting = next > self.commit;
             // One that has just taken in what it was given need not be told that there is nothing new.
             if !waiting || known.is_none_or(|l| (l.store, l.next) == (from.store, next)) {
-                self.give(&from.name, &learner, out);
+                self.give(now, &from.name, &learner, out);
             }
             self.remember(from.name, Learner { waiting, ..learner });
         }
@@ -435,15 +440,23 @@
         }
     }
 
-    fn give(&self, to: &MemberName, learner: &Learner, out: &mut Vec<Action>) {
+    fn give(&self, now: Micros, to: &MemberName, learner: &Learner, out: &mut Vec<Action>) {
         let (most, most_bytes) =
             (self.settings.most_entries_per_message, self.settings.most_bytes_per_message);
         let entries = self.log.slice(learner.next, self.commit, most, most_bytes);
-        // A learner's word on the leader may be old.
-        let (commit, leader) = (self.commit, self.leader.clone().filter(|_| self.role() != Role::Learner));
+        let knows = self.role() != Role::Learner || self.vouches_for_leader(now);
+        let (commit, leader) = (self.commit, self.leader.clone().filter(|_| knows));
         self.send(to.clone(), learner.store, Body::Pulled { entries, commit, leader }, out);
     }
 
+    /// Whether this learner's word on the leader goes on: it pulls from voters itself, which were heard lately, and is
+    /// no former or future voter, from which voters' learners may pull. Else two could keep an old word alive.
+    fn vouches_for_leader(&self, now: Micros) -> bool {
+        let is_plain = !self.first.contains(&self.me.name) && !self.shall_vote();
+        let is_fresh = now.saturating_sub(self.source_heard) <= self.settings.election_us;
+        is_plain && is_fresh && self.relays.is_empty()
+    }
+
     /// Gives the learners that wait what is newly committed.
     pub(super) fn serve_learners(&mut self, now: Micros, out: &mut Vec<Action>) {
         let election = self.settings.election_us;
@@ -458,7 +471,7 @@
         }
         for name in owed {
             if let Some(learner) = self.learners.get(&name) {
-                self.give(&name, learner, out);
+                self.give(now, &name, learner, out);
             }
         }
     }
--- a/src/fleet/lease.rs
+++ b/src/fleet/lease.rs
@@ -6,6 +6,7 @@
 //! moment at which it applied a grant, and asks the log to end it. Why two holders never act at once:
 //! `docs/design/leases.md`.
 
+use crate::fleet::renewal::Renewal;
 use crate::fleet::state::{self, Answer, Bounds, Origin, Outbox, Proposal, Retry};
 use crate::fleet::{Incarnation, Index, LeaseName, MOST_NAME, MemberName, Token, Who};
 use crate::interface::Micros;
@@ -17,6 +18,8 @@
 pub const LIFE: &str = "life/";
 /// Requests of one lease whose moment of sending is remembered while their answers are out.
 const MOST_SENT: usize = 4;
+/// How often a renewal that the leader does not answer is sent in a third of the lease's time.
+const TRIES_A_THIRD: Micros = 3;
 
 /// The life lease of a member: its right to act as itself. `None` if the name is too long to have one.
 pub fn life(member: &MemberName) -> Option<LeaseName> {
@@ -26,6 +29,17 @@
 /// The longest name of a member that can have a life lease, in bytes.
 pub const MOST_MEMBER_NAME: usize = MOST_NAME - LIFE.len();
 
+/// How a holder renews.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum RenewalPath {
+    /// By an entry of the log.
+    #[default]
+    Log,
+    /// By a message that the leader answers; see [`crate::fleet::renewal`].
+    Leader,
+}
+
 /// How leases are asked for, held and ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -42,6 +56,8 @@
     pub offer_ms: u64,
     /// When a request without an answer is sent again.
     pub retry: Retry,
+    /// How a lease that is held is renewed.
+    pub renewal: RenewalPath,
 }
 
 impl Default for Settings {
@@ -52,6 +68,7 @@
             margin_ms: 250,
             offer_ms: 1_000,
             retry: Retry::default(),
+            renewal: RenewalPath::Log,
         }
     }
 }
@@ -593,6 +610,8 @@
     Unwant(LeaseName),
     /// The log answered this member's proposal of this number.
     Answered(u64, Answer),
+    /// The leader renewed a lease on this member's request.
+    Renewed(Renewal),
     /// The table changed at this name.
     Changed(LeaseName),
     /// The table was replaced by a snapshot.
@@ -606,6 +625,13 @@
 pub enum Action {
     /// Hand it to the group.
     Propose(Proposal),
+    /// Send it to the leader or to a relay.
+    Renew {
+        /// What is asked for.
+        renewal: Renewal,
+        /// How many requests before it have stayed without an answer.
+        unanswered: u32,
+    },
     /// Tell the program and the history.
     Changed(LeaseChange),
 }
@@ -627,6 +653,8 @@
     /// When the next request is due, if one is.
     next: Option<Micros>,
     refusals: u32,
+    /// Renewals that the leader has not answered, since the last one that it has.
+    unanswered: u32,
     standing: Standing,
     until: Micros,
 }
@@ -645,6 +673,8 @@
     most_wants: usize,
     ended: bool,
     leaving: bool,
+    /// Renewals on their way to the leader.
+    renewals: Vec<Action>,
 }
 
 impl Holder {
@@ -653,7 +683,18 @@
         let life = life(&me.name);
         let outbox = Outbox::new(me.clone(), settings.retry.clone(), seed);
         let mine = life.iter().map(|name| (name.clone(), Mine::new())).collect();
-        Holder { me, settings, seed, life, outbox, mine, most_wants, ended: false, leaving: false }
+        Holder {
+            me,
+            settings,
+            seed,
+            life,
+            outbox,
+            mine,
+            most_wants,
+            ended: false,
+            leaving: false,
+            renewals: Vec::new(),
+        }
     }
 
     /// The token to act under, if this member may act under this lease at `now`, its own clock read just before.
@@ -730,6 +771,7 @@
                 }
             }
             Event::Answered(seq, outcome) => self.answered(now, seq, outcome, table, out),
+            Event::Renewed(renewal) => self.renewed(now, &renewal, out),
             Event::Changed(name) => {
                 self.look_for_end(table);
                 self.settle(now, &name, table, Cause::Ended, out);
@@ -799,6 +841,21 @@
         self.settle(now, &name, table, Cause::Granted, out);
     }
 
+    /// The leader has answered: the right rests on the moment at which the request was sent.
+    fn renewed(&mut self, now: Micros, renewal: &Renewal, out: &mut Vec<Action>) {
+        let Some(mine) = self.mine.get_mut(&renewal.name) else { return };
+        let sent = mine.sent.iter().find(|(number, _)| *number == renewal.number).map(|(_, at)| *at);
+        let Some((token, Some(base))) = mine.held else { return };
+        let Some(sent) = sent.filter(|sent| token == renewal.token && *sent > base) else { return };
+        mine.held = Some((token, Some(sent)));
+        mine.sent.retain(|(number, _)| *number > renewal.number);
+        mine.unanswered = 0;
+        if mine.open == Some(renewal.number) {
+            mine.open = None;
+        }
+        self.tell(now, &renewal.name, Cause::Renewed, out);
+    }
+
     /// Whether the log has ended this life, or counts a later one.
     fn look_for_end(&mut self, table: &Table) {
         let later = |grant: &Grant| grant.holder.incarnation > self.me.incarnation;
@@ -855,7 +912,16 @@
         if matches!(command, Command::Release { .. }) {
             mine.given_up = mine.held.map(|(token, _)| token);
         }
-        let seq = self.outbox.put(now, state::Command::Lease(command));
+        let seq = match command {
+            Command::Renew { name, token } if mine.renews_at_leader(self.settings.renewal) => {
+                let number = self.outbox.reserve();
+                let renewal = Renewal { holder: self.me.name.clone(), name, token, number };
+                self.renewals.push(Action::Renew { renewal, unanswered: mine.unanswered });
+                mine.unanswered = mine.unanswered.saturating_add(1);
+                number
+            }
+            command => self.outbox.put(now, state::Command::Lease(command)),
+        };
         mine.open = Some(seq);
         mine.sent.push_back((seq, now));
         while mine.sent.len() > MOST_SENT {
@@ -879,7 +945,9 @@
         let waits = table.waiters(name).any(|waiter| waiter.who == self.me);
         let given_up = |token: Token| mine.given_up == Some(token);
         let renew = self.settings.renew();
-        let again = mine.open.and(mine.sent.back()).map(|(_, at)| at.saturating_add(renew));
+        let at_leader = mine.renews_at_leader(self.settings.renewal);
+        let patience = if at_leader { renew / TRIES_A_THIRD } else { renew };
+        let again = mine.open.and(mine.sent.back()).map(|(_, at)| at.saturating_add(patience));
         let name = name.clone();
         match mine.held {
             Some((token, base)) if mine.wanted && !given_up(token) => {
@@ -945,11 +1013,17 @@
     fn send(&mut self, now: Micros, out: &mut Vec<Action>) {
         let mut due = Vec::new();
         self.outbox.due(now, &mut due);
+        out.append(&mut self.renewals);
         out.extend(due.into_iter().map(Action::Propose));
     }
 }
 
 impl Mine {
+    /// Whether the next renewal is a message to the leader: only where the right is good by the log already.
+    fn renews_at_leader(&self, path: RenewalPath) -> bool {
+        path == RenewalPath::Leader && matches!(self.held, Some((_, Some(_))))
+    }
+
     fn give_up(&mut self) {
         self.wanted = false;
         self.given_up = self.held.map(|(token, _)| token);
@@ -965,6 +1039,7 @@
             pause: 0,
             next: None,
             refusals: 0,
+            unanswered: 0,
             standing: Standing::Out,
             until: 0,
         }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -1,6 +1,6 @@
 //! What members say to each other.
 
-use crate::fleet::{group, view};
+use crate::fleet::{group, renewal, view};
 use serde::{Deserialize, Serialize};
 
 /// One message between members. Variants are only ever added at the end: members of two versions run side by side.
@@ -10,6 +10,8 @@
     View(view::Message),
     /// Of the group; proposals travel in it to the leader.
     Group(group::Message),
+    /// About renewals of leases.
+    Renewal(renewal::Message),
 }
 
 impl Message {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod policy_content;
 pub mod policy_epoch;
+pub mod renewal;
 pub mod sites;
 pub mod state;
 pub mod takeover;
--- a/src/fleet/net/drive.rs
+++ b/src/fleet/net/drive.rs
@@ -216,7 +216,8 @@
             address: self.config.peer,
             incarnation: who.incarnation,
         };
-        let start = Start { me, store: store_id, voters: self.config.voters.clone(), restored, seed };
+        let (voters, relays) = (self.config.voters.clone(), self.config.relays.clone());
+        let start = Start { me, store: store_id, voters, restored, seed, relays };
         let (keys, bounds) = (self.reception.keys.clone(), bounds(&self.config));
         let terms = Terms {
             me: who.clone(),
--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -8,6 +8,7 @@
 use crate::fleet::group::{self, Group};
 use crate::fleet::lease::{self, Holder, LeaseChange, Watch};
 use crate::fleet::message::Message;
+use crate::fleet::renewal::{self, Confirmation, Gathering, Renewal};
 use crate::fleet::state::{Answer, Bounds, Command, Effect, FleetState, Proposal};
 use crate::fleet::view::{self, View};
 use crate::fleet::{
@@ -76,6 +77,8 @@
     pub restored: group::Restored,
     /// The seed of all that is drawn.
     pub seed: u64,
+    /// Members to learn from and to renew through before the voters, the nearest first.
+    pub relays: Vec<MemberName>,
 }
 
 /// What a member is told.
@@ -266,6 +269,13 @@
     keep_at: Micros,
     /// The proposal of a policy that this leader has seen under way, and when it ends it.
     policy_due: Option<(u64, Micros)>,
+    relays: Vec<MemberName>,
+    /// Renewals of this member that are to be sent, and how many before each stayed without an answer.
+    renewing: Vec<(Renewal, u32)>,
+    /// As leader: renewals that wait for the voters.
+    confirmation: Confirmation,
+    /// As relay: renewals of others.
+    gathering: Gathering,
 }
 
 /// How often the leader looks for records of work that may be forgotten, and the most at once.
@@ -275,14 +285,15 @@
 impl Node {
     /// A member at the start of its life. It wants its life lease at once; it looks for the others at [`Event::Join`].
     pub fn new(start: Start, settings: Settings, now: Micros) -> Node {
-        let Start { me, store, voters, restored, seed } = start;
+        let Start { me, store, voters, restored, seed, relays } = start;
         let who = Who { name: me.name.clone(), incarnation: me.incarnation };
         let draw = |part: u64| xxh3_64_with_seed(&part.to_le_bytes(), seed);
         let voter = group::VoterId { name: me.name.clone(), store };
         let most_wants = settings.node.most_wants;
         Node {
             view: View::new(me.clone(), settings.view, draw(1)),
-            group: Group::new(voter, &voters, settings.group, draw(2), restored, now),
+            group: Group::new(voter, &voters, settings.group, draw(2), restored, now)
+                .with_relays(relays.clone()),
             state: FleetState::new(),
             holder: Holder::new(who.clone(), settings.lease.clone(), most_wants, draw(3)),
             watch: Watch::new(settings.lease),
@@ -299,6 +310,10 @@
             keeper: takeover::Keeper::default(),
             keep_at: now.saturating_add(KEEP),
             policy_due: None,
+            relays,
+            renewing: Vec::new(),
+            confirmation: Confirmation::default(),
+            gathering: Gathering::default(),
         }
     }
 
@@ -321,6 +336,11 @@
             Event::Message { from, message: Message::View(message) } => {
                 self.look(now, view::Event::Message { from, message }, out);
             }
+            Event::Message { from, message: Message::Renewal(message) } => {
+                self.look(now, view::Event::Reached(from.clone()), out);
+                self.hear_renewal(now, from, message, &mut asks, out);
+            }
+            Event::Message { message: Message::Group(message), .. } if ends_a_lease(&message) => {}
             Event::Message { from, message: Message::Group(message) } => {
                 self.look(now, view::Event::Reached(from.clone()), out);
                 asks.push_back(group::Event::Message { from, message });
@@ -345,6 +365,7 @@
             }
         }
         self.work(now, asks, out);
+        self.renew(now, out);
         self.watch_policy(now);
         self.say_rights(now, out);
     }
@@ -360,6 +381,8 @@
             Some(self.keep_at).filter(|_| self.leading && !self.state.work().is_empty()),
             self.policy_due.map(|(_, at)| at),
             give_up,
+            self.confirmation.timeout(),
+            self.gathering.timeout(),
         ];
         parts.into_iter().flatten().min()
     }
@@ -459,12 +482,18 @@
         self.held(actions, asks, out);
     }
 
-    fn held(&self, actions: Vec<lease::Action>, asks: &mut VecDeque<group::Event>, out: &mut Vec<Action>) {
+    fn held(
+        &mut self,
+        actions: Vec<lease::Action>,
+        asks: &mut VecDeque<group::Event>,
+        out: &mut Vec<Action>,
+    ) {
         for action in actions {
             match action {
                 lease::Action::Propose(proposal) => {
                     asks.push_back(group::Event::Propose { payload: proposal.encode() });
                 }
+                lease::Action::Renew { renewal, unanswered } => self.renewing.push((renewal, unanswered)),
                 lease::Action::Changed(change) => out.push(Action::Lease(change)),
             }
         }
@@ -583,6 +612,7 @@
         let leading = leader.as_ref() == Some(&self.who.name);
         if leading != self.leading {
             self.leading = leading;
+            self.confirmation.clear();
             self.watch.lead(now, leading, self.state.leases());
             for (_, seq) in std::mem::take(&mut self.expiring) {
                 self.holder.forget(seq);
@@ -599,6 +629,133 @@
         out.push(Action::Leading { leader, term });
     }
 
+    // ------------------------------------------------------------ renewals off the log
+
+    fn hear_renewal(
+        &mut self,
+        now: Micros,
+        from: MemberName,
+        message: renewal::Message,
+        asks: &mut VecDeque<group::Event>,
+        out: &mut Vec<Action>,
+    ) {
+        match message {
+            renewal::Message::Renew { renewals, relayed } => self.hear_renew(now, from, renewals, relayed),
+            renewal::Message::Renewed(renewals) => self.hear_renewed(now, renewals, asks, out),
+            renewal::Message::Confirm { term, round } => {
+                if self.group.confirms(&from, term) {
+                    let store = self.group.me().store;
+                    self.send_renewal(from, renewal::Message::Confirmed { term, round, store }, out);
+                }
+            }
+            renewal::Message::Confirmed { term, round, store } => {
+                if self.leading && term == self.group.term() {
+                    self.confirmation.confirmed(group::VoterId { name: from, store }, round);
+                }
+            }
+        }
+    }
+
+    /// Renewals have come: a leader counts their time anew, another one sends them on, once.
+    fn hear_renew(&mut self, now: Micros, from: MemberName, renewals: Vec<Renewal>, relayed: bool) {
+        if !self.leading {
+            if !relayed && renewals.len() <= renewal::MOST_RENEWALS {
+                self.gathering.take(now, renewals);
+            }
+            return;
+        }
+        if !self.group.is_established() {
+            return;
+        }
+        for renewal in renewals {
+            // One whose end is in the log already may come too late: the log decides.
+            if self.is_good(&renewal) && !self.expiring.contains_key(&renewal.name) {
+                self.watch.changed(now, &renewal.name, self.state.leases());
+                self.confirmation.take(from.clone(), renewal);
+            }
+        }
+    }
+
+    fn is_good(&self, renewal: &Renewal) -> bool {
+        self.state.leases().grant(&renewal.name).is_some_and(|grant| {
+            grant.taken && grant.token == renewal.token && grant.holder.name == renewal.holder
+        })
+    }
+
+    /// Answers have come: this member takes its own, and sends the others on to their holders.
+    fn hear_renewed(
+        &mut self,
+        now: Micros,
+        renewals: Vec<Renewal>,
+        asks: &mut VecDeque<group::Event>,
+        out: &mut Vec<Action>,
+    ) {
+        for renewal in renewals {
+            if renewal.holder == self.who.name {
+                self.hold(now, lease::Event::Renewed(renewal), asks, out);
+            } else {
+                let holder = renewal.holder.clone();
+                self.send_renewal(holder, renewal::Message::Renewed(vec![renewal]), out);
+            }
+        }
+    }
+
+    /// Sends this member's own renewals, those that it has gathered, and the answers that are confirmed.
+    fn renew(&mut self, now: Micros, out: &mut Vec<Action>) {
+        for (renewal, unanswered) in std::mem::take(&mut self.renewing) {
+            match self.renew_through(unanswered) {
+                Some(to) if to == self.who.name => self.hear_renew(now, to, vec![renewal], true),
+                Some(to) => {
+                    let message = renewal::Message::Renew { renewals: vec![renewal], relayed: false };
+                    self.send_renewal(to, message, out);
+                }
+                None => {}
+            }
+        }
+        // Where nobody leads they are dropped: their holders ask again.
+        if let Some(message) = self.gathering.due(now)
+            && let Some(leader) = self.group.leader().cloned()
+        {
+            self.send_renewal(leader, message, out);
+        }
+        if self.leading {
+            self.confirm(now, out);
+        }
+    }
+
+    /// Lets the leader answer what its voters have confirmed.
+    fn confirm(&mut self, now: Micros, out: &mut Vec<Action>) {
+        let Some(voters) = self.group.voters().cloned() else { return };
+        let mut outgoing = Vec::new();
+        self.confirmation.turn(now, self.group.me(), self.group.term(), &voters, &mut outgoing);
+        let mut asks = VecDeque::new();
+        for renewal::Outgoing { to, message } in outgoing {
+            match message {
+                renewal::Message::Renewed(renewals) if to == self.who.name => {
+                    self.hear_renewed(now, renewals, &mut asks, out);
+                }
+                message => self.send_renewal(to, message, out),
+            }
+        }
+        self.work(now, asks, out);
+    }
+
+    /// Whom the next renewal goes to: relays that seem to live and then the leader, each after one that did not answer.
+    fn renew_through(&self, unanswered: u32) -> Option<MemberName> {
+        if self.leading {
+            return Some(self.who.name.clone());
+        }
+        let lives =
+            |name: &&MemberName| self.view.peer(name).is_some_and(|peer| peer.status == view::Status::Alive);
+        let ways: Vec<&MemberName> = self.relays.iter().filter(lives).chain(self.group.leader()).collect();
+        ways.get(unanswered as usize % ways.len().max(1)).map(|name| (*name).clone())
+    }
+
+    fn send_renewal(&self, to: MemberName, message: renewal::Message, out: &mut Vec<Action>) {
+        let address = self.view.peer(&to).map(|peer| peer.address);
+        out.push(Action::Send { to, address, message: Message::Renewal(message), reliable: true });
+    }
+
     /// As leader, asks the log to end what has run out by this member's clock.
     fn end_leases(&mut self, now: Micros, asks: &mut VecDeque<group::Event>) {
         let mut commands = Vec::new();
@@ -671,3 +828,10 @@
         }
     }
 }
+
+/// Whether it asks for the end of a lease. Only a leader may, of itself: it alone knows which renewals it has answered.
+fn ends_a_lease(message: &group::Message) -> bool {
+    let group::Body::Propose(group::Proposed::Data(payload)) = &message.body else { return false };
+    let command = Proposal::decode(payload).map(|proposal| proposal.command);
+    matches!(command, Some(Command::Lease(lease::Command::Expire { .. })))
+}
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -375,9 +375,15 @@
 
     /// Takes a command on and returns its number; [`Outbox::due`] sends it at once.
     pub fn put(&mut self, now: Micros, command: Command) -> u64 {
+        let seq = self.reserve();
+        self.open.insert(seq, Open { command, tries: 0, due: now });
+        seq
+    }
+
+    /// A number for a request that goes another way than the log.
+    pub fn reserve(&mut self) -> u64 {
         let seq = self.next;
         self.next += 1;
-        self.open.insert(seq, Open { command, tries: 0, due: now });
         seq
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -351,8 +351,7 @@
     }
 
     /// Homes of a shared text, among which its sessions are spread: its part of all requests, in readers,
-    /// where there are many. A rare one would be read anew at each; a frequent one is more than one reader
-    /// can take.
+    /// where there are many. A rare one is read anew at each; a frequent one is more than a reader can take.
     fn homes(&self, ask: &Ask) -> u64 {
         let readers = self.most[Role::Reader as usize] as u64;
         let part = self.kept.share(ask, self.now, PREFIX_TTL);
@@ -634,9 +633,10 @@
         }
         let ratio = sample / pace.or(sample).max(1e-9);
         pace.add(bounded, LEARN);
-        if let Some(w) = self.workers.get_mut(worker) {
-            w.slowness.add(ratio.clamp(0.1, 10.0), LEARN);
-        }
+        let Some(w) = self.workers.get_mut(worker) else { return };
+        w.slowness.add(ratio.clamp(0.1, 10.0), LEARN);
+        let role = w.role;
+        self.learn_slowness(role);
     }
 
     fn ended(&mut self, end: Ended, out: &mut Vec<Action>) {
@@ -768,14 +768,16 @@
 
     fn slowness(&self, worker: &WorkerId) -> f64 {
         let Some(w) = self.workers.get(worker) else { return 1.0 };
-        let peers = self.workers.values().filter(|p| p.role == w.role);
-        let mut all: Vec<f64> = peers.map(|p| p.slowness.or(1.0)).collect();
-        all.sort_by(f64::total_cmp);
-        let slow = w.slowness.or(1.0) / all[all.len() / 2].max(0.1);
+        let slow = w.slowness.or(1.0) / self.learned.slowness[w.role as usize].max(0.1);
         // Ordinary differences between workers are noise here.
         (if slow < 1.5 { 1.0 } else { slow }).max(1.0 / self.warmth(w))
     }
 
+    fn learn_slowness(&mut self, role: Role) {
+        let peers = self.workers.values().filter(|p| p.role == role);
+        self.learned.slowness[role as usize] = median(peers.map(|p| p.slowness.or(1.0)));
+    }
+
     /// The least part that a worker can do now of what it does when warm.
     fn warmth(&self, w: &Worker) -> f64 {
         let age = w.started.map_or(f64::MAX, |at| self.now.saturating_sub(at) as f64);
@@ -854,8 +856,7 @@
         let failures = if kind == ListKind::Failed { self.call_failures + 1 } else { 0 };
         self.call_failures = failures.min(MAX_DOUBLINGS);
         if matches!(kind, ListKind::Failed | ListKind::Saved) && self.set.list_on_request {
-            // From a span that holds all routers' calls one by one, doubled with each failure. Guards against
-            // calls in step, which keep discovery full for good after a start of many at once.
+            // A span for all routers' calls one by one, doubled with each failure: in step they never end.
             let span = CALL_WITHIN.min((CALL * Micros::from(self.set.routers)) << self.call_failures);
             let drawn = unit(xxh3_64_with_seed(&self.now.to_le_bytes(), self.seed));
             self.call_due = Some(self.now + (span as f64 * drawn) as Micros);
@@ -869,15 +870,15 @@
         for e in entries {
             self.entry(e);
         }
-        for role in [Role::Reader, Role::Writer, Role::Mixed] {
-            let count = self.ready(role).count();
-            self.most[role as usize] = self.most[role as usize].max(count);
-        }
         self.balance();
         // A gone worker stays known while something of ours is out there.
         let requests = &self.requests;
         let busy = |id: &WorkerId| requests.values().flat_map(Request::out).any(|a| a.worker == *id);
         self.workers.retain(|id, w| w.status != Status::Gone || busy(id));
+        for role in [Role::Reader, Role::Writer, Role::Mixed] {
+            self.most[role as usize] = self.most[role as usize].max(self.ready(role).count());
+            self.learn_slowness(role);
+        }
     }
 
     fn entry(&mut self, e: Entry) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,16 @@
     }
 }
 
+/// The middle one of some values, the upper one of two; 1 where there are none.
+pub(crate) fn median(values: impl Iterator<Item = f64>) -> f64 {
+    let mut all: Vec<f64> = values.collect();
+    let middle = all.len() / 2;
+    match all.is_empty() {
+        true => 1.0,
+        false => *all.select_nth_unstable_by(middle, f64::total_cmp).1,
+    }
+}
+
 /// What this router has measured of the fleet.
 #[derive(Default)]
 pub(crate) struct Learned {
@@ -85,6 +95,7 @@
     pub write_pace: [Average; 3], // to the first token; the state moves in a cell, in a zone, or between zones
     pub first_pace: Average,      // the same over all distances
     pub rates: [Average; 3],      // of each role: what one warm worker of weight 1 completes in a microsecond
+    pub slowness: [f64; 3],       // of each role: the median of its workers, learned with each change
     pub unread: Average,
     pub prompt: Average,
 }
