--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -35,6 +35,8 @@
     pub sites: usize,
     /// How many of the conductors, from `c1` on, vote. 0 leaves out the fleet's tables: conductors that share nothing.
     pub voters: usize,
+    /// How many of those behind the voters are relays: the others learn from them and renew through them.
+    pub relays: usize,
     /// Readers in all.
     pub readers: usize,
     /// Writers in all.
@@ -61,6 +63,7 @@
             conductors: 3,
             sites: 1,
             voters: 0,
+            relays: 0,
             readers: 2,
             writers: 3,
             host: HostSettings::quick("", HostRole::Reader, ([127, 0, 0, 1], 0).into()),
@@ -256,10 +259,14 @@
                 self.network.link(name, other, relay, block.at(i + 1, 7100))?;
                 peers.push(format!("{other} = \"{relay}\""));
             }
+            let first = voters.len();
+            let all_relays = &names[first..(first + settings.relays).min(names.len())];
+            let uses_relays = number > first + all_relays.len();
+            let relays = if uses_relays { all_relays } else { &[] };
             let folder = self.folder.path();
             let _ = writeln!(
                 file,
-                "[fleet]\nsite = {site:?}\npeer = \"{}\"\nkey_file = {:?}\nvoters = {voters:?}\npeers = {{ {} }}\n{}\n[store]\npath = {:?}",
+                "[fleet]\nsite = {site:?}\npeer = \"{}\"\nkey_file = {:?}\nvoters = {voters:?}\nrelays = {relays:?}\npeers = {{ {} }}\n{}\n[store]\npath = {:?}",
                 block.at(number, 7100),
                 folder.join("key"),
                 peers.join(", "),
--- a/lab/src/scale/simulated.rs
+++ b/lab/src/scale/simulated.rs
@@ -164,7 +164,29 @@
         self.world.with(node, |member, now, out| member.event(now, Event::Join { seeds }, out));
     }
 
-    fn run_for(&mut self, time: Micros) {
+    /// Ends a member without a word.
+    pub fn crash(&mut self, node: usize) {
+        self.world.crash(node);
+    }
+
+    /// Stops a member, as SIGSTOP does; what comes for it waits.
+    pub fn pause(&mut self, node: usize) {
+        self.world.pause(node);
+    }
+
+    /// Lets a stopped member run on.
+    pub fn resume(&mut self, node: usize) {
+        self.world.resume(node);
+    }
+
+    /// How many others than these have lost their right to act since the last call.
+    pub fn rights_lost(&mut self, struck: &BTreeSet<usize>) -> usize {
+        let lost = |note: &(Micros, usize, Note)| note.2 == Note::MayAct(false) && !struck.contains(&note.1);
+        self.world.take_notes().iter().filter(|note| lost(note)).count()
+    }
+
+    /// Lets time pass.
+    pub fn run_for(&mut self, time: Micros) {
         self.world.run(self.world.now() + time);
     }
 
@@ -266,8 +288,7 @@
             self.run_for(SECOND);
         }
         let after = self.counts();
-        let lost = |note: &(Micros, usize, Note)| note.2 == Note::MayAct(false) && !struck.contains(&note.1);
-        let rights_lost = self.world.take_notes().iter().filter(|n| lost(n)).count();
+        let rights_lost = self.rights_lost(&struck);
         let role = |role: Role| self.rates(&before, &after, seconds, role);
         let most = |all: Vec<Rates>| all.into_iter().max_by(|a, b| a.bytes().total_cmp(&b.bytes()));
         PhaseFigures {
--- a/lab/tests/processes_ground.rs
+++ b/lab/tests/processes_ground.rs
@@ -42,15 +42,23 @@
 
     /// With other times of the view, the group and the leases.
     fn start_in_time(conductors: usize, voters: usize, seed: u64, more: String) -> Ground {
+        Ground::start_of(FleetSettings { conductors, voters, seed, more, ..FleetSettings::default() })
+    }
+
+    /// With leases that are renewed at the leader, through relays.
+    fn start_with_relays(conductors: usize, voters: usize, relays: usize, seed: u64) -> Ground {
+        let more = QUICK.replace("[fleet.lease]\n", "[fleet.lease]\nrenewal = \"leader\"\n");
+        let of = FleetSettings { conductors, voters, relays, seed, more, ..FleetSettings::default() };
+        Ground::start_of(of)
+    }
+
+    fn start_of(settings: FleetSettings) -> Ground {
+        let voters = settings.voters;
         let settings = FleetSettings {
-            conductors,
-            voters,
-            seed,
             readers: 1,
             writers: 1,
             fleet: "refresh_period_ms = 20\n".to_owned(),
-            more,
-            ..FleetSettings::default()
+            ..settings
         };
         let fleet = Fleet::start(settings).unwrap();
         let names = fleet.names();
@@ -122,6 +130,32 @@
     ground.end();
 }
 
+/// Relays, the leader and members behind relays are killed, and stopped past their leases, in turn.
+#[rstest]
+#[case::killed(false)]
+#[case::stopped(true)]
+fn with_relays_one_acts_whoever_goes_and_all_come_back(#[case] is_stopped: bool) {
+    let ground = Ground::start_with_relays(7, 3, 2, 12);
+    let leader = ground.who("leader");
+    for victim in ["c4", "c5", "c6", &leader] {
+        let conductor = ground.fleet.conductor(victim);
+        if is_stopped {
+            conductor.stop();
+        } else {
+            conductor.kill();
+        }
+        ground.another_acts(victim);
+        ground.settled(&[victim]);
+        if is_stopped {
+            conductor.cont();
+        } else {
+            ground.fleet.restart(victim, false).unwrap();
+        }
+        ground.settled(&[]);
+    }
+    ground.end();
+}
+
 /// Guards against zombies: stopped past its lease, a conductor runs on where it was, and must do nothing more.
 #[rstest]
 #[case::leader("leader")]
