--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -45,10 +45,10 @@
     /// Where tables and plots go.
     #[arg(long, default_value = "docs/figures")]
     pub out: PathBuf,
-    /// How leases are renewed in simulated fleets.
+    /// How leases are renewed.
     #[arg(long, value_enum, default_value_t = Renewals::Log)]
     pub renewals: Renewals,
-    /// How many members of simulated fleets are relays; conductors learn from them and renew through them.
+    /// How many members are relays; conductors learn from them and renew through them.
     #[arg(long, default_value_t = 0)]
     pub relays: usize,
     /// What the files of this run are called.
@@ -65,6 +65,16 @@
     Leader,
 }
 
+impl Renewals {
+    /// As the setting `renewal` has it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Renewals::Log => "log",
+            Renewals::Leader => "leader",
+        }
+    }
+}
+
 /// The settings of service, with bounds that take a fleet of this size in.
 pub fn settings_for(layout: Layout, renewals: Renewals) -> Settings {
     let mut settings = Settings::default();
@@ -98,7 +108,7 @@
     report.fleets(&fleets)?;
     let mut processes = Vec::new();
     for members in args.processes.iter().copied().filter(|members| *members > 0) {
-        let figures = real::measure_processes(members, args.seconds, args.seed)?;
+        let figures = real::measure_processes(members, args.relays, args.renewals, args.seconds, args.seed)?;
         println!("{figures:?}");
         processes.push(figures);
     }
--- a/lab/src/scale/real.rs
+++ b/lab/src/scale/real.rs
@@ -1,5 +1,6 @@
 //! Real conductors at growing sizes: what the fleet's part of each costs while nothing happens.
 
+use super::Renewals;
 use super::process::{processor_time_of, resident_bytes_of};
 use crate::fleet::{Fleet, FleetSettings};
 use std::error::Error;
@@ -22,16 +23,24 @@
     pub stream_bytes: f64,
 }
 
-/// Starts a fleet with the settings of service, and watches it for so long.
+/// Starts a fleet with the settings of service, some of its conductors as relays, and watches it for so long.
 ///
 /// # Errors
 /// It does not start, comes to no agreement, or can't be looked at.
-pub fn measure_processes(members: usize, seconds: u64, seed: u64) -> Result<RealFigures, Box<dyn Error>> {
+pub fn measure_processes(
+    members: usize,
+    relays: usize,
+    renewals: Renewals,
+    seconds: u64,
+    seed: u64,
+) -> Result<RealFigures, Box<dyn Error>> {
     let settings = FleetSettings {
         conductors: members,
         voters: if members < 5 { 3 } else { 5 },
+        relays,
         readers: 1,
         writers: 1,
+        more: format!("[fleet.lease]\nrenewal = {:?}\n", renewals.name()),
         seed,
         ..FleetSettings::default()
     };
--- a/lab/src/scale/simulated.rs
+++ b/lab/src/scale/simulated.rs
@@ -385,6 +385,11 @@
     whinhaven::fleet::lease::life(&member.node.who().name).expect("a short name")
 }
 
+/// How long the news of all members' joins go round: they came within seconds, and each rides on few messages.
+fn news_of_joins(members: usize) -> Micros {
+    10 * SECOND + members as Micros * SECOND / 10
+}
+
 /// Measures one fleet from its start to the last phase.
 ///
 /// # Errors
@@ -398,7 +403,7 @@
     let memory = super::process::resident_bytes()?;
     let mut fleet = SimulatedFleet::start(layout, settings, seed);
     let settled_s = fleet.settle()?;
-    fleet.rest(10 * SECOND);
+    fleet.rest(news_of_joins(layout.members));
     let members = layout.members as f64;
     let memory = super::process::resident_bytes()?.saturating_sub(memory) as f64 / members;
     let cpu = super::process::processor_time()?;
--- a/lab/tests/model_lease.rs
+++ b/lab/tests/model_lease.rs
@@ -10,12 +10,15 @@
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Instant;
-use whinhaven::fleet::lease::{self, Guard, Holder, LeaseChange, Settings, Standing, Watch};
+use whinhaven::fleet::lease::{self, Guard, Holder, LeaseChange, RenewalPath, Settings, Standing, Watch};
+use whinhaven::fleet::renewal::Renewal;
 use whinhaven::fleet::state::{Command, Effect, FleetState, Outbox, Proposal, Retry};
 use whinhaven::fleet::{Incarnation, Index, LeaseName, MemberName, Token, Who};
 use whinhaven::interface::Micros;
 
 const UNIT: Micros = 1_000_000;
+/// A property of models with such renewals.
+const RENEWED: &str = "a renewal is answered";
 /// No proposal is sent twice by itself here: the log may take it at any later time anyhow.
 const NEVER_MS: u64 = 3_000_000;
 
@@ -60,6 +63,8 @@
     start: Start,
     /// Acts are sent, and land late.
     acts: bool,
+    /// The leader takes renewals also of what it has asked the log to end. It must not.
+    is_careless: bool,
 }
 
 /// What follows from the rest of a state: it tells no two states apart.
@@ -93,6 +98,11 @@
 struct World {
     time: u64,
     flight: Vec<Proposal>,
+    /// Renewals on their way to the leader, and its answers on their way back.
+    renewals: Vec<Renewal>,
+    answers: Vec<Renewal>,
+    /// Whether an answer has come.
+    renewed: bool,
     log: Vec<Proposal>,
     /// The whole log.
     truth: Derived,
@@ -113,6 +123,8 @@
 enum Step {
     Time,
     Commit(usize),
+    Renew(usize),
+    Answer(usize),
     Wake(usize),
     Apply(usize),
     Leave(usize),
@@ -148,6 +160,11 @@
         for action in out {
             match action {
                 lease::Action::Propose(proposal) => sent.push(proposal),
+                lease::Action::Renew { renewal, .. } => {
+                    // An earlier one is lost on its way.
+                    world.renewals.retain(|other| other.holder != renewal.holder);
+                    world.renewals.push(renewal);
+                }
                 lease::Action::Changed(LeaseChange { name, to, .. }) if name == self.lease => *said = to,
                 lease::Action::Changed(_) => {}
             }
@@ -187,6 +204,32 @@
         }
     }
 
+    /// A renewal comes to the leader: it counts the lease anew, unless it has asked the log to end it.
+    fn renew(&self, world: &mut World, renewal: usize) {
+        let renewal = world.renewals.remove(renewal);
+        let Some(leader) = self.people.iter().position(|person| person.watches) else { return };
+        let now = self.clock(leader, world.time);
+        let ends = |proposal: &Proposal| matches!(&proposal.command, Command::Lease(lease::Command::Expire { name, .. }) if *name == renewal.name);
+        let unseen = &world.log[world.members[leader].applied..];
+        let is_ending = world.flight.iter().chain(unseen).any(ends) && !self.is_careless;
+        let this = Arc::make_mut(&mut world.members[leader]);
+        let table = this.state.0.leases();
+        let grant = table.grant(&renewal.name).filter(|grant| grant.taken && grant.token == renewal.token);
+        if grant.is_some() && !is_ending {
+            this.watch.changed(now, &renewal.name, table);
+            world.answers.push(renewal);
+        }
+    }
+
+    fn answer(&self, world: &mut World, answer: usize) {
+        let renewal = world.answers.remove(answer);
+        let holder = |person: &Person| person.holds && person.name == renewal.holder.as_str();
+        if let Some(member) = self.people.iter().position(holder) {
+            self.tell(world, member, lease::Event::Renewed(renewal));
+            world.renewed = true;
+        }
+    }
+
     fn apply(&self, world: &mut World, member: usize) {
         let now = self.clock(member, world.time);
         let this = Arc::make_mut(&mut world.members[member]);
@@ -245,6 +288,9 @@
         let mut world = World {
             time: 0,
             flight: Vec::new(),
+            renewals: Vec::new(),
+            answers: Vec::new(),
+            renewed: false,
             log: Vec::new(),
             truth: Derived(Arc::new(FleetState::new())),
             members: self.people.iter().map(member).collect(),
@@ -281,6 +327,8 @@
     fn actions(&self, world: &World, steps: &mut Vec<Step>) {
         steps.push(Step::Time);
         steps.extend((0..world.flight.len()).map(Step::Commit));
+        steps.extend((0..world.renewals.len()).map(Step::Renew));
+        steps.extend((0..world.answers.len()).map(Step::Answer));
         for (i, member) in world.members.iter().enumerate() {
             let now = self.clock(i, world.time);
             let watch = member.watch.timeout().filter(|_| self.people[i].watches);
@@ -306,6 +354,8 @@
         match step {
             Step::Time => world.time += 1,
             Step::Commit(flying) => self.commit(&mut world, flying),
+            Step::Renew(renewal) => self.renew(&mut world, renewal),
+            Step::Answer(answer) => self.answer(&mut world, answer),
             Step::Wake(member) => self.tell(&mut world, member, lease::Event::Tick),
             Step::Apply(member) => self.apply(&mut world, member),
             Step::Leave(member) => self.tell(&mut world, member, lease::Event::Leave),
@@ -343,6 +393,9 @@
                     && setup.acts_under(world, world.highest)
             }),
         ];
+        if self.settings.renewal == RenewalPath::Leader {
+            properties.push(Property::sometimes(RENEWED, |_, world: &World| world.renewed));
+        }
         if self.acts {
             let late = "an act checked in time lands after the next holder's, and is refused";
             properties.push(Property::sometimes(late, |_, world: &World| world.refused));
@@ -354,7 +407,14 @@
 fn settings(margin_ms: u64) -> Settings {
     let retry = Retry { first_ms: NEVER_MS, most_ms: NEVER_MS };
     // Three units, off by a third at most: a holder acts for two of its own, the leader waits for four of its own.
-    Settings { granted_for_ms: 3_000, drift_ppm: 333_333, margin_ms, offer_ms: 1_000, retry }
+    Settings {
+        granted_for_ms: 3_000,
+        drift_ppm: 333_333,
+        margin_ms,
+        offer_ms: 1_000,
+        retry,
+        renewal: RenewalPath::Log,
+    }
 }
 
 fn person(name: &'static str, incarnation: u64, clock: u64) -> Person {
@@ -367,7 +427,17 @@
     let people = vec![person("a", 1, slowest), person("a", 2, 1_000_000), leader];
     let lease = LeaseName::try_from("life/a").expect("a name");
     let (settings, start) = (settings(0), Start::Seen);
-    Setup { people, settings, lease, horizon: 4, most_log: 4, most_flight: 1, start, acts: false }
+    Setup {
+        people,
+        settings,
+        lease,
+        horizon: 4,
+        most_log: 4,
+        most_flight: 1,
+        start,
+        acts: false,
+        is_careless: false,
+    }
 }
 
 /// Two members that want one lease, and a leader; their life leases are good at the start.
@@ -377,7 +447,25 @@
     let people = vec![wants(person("a", 1, slowest)), wants(person("b", 1, slowest)), leader];
     let lease = LeaseName::try_from("duty").expect("a name");
     let (settings, start) = (settings(0), Start::Living);
-    Setup { people, settings, lease, horizon: 3, most_log: 5, most_flight: 1, start, acts: false }
+    Setup {
+        people,
+        settings,
+        lease,
+        horizon: 3,
+        most_log: 5,
+        most_flight: 1,
+        start,
+        acts: false,
+        is_careless: false,
+    }
+}
+
+/// The same with renewals at the leader: one holder, one that waits.
+fn renewed(slowest: u64, fastest: u64, is_careless: bool) -> Setup {
+    let mut setup = duty(slowest, fastest);
+    setup.settings.renewal = RenewalPath::Leader;
+    (setup.horizon, setup.most_log, setup.is_careless) = (5, 7, is_careless);
+    setup
 }
 
 const SLOW: u64 = 666_667;
@@ -409,6 +497,25 @@
     assert_eq!(checker.model().actors(&last), 2, "{title}: {:?}", path.into_actions());
 }
 
+#[test]
+fn renewals_at_the_leader_never_let_two_act_with_clocks_at_the_bound() {
+    let checker = explore("renewals at the leader", renewed(SLOW, FAST, false));
+    checker.assert_no_discovery("at most one acts");
+    checker.assert_no_discovery("tokens rise");
+    checker.assert_any_discovery(RENEWED);
+}
+
+#[test]
+fn renewals_at_the_leader_let_two_act_one_millionth_beyond_the_bound() {
+    breaks("renewals at the leader, beyond the bound", renewed(SLOW - 1, FAST, false));
+}
+
+/// A leader that renews what it has asked the log to end: the checker has to see it.
+#[test]
+fn a_leader_that_renews_what_it_ends_is_caught() {
+    breaks("a careless leader", renewed(SLOW, FAST, true));
+}
+
 #[test]
 fn two_lives_never_act_at_once_with_clocks_at_the_bound() {
     holds("two lives, clocks at the bound", lives(SLOW, FAST));
