--- a/src/fleet/node.rs
+++ b/src/fleet/node.rs
@@ -835,3 +835,6 @@
     let command = Proposal::decode(payload).map(|proposal| proposal.command);
     matches!(command, Some(Command::Lease(lease::Command::Expire { .. })))
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/fleet/node/tests.rs
@@ -0,0 +1,131 @@
+use super::*;
+use std::net::Ipv4Addr;
+
+const SECOND: Micros = 1_000_000;
+
+fn member(name: &str) -> MemberName {
+    MemberName::try_from(name).expect("a name")
+}
+
+/// A member whose group is itself alone, or which waits for a voter that never comes.
+struct Alone {
+    node: Node,
+    now: Micros,
+}
+
+impl Alone {
+    fn new(voter: &str) -> Alone {
+        let site = SiteName::try_from("here").expect("a name");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 7001));
+        let me = view::Me { name: member("c1"), site, address, incarnation: Incarnation(1) };
+        let (voters, restored) = (BTreeSet::from([member(voter)]), group::Restored::default());
+        let start = Start { me, store: 1, voters, restored, seed: 1, relays: Vec::new() };
+        let mut settings = Settings::default();
+        settings.lease.renewal = lease::RenewalPath::Leader;
+        let mut alone = Alone { node: Node::new(start, settings, 0), now: 0 };
+        alone.run_for(3 * SECOND);
+        alone
+    }
+
+    fn event(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.node.handle(self.now, event, &mut out);
+        out
+    }
+
+    /// Lets time pass; all that was done.
+    fn run_for(&mut self, time: Micros) -> Vec<Action> {
+        let end = self.now + time;
+        let mut done = Vec::new();
+        while let Some(at) = self.node.timeout().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            done.extend(self.event(Event::Tick));
+        }
+        self.now = end;
+        done
+    }
+
+    fn life(&self) -> LeaseName {
+        lease::life(&member("c1")).expect("a short name")
+    }
+
+    /// Hands a renewal in as another member's; the renewals that are answered to it.
+    fn renew(&mut self, renewal: Renewal, relayed: bool) -> Vec<Renewal> {
+        let message = Message::Renewal(renewal::Message::Renew { renewals: vec![renewal.clone()], relayed });
+        let mut done = self.event(Event::Message { from: member("c2"), message });
+        done.extend(self.run_for(SECOND));
+        done.iter().flat_map(|action| renewed(action, "c2")).collect()
+    }
+}
+
+fn renewed(action: &Action, by: &str) -> Vec<Renewal> {
+    match action {
+        Action::Send { to, message: Message::Renewal(renewal::Message::Renewed(renewals)), .. }
+            if *to == member(by) =>
+        {
+            renewals.clone()
+        }
+        _ => Vec::new(),
+    }
+}
+
+fn sends_renewals(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Send { message: Message::Renewal(_), .. }))
+}
+
+#[test]
+fn a_member_alone_renews_at_itself_and_leaves_the_log_alone() {
+    let mut alone = Alone::new("c1");
+    let (life, commit) = (alone.life(), alone.node.group().commit());
+    assert!(alone.node.may_act(&life, alone.now).is_some());
+    alone.run_for(60 * SECOND);
+    assert!(alone.node.may_act(&life, alone.now).is_some());
+    assert_eq!(alone.node.group().commit(), commit);
+}
+
+#[test]
+fn a_leader_answers_a_renewal_of_what_is_granted_and_no_other() {
+    let mut alone = Alone::new("c1");
+    let name = alone.life();
+    let token = alone.node.state().leases().grant(&name).expect("its life lease").token;
+    let good = Renewal { holder: member("c1"), name, token, number: 77 };
+    assert_eq!(alone.renew(good.clone(), true), [good.clone()]);
+    let wrong_token = Renewal { token: Token(token.0 + 1), ..good.clone() };
+    assert_eq!(alone.renew(wrong_token, true), []);
+    let wrong_holder = Renewal { holder: member("c3"), ..good.clone() };
+    assert_eq!(alone.renew(wrong_holder, true), []);
+    let unknown = LeaseName::try_from("nothing").expect("a name");
+    assert_eq!(alone.renew(Renewal { name: unknown, ..good }, true), []);
+}
+
+/// Where nobody leads, what a relay gathers is dropped, and what another relay has sent on is not sent on again.
+#[test]
+fn a_member_without_a_leader_sends_no_renewal_on() {
+    let mut waits = Alone::new("c2");
+    let name = waits.life();
+    let renewal = Renewal { holder: member("c3"), name, token: Token(1), number: 1 };
+    for relayed in [false, true] {
+        let message = Message::Renewal(renewal::Message::Renew { renewals: vec![renewal.clone()], relayed });
+        let mut done = waits.event(Event::Message { from: member("c3"), message });
+        done.extend(waits.run_for(SECOND));
+        assert!(!sends_renewals(&done), "relayed {relayed}");
+    }
+}
+
+/// An end that another member asks for is not taken: only the leader knows what it has renewed.
+#[test]
+fn a_leader_takes_no_end_of_a_lease_from_another() {
+    let mut alone = Alone::new("c1");
+    let name = alone.life();
+    let grant = alone.node.state().leases().grant(&name).expect("its life lease").clone();
+    let command = lease::Command::Expire { name, token: grant.token, renewals: grant.renewals };
+    let who = Who { name: member("c2"), incarnation: Incarnation(1) };
+    let origin = crate::fleet::state::Origin { who, seq: 1 };
+    let proposal = Proposal { origin, settled: 1, command: Command::Lease(command) };
+    let body = group::Body::Propose(group::Proposed::Data(proposal.encode()));
+    let (term, commit) = (alone.node.group().term(), alone.node.group().commit());
+    let message = group::Message { store: 2, to_store: 0, founded: true, term, body };
+    alone.event(Event::Message { from: member("c2"), message: Message::Group(message) });
+    assert_eq!(alone.node.group().commit(), commit);
+    assert!(alone.node.state().leases().grant(&alone.life()).is_some());
+}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -102,6 +102,10 @@
 #[case("path = \"c1\"", "path = \"c1\"\n[fleet.group]\nheartbeat_us = 900000", "fleet.group.heartbeat_us")]
 #[case("path = \"c1\"", "path = \"c1\"\n[fleet.lease]\nmargin_ms = 9000", "fleet.lease.granted_for_ms")]
 #[case("path = \"c1\"", "", "store.path: is missing")]
+#[case("site = \"north\"", "site = \"north\"\nrelays = [\"c2\", \"c2\"]", "fleet.relays: c2 is named twice")]
+#[case("site = \"north\"", "site = \"north\"\nrelays = [\"c1\"]", "fleet.relays: c1 is this conductor")]
+#[case("site = \"north\"", "site = \"north\"\nrelays = [\"c9\"]", "fleet.relays: c9 has no address")]
+#[case("path = \"c1\"", "path = \"c1\"\n[fleet.lease]\nrenewal = \"gossip\"", "fleet.lease.renewal")]
 #[case("path = \"c1\"", "path = \"c1\"\nmost_bytes = 5", "store.most_bytes")]
 fn a_fault_in_the_fleets_tables_is_one_line_that_names_the_field(
     #[case] line: &str,
