--- a/lab/src/scale/decisions.rs
+++ b/lab/src/scale/decisions.rs
@@ -146,7 +146,7 @@
             max_tokens: 300,
             hint: None,
             class: "chat".into(),
-            tenant: Some(format!("tenant{}", text as usize % tenants.max(1)).into()),
+            tenant: Some(format!("tenant{}", text as usize % tenants.max(1))),
         };
         let (mut spent, mut actions) = self.handle(Event::Ask(ask));
         let mut attempt = 0;
--- a/src/fleet/node/tests.rs
+++ b/src/fleet/node/tests.rs
@@ -89,13 +89,13 @@
     let name = alone.life();
     let token = alone.node.state().leases().grant(&name).expect("its life lease").token;
     let good = Renewal { holder: member("c1"), name, token, number: 77 };
-    assert_eq!(alone.renew(good.clone(), true), [good.clone()]);
+    assert_eq!(alone.renew(good.clone(), true), vec![good.clone()]);
     let wrong_token = Renewal { token: Token(token.0 + 1), ..good.clone() };
-    assert_eq!(alone.renew(wrong_token, true), []);
+    assert_eq!(alone.renew(wrong_token, true), vec![]);
     let wrong_holder = Renewal { holder: member("c3"), ..good.clone() };
-    assert_eq!(alone.renew(wrong_holder, true), []);
+    assert_eq!(alone.renew(wrong_holder, true), vec![]);
     let unknown = LeaseName::try_from("nothing").expect("a name");
-    assert_eq!(alone.renew(Renewal { name: unknown, ..good }, true), []);
+    assert_eq!(alone.renew(Renewal { name: unknown, ..good }, true), vec![]);
 }
 
 /// Where nobody leads, what a relay gathers is dropped, and what another relay has sent on is not sent on again.
