--- a/tests/held.rs
+++ b/tests/held.rs
@@ -34,6 +34,8 @@
     random: Cell<u64>,
     /// How many of ten connections don't come up.
     silent: u64,
+    /// How many of ten sends are lost on a connection that stays open and says nothing.
+    lost: u64,
     broken: RefCell<Vec<String>>,
     releases: Cell<u32>,
     served: Cell<u32>,
@@ -78,6 +80,14 @@
             releasing.stop();
         }
         let id = attempt.call.id.clone();
+        if self.draw(10) < self.lost {
+            // It has been written and never arrives: to the hosts it is not out.
+            tokio::select! {
+                biased;
+                _ = &mut attempt.cancelled => return Outcome::Dropped,
+                () = sleep_until(clock.instant(attempt.until)) => return Outcome::NoAnswer,
+            }
+        }
         self.look(&id, |held| held.out += 1);
         let reads = attempt.worker.0.starts_with('r');
         let until = sleep_until(clock.instant(attempt.until));
@@ -136,8 +146,8 @@
                 () = releasing.over() => return,
                 () = taken => {}
             }
-            // What an attempt still out will leave is not let go.
-            world.look(&call.id, |held| held.some = false);
+            // What an attempt that is out waits for, or will leave, is not let go.
+            world.look(&call.id, |held| held.some &= held.out > 0);
             world.releases.set(world.releases.get() + 1);
             releasing.set_done();
         });
@@ -184,6 +194,17 @@
 /// while whichever part of the hosts can't be reached.
 #[tokio::test(start_paused = true)]
 async fn whatever_may_be_held_is_taken_or_let_go_in_time() {
+    random_ends(0).await;
+}
+
+/// The same where sends are written to connections that look alive, and never arrive.
+#[tokio::test(start_paused = true)]
+async fn whatever_may_be_held_is_let_go_in_time_though_sends_never_arrive() {
+    random_ends(4).await;
+}
+
+/// Plays requests over random ends of their attempts; `lost` of ten sends never arrive.
+async fn random_ends(lost: u64) {
     let mut totals = [0; 2];
     for seed in 1..=60u64 {
         let local = tokio::task::LocalSet::new();
@@ -194,6 +215,7 @@
             held: RefCell::default(),
             random: Cell::new(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
             silent: [2, 5, 8][seed as usize % 3],
+            lost,
             broken: RefCell::default(),
             releases: Cell::new(0),
             served: Cell::new(0),
