Held state: a send counts as arrived once answered; a release goes out behind it in time

Cause: src/policy.rs began the release limit anew with each end but a failed connect, and step() looked at nothing while a send was out; src/core/mod.rs did the same for connects; src/net/client.rs stopped a release for an attempt about to be written. Change: HeldState (policy/held_state.rs), SendPermit (policy/permission.rs) without which nothing is sent, the driver's own account (core/monitor.rs, counter violations), reasons on refusals, failures and releases, counters releases_behind_sends, releases_taken, sends_refused.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,10 +3,13 @@
 //! It knows no wire. Requests come in through a [`CoreHandle`], what goes out goes through [`Outbound`], and
 //! how it went comes back as [`Input`]. Everything runs on one thread and in the order of one queue.
 
+mod monitor;
+
 use crate::counters::Counters;
 use crate::exchange::{AnswerHandle, Call, Feed, ServerSide, open};
 use crate::interface::*;
 use crate::policy::Policy;
+use monitor::{Monitor, Violation};
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -67,13 +70,10 @@
     pub most_attempts: u32,
     /// When to stop waiting for the first event.
     pub until: Micros,
-    /// The moment by which its last byte must have been written, where there is one (see [`Action::Send`]).
-    pub send_by: Option<Micros>,
-    /// When its connection has to be up, where a state is held for the request: the time that it may be held
-    /// runs on while connections fail to come up.
-    pub connect_by: Option<Micros>,
-    /// A release to wait for: one that comes while this is out would take what it leaves. It goes on until this
-    /// is about to be written, and is to be stopped then.
+    /// What it must keep to; nothing is sent without one.
+    pub permit: SendPermit,
+    /// A release to wait for: one that comes while a read is out could take what it leaves. It goes on whatever becomes
+    /// of this attempt, which may never arrive.
     pub after: Option<Rc<Releasing>>,
     /// Resolves, or its other end is dropped, when the attempt is to be dropped.
     pub cancelled: oneshot::Receiver<()>,
@@ -258,14 +258,15 @@
     answer: Option<AnswerHandle>,
     /// Whether its client has left.
     gone: Rc<Cell<bool>>,
-    /// By the settings it began under, as the next.
-    class_safe: bool,
+    /// By the settings it began under.
     most_attempts: u32,
     attempts: Vec<Slot>,
-    /// The last release, from its order until a read has ended well or a stream has begun.
+    /// The last release, from its order until a stream has begun.
     releasing: Option<Rc<Releasing>>,
-    /// While a state is known to be held: when the last attempt ended that reached a running host.
-    held_since: Option<Micros>,
+    /// An attempt has ended since that release was ordered, which may have kept it from having an effect.
+    is_release_outdated: bool,
+    /// Its account, by which orders are checked.
+    monitor: Monitor,
 }
 
 struct Slot {
@@ -344,7 +345,10 @@
         let now = self.clock.now();
         while self.due.peek().is_some_and(|Reverse((at, _))| *at <= now) {
             match self.due.pop() {
-                Some(Reverse((_, Due::Timer(timer)))) => self.handle(Event::Timer(timer)),
+                Some(Reverse((_, Due::Timer(timer)))) => {
+                    self.handle(Event::Timer(timer));
+                    self.check_held();
+                }
                 Some(Reverse((_, Due::Guard(request)))) => self.guard(request),
                 None => {}
             }
@@ -397,13 +401,21 @@
     fn ask(&mut self, ask: Ask, call: Rc<Call>, answer: AnswerHandle, gone: Rc<Cell<bool>>) {
         self.counters.taken.up();
         let class = self.settings.classes.iter().find(|c| c.name == ask.class);
-        let class_safe = class.is_some_and(|c| matches!(c.effect, Effect::Safe | Effect::Keyed(Group::All)));
+        let monitor = Monitor::new(class.map_or(Effect::Unsafe, |c| c.effect));
         let (request, deadline) = (ask.request, ask.deadline);
         let most_attempts = self.settings.max_attempts;
         log::debug!("request {}: {ask:?}", call.id);
-        let (answer, attempts, releasing, held_since) = (Some(answer), Vec::new(), None, None);
-        let open =
-            Open { call, deadline, answer, gone, class_safe, most_attempts, attempts, releasing, held_since };
+        let open = Open {
+            call,
+            deadline,
+            answer: Some(answer),
+            gone,
+            most_attempts,
+            attempts: Vec::new(),
+            releasing: None,
+            is_release_outdated: false,
+            monitor,
+        };
         self.open.insert(request, open);
         self.due.push(Reverse((deadline + self.settings.answer_slack, Due::Guard(request))));
         // Guards stand until their deadline, minutes away if the client says so, though most requests end long
@@ -426,6 +438,7 @@
         let elapsed = self.clock.now().saturating_sub(slot.sent);
         log::debug!("request {}: attempt {} streams after {elapsed} us", open.call.id, attempt.0);
         self.counters.answered_stream.up();
+        open.monitor.streams();
         if let Some(releasing) = open.releasing.take() {
             releasing.stop();
         }
@@ -454,20 +467,8 @@
             attempt.0
         );
         let settled = open.answer.is_none();
-        let now = self.clock.now();
-        let mut again = false;
-        match outcome {
-            Outcome::Read => (open.held_since, open.releasing) = (Some(now), None),
-            Outcome::Served => open.releasing = None,
-            _ => {
-                // What reached no running host gives what is held no more time.
-                if !matches!(outcome, Outcome::NoConnection | Outcome::NotSent) {
-                    open.held_since = open.held_since.map(|_| now);
-                }
-                // Stopped for this attempt before any host took it: what it was to let go may be held yet.
-                again = open.releasing.as_ref().is_some_and(|r| r.is_cut_short());
-            }
-        }
+        open.monitor.ended(attempt.0 as usize, outcome, self.clock.now());
+        open.is_release_outdated |= outcome.may_have_arrived();
         let c = &self.counters;
         let count = match outcome {
             Outcome::Read => &c.ended_read,
@@ -481,9 +482,6 @@
             Outcome::NotSent => &c.ended_not_sent,
         };
         count.up();
-        if again {
-            self.release(request);
-        }
         self.handle(Event::Ended(Ended { request, attempt, outcome, elapsed, settled, kept, report }));
         self.forget(request);
     }
@@ -494,9 +492,7 @@
         let Some(open) = self.open.get_mut(&request) else { return };
         let Some(answer) = open.answer.take() else { return };
         log::warn!("request {}: no decision by its deadline, ended by the driver", open.call.id);
-        // Whether an attempt was at a reader is not known here: an answer of one counts as if a writer had given it.
-        let ruled_out = |outcome: Outcome| outcome.never_ran() && outcome != Outcome::Read;
-        let harmless = open.class_safe || open.attempts.iter().all(|s| s.outcome.is_some_and(ruled_out));
+        let harmless = open.monitor.check_refusal().is_ok();
         if harmless {
             self.counters.answered_refused.up();
             answer.refuse(None);
@@ -505,7 +501,7 @@
             answer.fail();
         }
         open.attempts.iter_mut().for_each(|s| s.cancel = None);
-        self.outbound.release(open.call.clone(), Rc::default());
+        self.release(request, ReleaseReason::RequestOver);
         self.handle(Event::Left { request });
         self.forget(request);
     }
@@ -538,22 +534,20 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, worker, timeout, send_by } => {
-                self.send(request, worker, timeout, send_by)
-            }
-            Action::Refuse { request, retry_after } => {
-                if let Some(answer) = self.open.get_mut(&request).and_then(|o| o.answer.take()) {
-                    self.counters.answered_refused.up();
-                    answer.refuse(retry_after);
-                    self.ended.push(request);
-                }
+            Action::Send { request, worker, timeout, permit } => self.send(request, worker, timeout, permit),
+            Action::SendRefused { request, worker, refusal } => {
+                let id = self.open.get(&request).map_or("", |open| &open.call.id);
+                self.counters.sends_refused.up();
+                log::info!("request {id}: not sent to {}: {refusal}", worker.0);
             }
-            Action::Fail { request } => {
-                if let Some(answer) = self.open.get_mut(&request).and_then(|o| o.answer.take()) {
-                    self.counters.answered_failed.up();
-                    answer.fail();
-                    self.ended.push(request);
-                }
+            Action::Refuse { request, reason, retry_after } => self.refuse(request, reason, retry_after),
+            Action::Fail { request, reason } => {
+                let Some(open) = self.open.get_mut(&request) else { return };
+                let Some(answer) = open.answer.take() else { return };
+                log::debug!("request {}: failed: {reason:?}", open.call.id);
+                self.counters.answered_failed.up();
+                answer.fail();
+                self.ended.push(request);
             }
             Action::Drop { request, attempt } => {
                 let slot = self.open.get_mut(&request).and_then(|o| o.attempts.get_mut(attempt.0 as usize));
@@ -561,7 +555,7 @@
                     slot.cancel = None;
                 }
             }
-            Action::Release { request } => self.release(request),
+            Action::Release { request, reason } => self.release(request, reason),
             Action::Hold { request, worker } => {
                 if let Some(open) = self.open.get(&request) {
                     self.outbound.hold(request, open.call.clone(), worker);
@@ -585,55 +579,77 @@
         }
     }
 
-    fn send(&mut self, request: RequestId, worker: WorkerId, timeout: Option<Micros>, send_by: Micros) {
+    fn refuse(&mut self, request: RequestId, reason: EndReason, retry_after: Option<Micros>) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let Some(answer) = open.answer.take() else { return };
+        log::debug!("request {}: refused: {reason:?}", open.call.id);
+        if let Err(violation) = open.monitor.check_refusal() {
+            report(&self.counters, &open.call.id, violation);
+        }
+        self.counters.answered_refused.up();
+        answer.refuse(retry_after);
+        self.ended.push(request);
+    }
+
+    fn send(&mut self, request: RequestId, worker: WorkerId, timeout: Option<Micros>, permit: SendPermit) {
         let now = self.clock.now();
         let Some(open) = self.open.get_mut(&request).filter(|o| o.answer.is_some()) else { return };
+        if let Err(violation) = open.monitor.sent(permit.reads()) {
+            report(&self.counters, &open.call.id, violation);
+        }
         let until = timeout.map_or(open.deadline, |t| open.deadline.min(now.saturating_add(t)));
         let attempt = AttemptIndex(open.attempts.len() as u32);
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push(Slot { sent: now, cancel: Some(cancel), outcome: None, streaming: false });
         let (call, gone, most_attempts) = (open.call.clone(), open.gone.clone(), open.most_attempts);
-        log::debug!(
-            "request {}: attempt {} to {}, {} us",
-            call.id,
-            attempt.0,
-            worker.0,
-            until.saturating_sub(now)
-        );
-        // No connect takes more than half of the time left to hold: then there is some for another writer, and
-        // in the end for the release.
-        let release_by = open.held_since.map(|at| at + self.settings.release);
-        let connect_by = release_by.map(|by| now + by.saturating_sub(now) / 2);
-        let after = open.releasing.clone().filter(|r| r.is_going());
-        let send_by = Some(send_by).filter(|by| *by < Micros::MAX);
-        let attempt = Attempt {
-            request,
-            attempt,
-            worker,
-            call,
-            most_attempts,
-            until,
-            send_by,
-            connect_by,
-            after,
-            cancelled,
-            gone,
-        };
+        let left = until.saturating_sub(now);
+        log::debug!("request {}: attempt {} to {}, {left} us", call.id, attempt.0, worker.0);
+        let after = open.releasing.clone().filter(|r| permit.reads() && r.is_going());
+        let attempt =
+            Attempt { request, attempt, worker, call, most_attempts, until, permit, after, cancelled, gone };
         self.outbound.send(attempt);
     }
 
-    fn release(&mut self, request: RequestId) {
+    fn release(&mut self, request: RequestId, reason: ReleaseReason) {
         let Some(open) = self.open.get_mut(&request) else { return };
-        open.held_since = None;
-        // Nothing was written for the request since it began: it lets go of all that there is.
-        if open.releasing.as_ref().is_some_and(|r| r.is_going()) {
-            return;
+        open.monitor.released();
+        let is_outdated = std::mem::take(&mut open.is_release_outdated);
+        if let Some(last) = &open.releasing {
+            // Nothing has ended since that one began: it lets go of all that there is.
+            if last.is_going() && !is_outdated {
+                return;
+            }
+            last.stop();
         }
         let releasing = Rc::<Releasing>::default();
         self.counters.releases.up();
+        match reason {
+            ReleaseReason::UnansweredSend => {
+                self.counters.releases_behind_sends.up();
+                log::info!("request {}: release ordered, its send is not answered yet", open.call.id);
+            }
+            _ => log::debug!("request {}: release ordered: {reason:?}", open.call.id),
+        }
         self.outbound.release(open.call.clone(), releasing.clone());
         open.releasing = Some(releasing);
     }
+
+    /// Looks whether anything is held beyond its time.
+    fn check_held(&mut self) {
+        let (now, limit) = (self.clock.now(), self.settings.release);
+        for open in self.open.values_mut() {
+            if let Err(violation) = open.monitor.check_held(now, limit) {
+                report(&self.counters, &open.call.id, violation);
+            }
+        }
+    }
+}
+
+/// Counts and logs a broken rule.
+fn report(counters: &Counters, id: &str, violation: Violation) {
+    counters.violations.up();
+    log::error!("request {id}: rule broken: {violation}");
+    debug_assert!(violation.may_come_of_a_hold_up(), "request {id}: {violation}");
 }
 
 #[cfg(test)]
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -74,6 +74,8 @@
         held_back,
         /// Sends held back since the request may have run and the time in which a repeat is dropped was over.
         repeats_held_back,
+        /// Sends that were decided and not permitted.
+        sends_refused,
         /// Attempts that ended: prompt read.
         ended_read,
         /// Attempts that ended: answer streamed to its end.
@@ -104,6 +106,10 @@
         streams_broken,
         /// Calls that let go of held states.
         releases,
+        /// Those of them ordered since a send had not been answered in time.
+        releases_behind_sends,
+        /// Releases that a model host took.
+        releases_taken,
         /// Releases that no model host took.
         releases_failed,
         /// Lists and changes of lists received.
@@ -122,6 +128,8 @@
         tool_repeats,
         /// Tool calls answered with an error of the front's own.
         tool_errors,
+        /// Rules that the module's orders broke, by the driver's own account.
+        violations,
         /// Panics that were caught.
         panics,
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything here is plain data in the words of the domain. Times are microseconds on the caller's clock.
 
+pub use crate::policy::permission::{SendPermit, SendRefusal, WriteState};
 use std::sync::Arc;
 
 /// Microseconds: a moment on the caller's monotonic clock, or a length of time.
@@ -58,6 +59,13 @@
     Unsafe,
 }
 
+impl Effect {
+    /// Whether a repeat does no harm, wherever and whenever it comes.
+    pub fn is_harmless_to_repeat(self) -> bool {
+        matches!(self, Effect::Safe | Effect::Keyed(Group::All))
+    }
+}
+
 /// The workers that drop each other's repeats of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
@@ -280,6 +288,52 @@
         use Outcome::*;
         matches!(self, Read | TurnedAway | NoState | NoConnection | NotSent)
     }
+
+    /// Whether this outcome proves that an attempt at a writer had no effect. A writer has no prompts to read: one that
+    /// says that it did is not believed.
+    pub fn rules_out_a_run_at_a_writer(self) -> bool {
+        self.never_ran() && self != Outcome::Read
+    }
+
+    /// Whether this outcome proves that the attempt had arrived at a worker that runs: the worker has answered. That
+    /// its bytes were written, or that the connection broke behind them, proves nothing.
+    pub fn proves_arrival(self) -> bool {
+        use Outcome::*;
+        matches!(self, Served | Read | Error | TurnedAway | NoState)
+    }
+
+    /// Whether the attempt may have arrived: its last byte was written.
+    pub fn may_have_arrived(self) -> bool {
+        !matches!(self, Outcome::NoConnection | Outcome::NotSent)
+    }
+}
+
+/// Why what is held for a request is let go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReleaseReason {
+    /// No writer took it in time.
+    Untaken,
+    /// The send that is to take it has not been answered in time, so that it may not have arrived.
+    UnansweredSend,
+    /// An attempt has ended that may have left something, or did not find it.
+    AttemptEnded,
+    /// The request is over.
+    RequestOver,
+}
+
+/// Why a request ends without an answer of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// Its deadline has come, or is too near for anything more.
+    DeadlineNear,
+    /// All its attempts are spent.
+    AttemptsSpent,
+    /// It may have run, and no worker may repeat it.
+    NoRepeatAllowed,
+    /// It can't begin before its client leaves.
+    Doomed,
+    /// It can't be in time, or its tenant asks for more than its share, and there is no room now.
+    NoRoom,
 }
 
 /// A worker's report of its load; values that are not reported are `None`.
@@ -388,14 +442,24 @@
         worker: WorkerId,
         /// The attempt's time-out; `None`: the client's deadline.
         timeout: Option<Micros>,
-        /// The request's last byte must be written before this moment, or the attempt would be a second run of what
-        /// an earlier one may have done; [`Micros::MAX`] where no earlier attempt limits it.
-        send_by: Micros,
+        /// What the send must keep to.
+        permit: SendPermit,
+    },
+    /// A send that was decided is not permitted: nothing to do, but to tell the operators.
+    SendRefused {
+        /// The request.
+        request: RequestId,
+        /// The worker.
+        worker: WorkerId,
+        /// Why.
+        refusal: SendRefusal,
     },
     /// Refuse: trying again is harmless.
     Refuse {
         /// The request.
         request: RequestId,
+        /// Why.
+        reason: EndReason,
         /// When the client should come back.
         retry_after: Option<Micros>,
     },
@@ -403,6 +467,8 @@
     Fail {
         /// The request.
         request: RequestId,
+        /// Why.
+        reason: EndReason,
     },
     /// Stop waiting for an attempt.
     Drop {
@@ -422,6 +488,8 @@
     Release {
         /// The request.
         request: RequestId,
+        /// Why.
+        reason: ReleaseReason,
     },
     /// End a running stream so that its client resumes it elsewhere.
     Move {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -8,7 +8,9 @@
 use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
 use crate::counters::Counters;
 use crate::exchange::{Call, FeedSource, Frame, Reply, feed, is_plain_id};
-use crate::interface::{AttemptIndex, Micros, Outcome, Reports, RequestId, WorkerId};
+use crate::interface::{
+    AttemptIndex, Micros, Outcome, Reports, RequestId, SendRefusal, WorkerId, WriteState,
+};
 use crate::wire::read_report;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -31,8 +33,8 @@
 /// What a connection's close takes to reach its model host, with much to spare. Two connections are not in order with
 /// each other: what follows on another one waits this long, or it may overtake the close.
 const SETTLE: Duration = Duration::from_millis(5);
-/// How long a new send waits for it.
-const RELEASE_FIRST: Duration = Duration::from_millis(100);
+/// How long a read waits for a release before it: within that time some fifteen hosts of all zones are asked.
+const RELEASE_FIRST: Duration = Duration::from_millis(250);
 /// A call of a release that has had no answer by then is not waited for any longer: its host is asked again later.
 const RELEASE_CALL: Duration = Duration::from_secs(1);
 /// A release that no host has taken is given up then. Its limit is long past, but what is held must not fill a host's
@@ -158,7 +160,8 @@
                 () = tokio::time::sleep(RELEASE_FIRST) => {}
             }
         }
-        target.within = attempt.connect_by.map(|by| Duration::from_micros(by.saturating_sub(clock.now())));
+        target.within =
+            attempt.permit.connect_by().map(|by| Duration::from_micros(by.saturating_sub(clock.now())));
         let connecting = self.connect(&target);
         let connected = tokio::select! {
             biased;
@@ -187,10 +190,6 @@
         let clock: Clock = self.core.clock;
         let left = give_up_at.saturating_sub(clock.now());
         let Some(request) = passed_on(&attempt.call, left) else { return Outcome::NotSent.into() };
-        // Only now: an attempt that isn't written ends no release, or nobody would let go of what is held.
-        if let Some(releasing) = attempt.after.take() {
-            releasing.stop();
-        }
         self.counters.sent.up();
         let meter = connection.meter();
         // What never left whole has never run.
@@ -205,7 +204,7 @@
             };
             Answered::read(response).await
         };
-        let send_by = attempt.send_by;
+        let send_by = attempt.permit.send_by();
         // What is not written whole by then, to a host that doesn't read, must not be any more.
         let unwritten = async {
             clock.reach(send_by).await;
@@ -259,15 +258,18 @@
     /// Whether an attempt may be written now. It was decided a connection's time ago: since then the list may have told
     /// that the host drains, the client may have left, or the time in which a repeat is dropped may be over.
     fn may_write(&self, attempt: &Attempt) -> bool {
-        if !self.directory.is_ready(&attempt.worker) || attempt.gone.get() {
-            self.counters.held_back.up();
-            return false;
-        }
-        if attempt.send_by.is_some_and(|by| self.core.clock.now() >= by) {
-            self.counters.repeats_held_back.up();
-            return false;
+        let state = WriteState {
+            now: self.core.clock.now(),
+            is_in_service: self.directory.is_ready(&attempt.worker),
+            has_client_left: attempt.gone.get(),
+        };
+        let Err(refusal) = attempt.permit.check_write(state) else { return true };
+        log::info!("request {}: not written to {}: {refusal}", attempt.call.id, attempt.worker.0);
+        match refusal {
+            SendRefusal::MayHaveRun => self.counters.repeats_held_back.up(),
+            _ => self.counters.held_back.up(),
         }
-        true
+        false
     }
 
     /// Passes a stream on: its events as they come, unchanged, no deadline, until one side ends it.
@@ -351,8 +353,12 @@
             tokio::select! {
                 biased;
                 () = releasing.over() => return,
-                Some(call) = calls.join_next() => match call {
-                    Ok(true) => return releasing.set_done(),
+                Some(asked) = calls.join_next() => match asked {
+                    Ok(true) => {
+                        self.counters.releases_taken.up();
+                        log::debug!("request {}: released after {:?}", call.id, begun.elapsed());
+                        return releasing.set_done();
+                    }
                     _ => fanout.failed(Instant::now()),
                 },
                 () = tokio::time::sleep_until(fanout.due()) => {}
--- a/src/net/client/tests.rs
+++ b/src/net/client/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::interface::{Entry, Status};
+use crate::interface::{Entry, SendPermit, Status};
 use crate::net::discovery::Listing;
 use rstest::rstest;
 use std::cell::RefCell;
@@ -78,8 +78,7 @@
             call: Rc::new(call),
             most_attempts: 4,
             until: after(time),
-            send_by: send_by.map(after),
-            connect_by: None,
+            permit: SendPermit::for_test(send_by.map(after)),
             after: None,
             cancelled,
             gone: Rc::default(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,6 +2,9 @@
 //!
 //! Preble's E2 decides the ordinary path; everything else answers a trouble and says which.
 
+pub(crate) mod held_state;
+pub(crate) mod permission;
+
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -27,7 +30,6 @@
 const MAX_DOUBLINGS: u32 = 4;
 /// Sweeps in each release limit: fine enough that nothing held comes near it.
 const SWEEPS: Micros = 12;
-
 /// Requests of a tenant that may come at once, and two seconds' worth at least: fewer are chance, not excess.
 const BURST: f64 = 10.0;
 /// News of load is worth half after this: the queues that workers hold without refusing are of seconds.
@@ -203,17 +205,22 @@
         match r.phase {
             Phase::Streaming | Phase::Done => {}
             // Its time-out is trimmed to the deadline and its outcome comes within the slack.
-            Phase::Reading | Phase::Writing if self.now < r.ask.deadline => {}
-            Phase::Reading | Phase::Writing => self.finish(id, out),
-            _ if hopeless || r.spent() || stuck => self.finish(id, out),
+            Phase::Reading if self.now < r.ask.deadline => {}
+            Phase::Writing if self.now < r.ask.deadline => self.release_behind_send(id, out),
+            Phase::Reading | Phase::Writing => self.finish(id, EndReason::DeadlineNear, out),
+            _ if hopeless => self.finish(id, EndReason::DeadlineNear, out),
+            _ if r.spent() => self.finish(id, EndReason::AttemptsSpent, out),
+            _ if stuck => self.finish(id, EndReason::NoRepeatAllowed, out),
             Phase::Waiting => self.begin(id, out),
             Phase::Held => {
-                let release_by = r.quiet_since + self.set.release.saturating_sub(margin + self.set.tick);
-                if self.now >= release_by {
-                    self.release(id, out);
+                let release_at = r.held.release_by(
+                    self.set.release.saturating_sub(self.release_margin(held_state::SWEEPS_BEFORE_RELEASE)),
+                );
+                if self.now >= release_at {
+                    self.release(id, ReleaseReason::Untaken, out);
                     self.requests.entry(id).and_modify(|r| r.phase = Phase::Waiting);
                     self.begin(id, out);
-                } else if let Some(writer) = self.pick_writer(id, r.state.as_ref()) {
+                } else if let Some(writer) = self.pick_writer(id, r.held.reader()) {
                     self.send(id, &writer, None, out);
                 }
             }
@@ -257,8 +264,10 @@
         let doomed = doomed || r.unanswered() && waited + takes(unread) > aim;
         if reads && writes && !doomed {
             self.send(id, &target, (!direct).then_some(unread), out);
-        } else if doomed || late || r.over_share {
-            self.finish(id, out);
+        } else if doomed {
+            self.finish(id, EndReason::Doomed, out);
+        } else if late || r.over_share {
+            self.finish(id, EndReason::NoRoom, out);
         }
     }
 
@@ -495,21 +504,18 @@
     /// Sends, if every rule allows it: unanswered request, worker in service, attempts left, no second copy,
     /// no effect twice. Everything that goes to a worker goes through here.
     fn send(&mut self, id: RequestId, worker: &WorkerId, unread: Option<f64>, out: &mut Vec<Action>) {
+        let writes = unread.is_none();
+        let permit = match self.permit_send(id, worker, writes) {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                return out.push(Action::SendRefused { request: id, worker: worker.clone(), refusal });
+            }
+        };
         let (Some(r), Some(w)) = (self.requests.get(&id), self.workers.get(worker)) else { return };
-        let answered = matches!(r.phase, Phase::Done | Phase::Streaming);
-        let repeat = r.may_have_run() && !self.may_repeat_at(r, w);
-        let send_by = self.send_by(r, w).unwrap_or(0);
-        if answered || repeat || r.spent() || r.out().next().is_some() || w.status != Status::Ready {
-            return;
-        }
-        if self.cold(w) && !self.has_room(worker, w) {
-            return;
-        }
         let class = &self.set.classes[r.class];
         let left = r.ask.deadline.saturating_sub(self.now);
         let prompt = r.ask.prompt_tokens as f64;
-        let writes = unread.is_none();
-        let far = self.distance(r.state.as_ref(), w);
+        let far = self.distance(r.held.reader(), w);
         let (tokens, work, pace) = if let Some(unread) = unread {
             let work = self.ahead(worker, 0.0) + unread + self.learned.unread.or(prompt);
             (unread, work, self.learned.read_pace)
@@ -545,50 +551,28 @@
         if let Some(r) = self.requests.get_mut(&id) {
             r.attempts.push(attempt);
             r.phase = if writes { Phase::Writing } else { Phase::Reading };
-            r.state = r.state.take().filter(|_| writes);
+            if !writes {
+                r.held.clear();
+            }
         }
-        out.push(Action::Send { request: id, worker: worker.clone(), timeout, send_by });
-    }
-
-    /// Until when a request may be written to a worker, if at all: what may have run, and is not harmless to
-    /// repeat, only inside the group and the window of each earlier attempt.
-    fn send_by(&self, r: &Request, w: &Worker) -> Option<Micros> {
-        let Class { effect, repeat_window, .. } = self.set.classes[r.class];
-        let same = |first: &Worker| match effect {
-            Effect::Safe | Effect::Keyed(Group::All) => true,
-            Effect::Keyed(Group::Zone) => first.zone == w.zone,
-            Effect::Keyed(Group::Cell) => first.cell == w.cell,
-            Effect::Unsafe => false,
-        };
-        let first = |a: &Attempt| self.workers.get(&a.worker).filter(|first| same(first));
-        let until = |a: &Attempt| first(a).map(|_| a.sent + repeat_window);
-        r.effects().filter(|_| effect != Effect::Safe).map(until).min().unwrap_or(Some(Micros::MAX))
-    }
-
-    /// Whether what may have run may go to this worker again: a connection may take its whole time-out.
-    fn may_repeat_at(&self, r: &Request, w: &Worker) -> bool {
-        self.send_by(r, w).is_some_and(|by| self.now + self.set.connect_timeout < by)
+        out.push(Action::Send { request: id, worker: worker.clone(), timeout, permit });
     }
 
     /// Gives the final answer, at once: a refusal with advice where trying again is harmless, else a failure.
-    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn finish(&mut self, id: RequestId, reason: EndReason, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
         if matches!(r.phase, Phase::Done | Phase::Streaming) {
             return;
         }
-        let harmless = match self.set.classes[r.class].effect {
-            Effect::Safe | Effect::Keyed(Group::All) => true,
-            _ => !r.may_have_run(),
-        };
-        if harmless {
+        if self.may_refuse(r) {
             let retry_after = self.set.retry_advice.then(|| {
                 // Spread, so that those refused together don't come back together.
                 let spread = xxh3_64_with_seed(&id.0.to_le_bytes(), self.seed) % 1000;
                 self.set.max_retry_after / 2 + self.set.max_retry_after / 2 * spread / 1000
             });
-            out.push(Action::Refuse { request: id, retry_after });
+            out.push(Action::Refuse { request: id, reason, retry_after });
         } else {
-            out.push(Action::Fail { request: id });
+            out.push(Action::Fail { request: id, reason });
         }
         self.close(id, out);
     }
@@ -603,7 +587,7 @@
                 out.extend(open.map(|(i, _)| Action::Drop { request: id, attempt: AttemptIndex(i) }));
             }
         }
-        self.release(id, out);
+        self.release(id, ReleaseReason::RequestOver, out);
         if self.requests.get(&id).is_some_and(|r| r.out().next().is_none()) {
             self.requests.remove(&id);
         }
@@ -618,7 +602,7 @@
         if r.phase != Phase::Done {
             r.phase = Phase::Streaming;
         }
-        r.state = None;
+        r.held.clear();
         self.good(&worker, sent, class);
         self.learn(&worker, pace, elapsed, work);
     }
@@ -653,21 +637,20 @@
             }
             _ => {}
         }
-        // What reached no running worker gives what is held no more time.
-        if !matches!(outcome, Outcome::NoConnection | Outcome::NotSent) {
-            r.quiet_since = now;
+        if a.writes {
+            r.held.send_ended(outcome, now);
         }
         let (worker, writes, work, sent) = (a.worker.clone(), a.writes, a.work, a.sent);
         let (far, first, tokens) = (a.far, a.first, a.tokens);
         let unread = r.ask.prompt_tokens.saturating_sub(kept) as f64;
         let (class, kind) = (r.class, (r.class, r.ask.tenant.clone()));
         if outcome == Outcome::Read && r.phase != Phase::Done {
-            r.state = Some(worker.clone());
+            r.held.hold(worker.clone(), now);
         } else if outcome == Outcome::NoState || !writes && !outcome.never_ran() {
             // A read may have ended well as it was given up or broke; what this writer doesn't find may be
             // elsewhere. What is left is held like any state.
-            r.state = None;
-            out.push(Action::Release { request: id });
+            r.held.clear();
+            out.push(Action::Release { request: id, reason: ReleaseReason::AttemptEnded });
         }
         self.heard(&worker, report);
         if let (Some(at), Some(w)) = (first, self.workers.get_mut(&worker)) {
@@ -724,12 +707,12 @@
         if settled || r.phase == Phase::Done {
             // Whatever the attempt left behind is let go, also what a drop or a late read left.
             if outcome != Outcome::Served {
-                r.state = Some(worker);
+                r.held.hold(worker, now);
             }
             self.close(id, out);
             return;
         }
-        r.phase = if r.state.is_some() { Phase::Held } else { Phase::Waiting };
+        r.phase = if r.held.is_held() { Phase::Held } else { Phase::Waiting };
         self.step(id, out);
     }
 
@@ -991,10 +974,4 @@
         let room = |time, most| w.slow_start_sends.within(self.now, time) < most;
         self.now >= self.slow_start_from && room(window, share) && room(window / 2, share.div_ceil(2))
     }
-
-    fn release(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        if self.requests.get_mut(&id).is_some_and(|r| r.state.take().is_some()) {
-            out.push(Action::Release { request: id });
-        }
-    }
 }
--- /dev/null
+++ b/src/policy/held_state.rs
@@ -0,0 +1,111 @@
+//! What may be held for one request between its two stages, and until when it must be taken or released.
+//!
+//! A read state is held from the end of its read until a writer that runs takes it or a host that runs takes
+//! a release. Writing a request to a connection proves neither: only an answer does
+//! ([`Outcome::proves_arrival`]). So the release limit runs on behind a send until its writer has been heard
+//! from, and a release is ordered when the limit comes near, though the send is still out. Where the send
+//! has arrived that release has no effect, for a release lets go only of what no attempt waits for; where it
+//! has not, the release is what keeps the limit.
+
+use super::Policy;
+use crate::interface::{Action, Micros, Outcome, ReleaseReason, RequestId, WorkerId};
+
+/// Sweeps before the release limit at which what no writer has taken is released.
+pub(super) const SWEEPS_BEFORE_RELEASE: Micros = 2;
+/// The same while a send is out that has not been answered: the hosts asked first may be silent as well.
+const SWEEPS_BEFORE_RELEASE_BEHIND_SEND: Micros = 3;
+
+/// The state that may be held for one request.
+#[derive(Debug, Default)]
+pub(crate) struct HeldState {
+    /// The reader where it may be held; `None`: nothing is known to be held.
+    reader: Option<WorkerId>,
+    /// Since when it may have been held without an attempt that had reached a running worker.
+    since: Micros,
+    /// A release was ordered while the latest send was out.
+    is_released_behind_send: bool,
+}
+
+impl HeldState {
+    /// The reader where a state may be held.
+    pub fn reader(&self) -> Option<&WorkerId> {
+        self.reader.as_ref()
+    }
+
+    /// Whether something may be held.
+    pub fn is_held(&self) -> bool {
+        self.reader.is_some()
+    }
+
+    /// An attempt at `reader` has ended and may have left a state there.
+    pub fn hold(&mut self, reader: WorkerId, now: Micros) {
+        *self = HeldState { reader: Some(reader), since: now, is_released_behind_send: false };
+    }
+
+    /// Nothing is known to be held any more: taken, or about to be released. Whether something may have been.
+    pub fn clear(&mut self) -> bool {
+        self.is_released_behind_send = false;
+        self.reader.take().is_some()
+    }
+
+    /// A send to a writer has ended. Its end begins the limit anew only if the send is known to have
+    /// arrived, or if a release ordered behind it has let go of the state in case it had not.
+    pub fn send_ended(&mut self, outcome: Outcome, now: Micros) {
+        let released = std::mem::take(&mut self.is_released_behind_send);
+        if released && !outcome.may_have_arrived() {
+            self.reader = None;
+        } else if released || outcome.proves_arrival() {
+            self.since = now;
+        }
+    }
+
+    /// The moment by which it must be taken or released, where `limit` is the time that it may be held.
+    pub fn release_by(&self, limit: Micros) -> Micros {
+        self.since.saturating_add(limit)
+    }
+
+    /// Until when a connection for the next send may take to come up: half of the time that is left, so that
+    /// there is some for another writer, and in the end for the release.
+    pub fn connect_by(&self, now: Micros, limit: Micros) -> Option<Micros> {
+        self.is_held().then(|| now.saturating_add(self.release_by(limit).saturating_sub(now) / 2))
+    }
+
+    /// Whether a release has to be ordered though a send is out: `margin` before the limit, and once for
+    /// each send.
+    pub fn is_due_behind_send(&self, now: Micros, limit: Micros, margin: Micros) -> bool {
+        let due = self.release_by(limit.saturating_sub(margin));
+        self.is_held() && !self.is_released_behind_send && now >= due
+    }
+
+    /// The release that was due behind the send that is out has been ordered.
+    pub fn set_released_behind_send(&mut self) {
+        self.is_released_behind_send = true;
+    }
+}
+
+impl Policy {
+    /// How long before the release limit a release is ordered.
+    pub(super) fn release_margin(&self, sweeps: Micros) -> Micros {
+        sweeps * self.sweep_every() + self.set.tick
+    }
+
+    /// Orders the release of a state whose send has not been answered when its limit comes near: that the
+    /// send was written doesn't say that it has arrived.
+    pub(super) fn release_behind_send(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let (limit, margin) = (self.set.release, self.release_margin(SWEEPS_BEFORE_RELEASE_BEHIND_SEND));
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        if r.held.is_due_behind_send(self.now, limit, margin) {
+            r.held.set_released_behind_send();
+            out.push(Action::Release { request: id, reason: ReleaseReason::UnansweredSend });
+        }
+    }
+
+    pub(super) fn release(&mut self, id: RequestId, reason: ReleaseReason, out: &mut Vec<Action>) {
+        if self.requests.get_mut(&id).is_some_and(|r| r.held.clear()) {
+            out.push(Action::Release { request: id, reason });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/policy/held_state/tests.rs
@@ -0,0 +1,63 @@
+use super::*;
+use rstest::rstest;
+
+const LIMIT: Micros = 500;
+const MARGIN: Micros = 100;
+
+fn held_since(now: Micros) -> HeldState {
+    let mut held = HeldState::default();
+    held.hold(WorkerId("reader".into()), now);
+    held
+}
+
+/// Guards against an end that proves nothing giving a state more time.
+#[rstest]
+#[case::error(Outcome::Error, 300)]
+#[case::turned_away(Outcome::TurnedAway, 300)]
+#[case::no_answer(Outcome::NoAnswer, 0)]
+#[case::connection_lost(Outcome::ConnectionLost, 0)]
+#[case::dropped(Outcome::Dropped, 0)]
+#[case::no_connection(Outcome::NoConnection, 0)]
+#[case::not_sent(Outcome::NotSent, 0)]
+fn only_an_answer_begins_the_limit_anew(#[case] outcome: Outcome, #[case] since: Micros) {
+    let mut held = held_since(0);
+    held.send_ended(outcome, 300);
+    assert!(held.is_held());
+    assert_eq!(held.release_by(LIMIT), since + LIMIT);
+}
+
+/// Guards against a send that is out stopping the clock, and against a release for each look at it.
+#[test]
+fn a_release_is_due_once_behind_a_send_that_is_out() {
+    let mut held = held_since(0);
+    assert!(!held.is_due_behind_send(LIMIT - MARGIN - 1, LIMIT, MARGIN));
+    assert!(held.is_due_behind_send(LIMIT - MARGIN, LIMIT, MARGIN));
+    held.set_released_behind_send();
+    assert!(!held.is_due_behind_send(LIMIT, LIMIT, MARGIN));
+}
+
+/// Guards against a state that outlives its release since the send had arrived and was given up afterwards.
+#[test]
+fn behind_a_release_the_end_of_a_send_that_may_have_arrived_begins_the_limit_anew() {
+    let mut held = held_since(0);
+    held.set_released_behind_send();
+    held.send_ended(Outcome::NoAnswer, 900);
+    assert_eq!(held.release_by(LIMIT), 900 + LIMIT);
+    assert!(held.is_due_behind_send(900 + LIMIT - MARGIN, LIMIT, MARGIN));
+}
+
+/// Guards against a send to a writer for a state that is known to be gone.
+#[test]
+fn behind_a_release_a_send_that_never_left_leaves_nothing_held() {
+    let mut held = held_since(0);
+    held.set_released_behind_send();
+    held.send_ended(Outcome::NoConnection, 900);
+    assert!(!held.is_held());
+}
+
+#[test]
+fn a_connection_may_take_half_of_the_time_that_is_left() {
+    assert_eq!(HeldState::default().connect_by(100, LIMIT), None);
+    assert_eq!(held_since(0).connect_by(100, LIMIT), Some(300));
+    assert_eq!(held_since(0).connect_by(600, LIMIT), Some(600));
+}
--- /dev/null
+++ b/src/policy/permission/tests.rs
@@ -0,0 +1,20 @@
+use super::*;
+use rstest::rstest;
+
+const SEND_BY: Micros = 100;
+
+/// Guards against a decision that no longer holds when its connection has come up.
+#[rstest]
+#[case::in_time(SEND_BY - 1, true, false, Ok(()))]
+#[case::late(SEND_BY, true, false, Err(SendRefusal::MayHaveRun))]
+#[case::draining(0, false, false, Err(SendRefusal::NotInService))]
+#[case::left(0, true, true, Err(SendRefusal::ClientLeft))]
+fn a_permit_is_checked_again_at_the_write(
+    #[case] now: Micros,
+    #[case] is_in_service: bool,
+    #[case] has_client_left: bool,
+    #[case] expected: Result<(), SendRefusal>,
+) {
+    let permit = SendPermit { send_by: Some(SEND_BY), connect_by: None, reads: false };
+    assert_eq!(permit.check_write(WriteState { now, is_in_service, has_client_left }), expected);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 
 use crate::interface::{Ask, Class, Effect, Micros, Outcome, Report, Role, Settings, Status, Tenant};
 use crate::interface::{RequestId, WorkerId};
+use crate::policy::held_state::HeldState;
 use std::collections::{BTreeMap, VecDeque};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -198,10 +199,8 @@
     pub most_attempts: u32,
     pub phase: Phase,
     pub attempts: Vec<Attempt>,
-    /// The reader where a state may wait.
-    pub state: Option<WorkerId>,
-    /// The last outcome of an attempt that reached a running worker: the release limit counts from here.
-    pub quiet_since: Micros,
+    /// What a reader may hold for it.
+    pub held: HeldState,
 }
 
 impl Request {
@@ -212,10 +211,9 @@
     }
 
     /// The attempts that may have had an effect, or still may: those at writers without an outcome that rules it out.
-    /// A writer has no prompts to read: one that says that it did is not believed.
     pub fn effects(&self) -> impl Iterator<Item = &Attempt> {
-        let ruled_out = |outcome: Outcome| outcome.never_ran() && outcome != Outcome::Read;
-        self.attempts.iter().filter(move |a| a.writes && !a.outcome.is_some_and(ruled_out))
+        let ruled_out = |a: &Attempt| a.outcome.is_some_and(Outcome::rules_out_a_run_at_a_writer);
+        self.attempts.iter().filter(move |a| a.writes && !ruled_out(a))
     }
 
     /// Whether all its attempts have been made.
@@ -238,16 +236,16 @@
         self.attempts.iter().any(|a| a.worker == *worker && failed(a))
     }
 
-    /// Whether time is short for what is held: it ran on while the last connection failed to come up.
+    /// Whether time is short for what is held: it ran on during the last attempt, which nothing was heard of.
     pub fn is_pressed(&self) -> bool {
-        let failed = |a: &Attempt| a.outcome == Some(Outcome::NoConnection);
-        self.state.is_some() && self.attempts.last().is_some_and(failed)
+        let unheard = |a: &Attempt| a.outcome.is_some_and(|outcome| !outcome.proves_arrival());
+        self.held.is_held() && self.attempts.last().is_some_and(unheard)
     }
 
     pub fn new(ask: Ask, class: usize, now: Micros, over_share: bool, most_attempts: u32) -> Self {
-        let (arrived, quiet_since, phase) = (now, now, Phase::Waiting);
-        let (attempts, state) = (Vec::new(), None);
-        Request { ask, class, arrived, over_share, most_attempts, phase, attempts, state, quiet_since }
+        let (arrived, phase) = (now, Phase::Waiting);
+        let (attempts, held) = (Vec::new(), HeldState::default());
+        Request { ask, class, arrived, over_share, most_attempts, phase, attempts, held }
     }
 
     /// The attempts without an outcome.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -533,17 +533,20 @@
         Action::Send { request, worker, timeout, .. } => {
             writeln!(out, "DELIVER\t{router}\t{}\t{}\t{}", request.0, worker.0, or_dash(*timeout))
         }
-        Action::Refuse { request, retry_after } => {
+        Action::SendRefused { request, worker, refusal } => {
+            writeln!(out, "LOG\t{router}\t{} not sent to {}: {refusal}", request.0, worker.0)
+        }
+        Action::Refuse { request, retry_after, .. } => {
             writeln!(out, "DECLINE\t{router}\t{}\t{}", request.0, or_dash(*retry_after))
         }
-        Action::Fail { request } => writeln!(out, "FAIL\t{router}\t{}", request.0),
+        Action::Fail { request, .. } => writeln!(out, "FAIL\t{router}\t{}", request.0),
         Action::Drop { request, attempt } => {
             writeln!(out, "DROP_ATTEMPT\t{router}\t{}\t{}", request.0, attempt.0)
         }
         Action::Hold { request, worker } => {
             writeln!(out, "HOLD_PLACE\t{router}\t{}\t{}", request.0, worker.0)
         }
-        Action::Release { request } => writeln!(out, "DROP_STATE\t{router}\t{}", request.0),
+        Action::Release { request, .. } => writeln!(out, "DROP_STATE\t{router}\t{}", request.0),
         Action::Move { request } => writeln!(out, "MIGRATE\t{router}\t{}", request.0),
         Action::Timer { at, timer } => writeln!(out, "AFTER\t{router}\t{at}\t{}", timer.0),
         Action::Probe { worker } => writeln!(out, "TOUCH\t{router}\t{}", worker.0),
