--- /dev/null
+++ b/src/policy/admission.rs
@@ -0,0 +1,118 @@
+//! Which requests begin, which wait, and which end without an answer of a worker.
+
+use super::*;
+
+/// Requests of a tenant that may come at once, and two seconds' worth at least: fewer are chance, not excess.
+const BURST: f64 = 10.0;
+
+impl Policy {
+    pub(super) fn ask(&mut self, ask: Ask, out: &mut Vec<Action>) {
+        let id = ask.request;
+        let class = class_of(&self.set.classes, &ask.class);
+        let over_share = self.over_share(ask.tenant.as_deref());
+        self.learned.prompt.add(ask.prompt_tokens as f64, LEARN);
+        self.learn_rates();
+        self.kept.asked(&ask, self.now, PREFIX_TTL);
+        self.requests.insert(id, Request::new(ask, class, self.now, over_share, self.set.max_attempts));
+        self.step(id, out);
+    }
+
+    pub(super) fn over_share(&mut self, tenant: Option<&str>) -> bool {
+        let Some((rate, level, at)) = tenant.and_then(|t| self.tenants.get_mut(t)) else { return false };
+        let refill = *rate * (self.now - *at) as f64 / 1e6;
+        (*level, *at) = ((*level + refill).min(BURST.max(*rate * 2.0)), self.now);
+        let over = *level < 1.0;
+        *level -= if over { 0.0 } else { 1.0 };
+        over
+    }
+
+    pub(super) fn worth(&self, r: &Request) -> f64 {
+        let worth = self.set.classes[r.class].worth;
+        if r.over_share { worth * self.set.over_share_worth } else { worth }
+    }
+
+    pub(super) fn aim(&self, r: &Request) -> Micros {
+        let class = &self.set.classes[r.class];
+        let grown = class.aim_per_1000_tokens as f64 * r.ask.prompt_tokens as f64 / 1000.0;
+        class.aim.saturating_add(grown as Micros)
+    }
+
+    /// Starts a request if both stages can be in time, or half its read at most is ahead; else waits or ends.
+    pub(super) fn begin(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let (readers, mixed) = (self.usable(Role::Reader, id), self.usable(Role::Mixed, id));
+        let writers = self.usable(Role::Writer, id).len() + mixed.len();
+        let Some(r) = self.requests.get(&id) else { return };
+        let prompt = r.ask.prompt_tokens as f64;
+        let short = prompt <= self.learned.prompt.or(0.0);
+        let direct =
+            !mixed.is_empty() && (short || readers.is_empty()) || readers.is_empty() && self.set.writers_read;
+        let target = if direct {
+            self.pick_writer(id, None).map(|w| (w, 0.0))
+        } else {
+            // A read whose writers can't take it would only gather states at the readers.
+            self.pick_reader(r, &readers).filter(|_| writers > 0)
+        };
+        let Some((target, unread)) = target else { return };
+        let ahead = self.ahead(&target, 0.0);
+        let pace = self.learned.read_pace.or(0.0) * self.slowness(&target);
+        let takes = |work: f64| pace * (work + self.learned.unread.or(0.0));
+        let (aim, waited) = (self.aim(r) as f64, (self.now - r.arrived) as f64);
+        let reads = 2.0 * ahead <= unread || takes(ahead + unread) <= aim * (1.0 - STAGE_PART);
+        let coming: Vec<f64> = (self.requests.values())
+            .filter(|r| matches!(r.phase, Phase::Reading | Phase::Held | Phase::Writing))
+            .map(|r| r.ask.prompt_tokens as f64)
+            .collect();
+        let pace = if direct { self.learned.write_pace[2] } else { self.learned.first_pace };
+        let first = |work: f64| pace.or(0.0) * (work + self.learned.prompt.or(0.0));
+        let crowd = coming.iter().sum::<f64>() / writers.max(1) as f64;
+        let writes = coming.len() < writers || first(crowd + prompt) <= aim * STAGE_PART;
+        // Can't begin before its client leaves, or in time after a read that wasn't answered: another one
+        // would feed the jam. Guards against short deadlines, and jams that grow by repeats of what is late.
+        let left = r.ask.deadline.saturating_sub(self.now) as f64;
+        let doomed = !coming.is_empty() && takes(ahead + unread) + first(prompt) > left;
+        let late = waited + takes(unread) + first(prompt) > aim;
+        let doomed = doomed || r.unanswered() && waited + takes(unread) > aim;
+        if reads && writes && !doomed {
+            self.send(id, &target, (!direct).then_some(unread), out);
+        } else if doomed {
+            self.finish(id, EndReason::Doomed, out);
+        } else if late || r.over_share {
+            self.finish(id, EndReason::NoRoom, out);
+        }
+    }
+
+    /// Gives the final answer, at once: a refusal with advice where trying again is harmless, else a failure.
+    pub(super) fn finish(&mut self, id: RequestId, reason: EndReason, out: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        if matches!(r.phase, Phase::Done | Phase::Streaming) {
+            return;
+        }
+        if self.may_refuse(r) {
+            let retry_after = self.set.retry_advice.then(|| {
+                // Spread, so that those refused together don't come back together.
+                let spread = xxh3_64_with_seed(&id.0.to_le_bytes(), self.seed) % 1000;
+                self.set.max_retry_after / 2 + self.set.max_retry_after / 2 * spread / 1000
+            });
+            out.push(Action::Refuse { request: id, reason, retry_after });
+        } else {
+            out.push(Action::Fail { request: id, reason });
+        }
+        self.close(id, out);
+    }
+
+    /// Lets go of all that an answered request still has.
+    pub(super) fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if let Some(r) = self.requests.get_mut(&id) {
+            r.phase = Phase::Done;
+            if self.set.may_drop {
+                let open = |a: &Attempt| a.outcome.is_none() && a.first.is_none();
+                let open = (0..).zip(&r.attempts).filter(|(_, a)| open(a));
+                out.extend(open.map(|(i, _)| Action::Drop { request: id, attempt: AttemptIndex(i) }));
+            }
+        }
+        self.release(id, ReleaseReason::RequestOver, out);
+        if self.requests.get(&id).is_some_and(|r| r.out().next().is_none()) {
+            self.requests.remove(&id);
+        }
+    }
+}
