Failed system calls: one classification; connects that fail here are repeated, accepts go on at once

Cause: pool.rs counted any failed connect as the host's failure and gave it out as NoConnection; accept loops slept 50 ms after each error, and the end of a listener's queue was the first error of any kind. A kept connection was used right after a connect to its host had failed. Ruled out: EINTR by hand (the runtime repeats it). Change: src/net/fault.rs; the pool repeats local failures within the connect's time and reports NotSent; no kept connection to a host whose last connect failed; counters.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -48,6 +48,10 @@
     Counters {
         /// Client connections accepted.
         connections_in,
+        /// Accepts that failed for what their one connection was.
+        accepts_of_one_failed,
+        /// Accepts that failed for want of something on this machine.
+        accepts_failed,
         /// Client connections refused for want of sockets.
         connections_over_bound,
         /// Requests taken.
@@ -64,6 +68,10 @@
         cut_off,
         /// Connections opened to model hosts.
         connections_out,
+        /// Connects that failed for want of something on this machine and were tried again.
+        connects_repeated,
+        /// Connects given up for that.
+        connects_failed_locally,
         /// Kept connections that were reset as soon as a request was written to them.
         stale_connections,
         /// Requests sent to model hosts.
--- a/src/fleet/net/reception.rs
+++ b/src/fleet/net/reception.rs
@@ -11,6 +11,7 @@
 use crate::counters::FleetCounters;
 use crate::fleet::message::Message;
 use crate::fleet::{MemberName, Who};
+use crate::net::fault::pause_after_accept;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -87,7 +88,9 @@
                 Ok(accepted) => accepted,
                 Err(error) => {
                     log::warn!("fleet: accept: {error}");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    if let Some(pause) = pause_after_accept(&error) {
+                        tokio::time::sleep(pause).await;
+                    }
                     continue;
                 }
             };
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -171,7 +171,10 @@
         };
         match connected {
             Ok(connection) => Ok((target, connection)),
-            Err(ConnectError::OverBound) => Err(Outcome::NotSent),
+            Err(error @ (ConnectError::OverBound | ConnectError::Local(_))) => {
+                log::info!("request {}: not sent to {}: {error}", attempt.call.id, attempt.worker.0);
+                Err(Outcome::NotSent)
+            }
             Err(error) => {
                 log::info!("request {}: {} not reached: {error}", attempt.call.id, attempt.worker.0);
                 Err(Outcome::NoConnection)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod drain;
 pub mod events;
+pub mod fault;
 pub mod framing;
 pub mod pool;
 pub mod reach;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -4,6 +4,7 @@
 //! written: whether an attempt may have run hangs on that, and hyper doesn't tell.
 
 use super::Local;
+use super::fault::{Fault, SystemCall, classify};
 use super::reach::Reach;
 use crate::counters::Counters;
 use crate::interface::WorkerId;
@@ -39,6 +40,9 @@
 /// How long no connection is kept after a kept one was found dead.
 const DISTRUST: Duration = Duration::from_secs(60);
 
+/// Before a connect is tried again that failed for want of something on this machine; twice as long each time.
+const LOCAL_FAULT_PAUSE: Duration = Duration::from_millis(5);
+
 /// Where the status stands in the first line of an answer.
 const STATUS_AT: usize = "HTTP/1.1 ".len();
 
@@ -296,6 +300,10 @@
     /// The model host took too long.
     #[error("not connected in time")]
     TimedOut,
+    /// This machine had no descriptor, port, memory or route for it in all the time that there was. It says nothing of
+    /// the model host.
+    #[error("no connection can be made on this machine: {0}")]
+    Local(io::Error),
     /// The system said no.
     #[error("{0}")]
     Io(#[from] io::Error),
@@ -440,6 +448,10 @@
     }
 
     fn reuse(&self, target: &Target) -> Option<Connection> {
+        // To a host that is silent a kept connection looks alive, and takes whatever is written to it.
+        if self.reach.borrow().is_suspect(&target.worker) {
+            return None;
+        }
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(&target.worker)?;
         while let Some(last) = idle.pop() {
@@ -454,6 +466,32 @@
         None
     }
 
+    /// Opens a connection. What fails on this machine alone is tried again for as long as there is time.
+    async fn open_within(&self, address: SocketAddr, within: Duration) -> Result<TcpStream, ConnectError> {
+        let until = Instant::now() + within;
+        let mut pause = LOCAL_FAULT_PAUSE;
+        loop {
+            let connecting = tokio::time::timeout_at(until, TcpStream::connect(address));
+            let error = match connecting.await.map_err(|_| ConnectError::TimedOut)? {
+                Ok(stream) => return Ok(stream),
+                Err(error) => error,
+            };
+            match classify(SystemCall::Connect, &error) {
+                Fault::Host | Fault::Fatal => return Err(error.into()),
+                Fault::Local | Fault::Connection if Instant::now() + pause >= until => {
+                    return Err(ConnectError::Local(error));
+                }
+                Fault::Local | Fault::Connection => {}
+            }
+            log::debug!("connect to {address}: {error}; again in {pause:?}");
+            self.counters.connects_repeated.up();
+            // What this machine is short of may be held by idle connections.
+            self.clear();
+            tokio::time::sleep(pause).await;
+            pause *= 2;
+        }
+    }
+
     async fn connect(self, target: Target) -> Result<Connection, ConnectError> {
         if let Some(connection) = self.reuse(&target) {
             return Ok(connection);
@@ -470,11 +508,12 @@
         };
         self.counters.connections_out.up();
         let within = target.within.map_or(self.connect_timeout, |w| w.min(self.connect_timeout));
-        let connecting = tokio::time::timeout(within, TcpStream::connect(target.address));
-        let connected = connecting.await.map_err(|_| ConnectError::TimedOut).and_then(|c| Ok(c?));
+        let connected = self.open_within(target.address, within).await;
         match &connected {
             Ok(_) => self.reach.borrow_mut().reached(&target.worker, Instant::now()),
-            Err(_) => self.reach.borrow_mut().unreached(&target.worker, Instant::now()),
+            // No word of the host: it must not be ranked down for it.
+            Err(ConnectError::Local(_)) => self.counters.connects_failed_locally.up(),
+            Err(_) => self.reach.borrow_mut().connect_failed(&target.worker, Instant::now()),
         }
         let stream = connected?;
         stream.set_nodelay(true)?;
--- a/src/net/reach.rs
+++ b/src/net/reach.rs
@@ -20,6 +20,7 @@
 struct Seen {
     reached: Option<Instant>,
     unreached: Option<Instant>,
+    connect_failed: Option<Instant>,
 }
 
 /// The table of reachability, one entry a host heard of within [`REMEMBER`].
@@ -48,16 +49,33 @@
         self.seen.entry(worker.clone()).or_default().reached = Some(now);
     }
 
-    /// A connection to `worker` was refused or did not come up in time, at `now`.
+    /// Nothing was heard of `worker` where something should have been, at `now`.
     pub fn unreached(&mut self, worker: &WorkerId, now: Instant) {
         self.seen.entry(worker.clone()).or_default().unreached = Some(now);
     }
 
+    /// A connection to `worker` was refused or did not come up in time, at `now`: no call to it gets a kept connection
+    /// until it was reached again.
+    pub fn connect_failed(&mut self, worker: &WorkerId, now: Instant) {
+        self.unreached(worker, now);
+        self.seen.entry(worker.clone()).or_default().connect_failed = Some(now);
+    }
+
+    /// Whether the last connection to `worker` failed and nothing has been heard of it since.
+    pub fn is_suspect(&self, worker: &WorkerId) -> bool {
+        let Some(seen) = self.seen.get(worker) else { return false };
+        seen.connect_failed.is_some_and(|failed| seen.reached.is_none_or(|reached| reached < failed))
+    }
+
     /// Drops what is older than [`REMEMBER`] at `now`.
     pub fn forget_old(&mut self, now: Instant) {
         let fresh = |at: Option<Instant>| at.filter(|at| now.saturating_duration_since(*at) < REMEMBER);
         self.seen.retain(|_, seen| {
-            *seen = Seen { reached: fresh(seen.reached), unreached: fresh(seen.unreached) };
+            *seen = Seen {
+                reached: fresh(seen.reached),
+                unreached: fresh(seen.unreached),
+                connect_failed: fresh(seen.connect_failed),
+            };
             seen.reached.is_some() || seen.unreached.is_some()
         });
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,7 @@
 //! The server side: accepts clients, takes requests in, passes answers on.
 
 use super::Local;
+use super::fault::pause_after_accept;
 use super::framing::{Standing, Watch, Watched};
 use super::upgrade::socket::turn_away_new;
 use crate::counters::Counters;
@@ -34,6 +35,8 @@
 use tokio::time::Instant;
 use tower::{Service, ServiceBuilder, ServiceExt};
 
+/// Accepts that may fail while what waits is taken at the end.
+const ACCEPTS_AFTER_FAULTS: usize = 64;
 /// A request has this long to come whole, from its first byte and, the first on a connection, from the accept on.
 /// Progress doesn't renew it: half a head, half a body and a drip without end all hold a place.
 const ARRIVE: Duration = Duration::from_millis(2_400);
@@ -411,11 +414,7 @@
                 _ = stage.wait_for(|s| !s.accepts()) => break,
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => self.begin(stream, service.clone()),
-                    Err(error) => {
-                        // Out of descriptors, say: what is open goes on, new ones wait.
-                        log::warn!("accept: {error}");
-                        tokio::time::sleep(Duration::from_millis(50)).await;
-                    }
+                    Err(error) => self.accept_failed(&error).await,
                 }
             }
         }
@@ -438,15 +437,39 @@
         S: Service<Arrival, Response = Response<AnswerBody>> + Clone + Unpin + 'static,
         S::Future: 'static,
     {
+        let mut attempts_after_faults = ACCEPTS_AFTER_FAULTS;
         for _ in 0..self.bound + OVER {
             self.room().await;
-            let Ok((stream, _)) = listener.accept() else { return };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return,
+                // Others may wait behind the one that this is about, or there may be room for them in a moment.
+                Err(error) if attempts_after_faults > 0 => {
+                    attempts_after_faults -= 1;
+                    self.accept_failed(&error).await;
+                    continue;
+                }
+                Err(error) => return log::warn!("accept: {error}; what waits is left"),
+            };
             if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
                 self.begin(stream, service.clone());
             }
         }
     }
 
+    /// Counts a failed accept, and waits where another one at once would fail as well.
+    async fn accept_failed(&self, error: &std::io::Error) {
+        let counters = &self.edge.shared.counters;
+        let Some(pause) = pause_after_accept(error) else {
+            counters.accepts_of_one_failed.up();
+            return log::debug!("accept: {error}");
+        };
+        // Out of descriptors, say: what is open goes on, new ones wait.
+        counters.accepts_failed.up();
+        log::warn!("accept: {error}");
+        tokio::time::sleep(pause).await;
+    }
+
     /// The most connections now, [`OVER`] aside.
     fn most(&self) -> usize {
         self.open.most.get().map_or(self.bound, |most| most.min(self.bound))
--- a/src/ops/door.rs
+++ b/src/ops/door.rs
@@ -10,6 +10,7 @@
 use crate::net::Local;
 use crate::net::discovery::Directory;
 use crate::net::drain::DrainSwitch;
+use crate::net::fault::pause_after_accept;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -46,8 +47,6 @@
 const MOST_BODY: usize = 4 * 1024;
 /// How long the figures wait for the core; past that the count of skipped hosts is the last one known.
 const CORE_WITHIN: Duration = Duration::from_millis(300);
-/// Before the next accept after one that failed.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What the calls look at and switch.
 pub struct Door {
@@ -76,7 +75,9 @@
                 }
                 Err(error) => {
                     log::warn!("operators' door: accept: {error}");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    if let Some(pause) = pause_after_accept(&error) {
+                        tokio::time::sleep(pause).await;
+                    }
                 }
             }
         }
