Releases don't storm: waves stay narrow while hosts answer; a new process bounds its first reads

A process that knows no pace began all 150 waiting requests at once (admission took an unknown pace as free); they timed out together, each release doubled its waves since the process itself was late to read the answers, and 1,600 connections took its CPU. Ruled out: the walk over waiting requests (a probe counted 4,000 steps a second at the most). Change: an unknown pace is half of the stated one; a wave asks one host more while hosts answer, and is put off once when it comes late; releases of one moment spread over the hosts reached within 0.5 s.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -22,6 +22,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tower::{Service, ServiceExt};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A stream without an event for this long is dead, whatever its connection says: a machine that vanished
 /// says nothing, and a client left waiting 5 s has lost its answer.
@@ -347,10 +348,11 @@
         let mut calls = tokio::task::JoinSet::new();
         let begun = Instant::now();
         let mut fanout = Fanout::new(begun);
+        let spread = xxh3_64(call.id.as_bytes());
         while releasing.is_going() && begun.elapsed() < RELEASE_WITHIN {
             // Which hosts were just heard from may change meanwhile, and so may the list.
-            let hosts = self.pool.by_reach(self.directory.running());
-            for worker in fanout.wave(Instant::now(), &hosts) {
+            let hosts = self.pool.by_reach(self.directory.running(), spread);
+            for worker in fanout.wave(Instant::now(), &hosts, self.pool.last_heard()) {
                 calls.spawn_local(self.clone().ask_release(worker, call.id.clone()));
             }
             tokio::select! {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -422,9 +422,14 @@
     }
 
     /// Puts hosts, each with its zone, in the order in which a call that any of them may take should try them: those
-    /// that connections came up to lately first, those that failed to come up last (see [`Reach::order`]).
-    pub fn by_reach(&self, candidates: Vec<(WorkerId, String)>) -> Vec<WorkerId> {
-        self.reach.borrow().order(candidates, Instant::now())
+    /// that connections came up to lately first, those that failed to come up last (see [`Reach::order_spread`]).
+    pub fn by_reach(&self, candidates: Vec<(WorkerId, String)>, spread: u64) -> Vec<WorkerId> {
+        self.reach.borrow().order_spread(candidates, Instant::now(), spread)
+    }
+
+    /// When any model host last answered, or a connection to one came up.
+    pub fn last_heard(&self) -> Option<Instant> {
+        self.reach.borrow().last_heard()
     }
 
     /// A host has said nothing to a call for longer than one that runs would. Guards against a machine that has
--- a/src/net/reach.rs
+++ b/src/net/reach.rs
@@ -12,6 +12,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Hosts reached within this time are as good as each other.
+const LATELY: Duration = Duration::from_millis(500);
 /// What is older than this says nothing of a host any more, and is forgotten.
 pub const REMEMBER: Duration = Duration::from_secs(30);
 
@@ -30,6 +32,7 @@
 #[derive(Debug, Default)]
 pub struct Reach {
     seen: HashMap<WorkerId, Seen>,
+    last_heard: Option<Instant>,
 }
 
 /// How a host ranks for a call that any host may take: lower first.
@@ -47,6 +50,12 @@
     /// A connection to `worker` came up, or an answer of it came whole, at `now`.
     pub fn reached(&mut self, worker: &WorkerId, now: Instant) {
         self.seen.entry(worker.clone()).or_default().reached = Some(now);
+        self.last_heard = self.last_heard.max(Some(now));
+    }
+
+    /// When any host was last reached.
+    pub fn last_heard(&self) -> Option<Instant> {
+        self.last_heard
     }
 
     /// Nothing was heard of `worker` where something should have been, at `now`.
@@ -101,6 +110,23 @@
         }
     }
 
+    /// The same order, in which the hosts at its head that were reached just now are turned by `spread`: many calls at
+    /// the same moment must not all go to one of them.
+    pub fn order_spread(
+        &self,
+        candidates: Vec<(WorkerId, String)>,
+        now: Instant,
+        spread: u64,
+    ) -> Vec<WorkerId> {
+        let mut order = self.order(candidates, now);
+        let is_recent = |w: &&WorkerId| matches!(self.rank(w, now), Rank::Reached(ago) if ago < LATELY);
+        let recent = order.iter().take_while(is_recent).count();
+        if recent > 1 {
+            order[..recent].rotate_left((spread % recent as u64) as usize);
+        }
+        order
+    }
+
     /// Puts `candidates` (as the list gives them, each with its zone) in the order in which a call that any host may
     /// take should try them at `now`: hosts reached most lately first, then those of which nothing is known, in the
     /// order given, then those that failed to come up since they were last reached. Within the hosts that did not
--- a/src/net/reach/tests.rs
+++ b/src/net/reach/tests.rs
@@ -49,3 +49,22 @@
     assert!(reach.is_empty());
     assert_eq!(reach.order(vec![here("b"), here("a")], start + REMEMBER * 2), [w("b"), w("a")]);
 }
+
+/// Guards against many releases of one moment that all ask the one host that answered last.
+#[test]
+fn calls_of_one_moment_spread_over_the_hosts_just_reached() {
+    let start = Instant::now();
+    let mut reach = Reach::default();
+    reach.reached(&w("old"), start);
+    let now = start + Duration::from_secs(2);
+    for name in ["a", "b", "c"] {
+        reach.reached(&w(name), now);
+    }
+    let given = ["a", "b", "c", "old", "unknown"].map(here).to_vec();
+    let firsts = (0..3).map(|spread| reach.order_spread(given.clone(), now, spread)[0].clone());
+    assert_eq!(firsts.collect::<std::collections::BTreeSet<_>>().len(), 3);
+    for spread in 0..3 {
+        assert_eq!(reach.order_spread(given.clone(), now, spread)[3..], ["old", "unknown"].map(w));
+    }
+    assert_eq!(reach.last_heard(), Some(now));
+}
--- a/src/net/release.rs
+++ b/src/net/release.rs
@@ -6,6 +6,10 @@
 //! would meet only as many hosts as pauses fit into the limit, all of which may be silent. So each wave asks twice as
 //! many as the one before, over zones in turn ([`super::reach::Reach::order`]), and within four waves some fifteen
 //! hosts of all zones have been asked. On an ordinary day the first host takes it and no second one hears of it.
+//!
+//! A call without an answer has two explanations: a host that is silent, or a process that is held up and has not looked
+//! yet. Where a wave comes late, or hosts answer other calls meanwhile, the second one holds: more hosts at once would
+//! only add to the work of a process that has too much already, and to that of hosts which are well.
 
 use crate::interface::WorkerId;
 use std::collections::BTreeSet;
@@ -16,6 +20,8 @@
 pub const HEDGE: Duration = Duration::from_millis(60);
 /// Before the next wave where all of one have failed already: a host that refuses is worth no waiting.
 const AFTER_FAILURE: Duration = Duration::from_millis(10);
+/// A wave that comes later than this past its time shows that the process was held up.
+const HELD_UP: Duration = Duration::from_millis(20);
 /// Hosts of a wave at the most: they have sockets and the rest of the fleet sends releases as well.
 const WIDEST: usize = 8;
 /// Between two rounds over all hosts at the most: a host that runs again takes it soon after.
@@ -30,12 +36,24 @@
     width: usize,
     due: Instant,
     pause: Duration,
+    /// When the last wave was asked.
+    last_wave: Option<Instant>,
+    /// The next wave has been put off once, for the process was held up.
+    is_put_off: bool,
 }
 
 impl Fanout {
     /// A release whose first call is due now.
     pub fn new(now: Instant) -> Self {
-        Fanout { asked: BTreeSet::new(), open: 0, width: 1, due: now, pause: AFTER_FAILURE }
+        Fanout {
+            asked: BTreeSet::new(),
+            open: 0,
+            width: 1,
+            due: now,
+            pause: AFTER_FAILURE,
+            last_wave: None,
+            is_put_off: false,
+        }
     }
 
     /// When [`Fanout::wave`] has something to do next.
@@ -43,14 +61,23 @@
         self.due
     }
 
-    /// The hosts to ask now, out of all that there are, best first. Once all have been asked in vain, the next round
-    /// begins after a pause, which grows up to a quarter of a second.
-    pub fn wave(&mut self, now: Instant, hosts: &[WorkerId]) -> Vec<WorkerId> {
+    /// The hosts to ask now, out of all that there are, best first; `last_heard` is when any host last answered any
+    /// call. Once all have been asked in vain, the next round begins after a pause, which grows up to a quarter of a
+    /// second.
+    pub fn wave(&mut self, now: Instant, hosts: &[WorkerId], last_heard: Option<Instant>) -> Vec<WorkerId> {
         if now < self.due {
             return Vec::new();
         }
+        if self.open > 0 && now > self.due + HELD_UP && !std::mem::replace(&mut self.is_put_off, true) {
+            self.due = now + HEDGE / 2;
+            return Vec::new();
+        }
+        self.is_put_off = false;
+        // Those that answer stand first: one more of them is enough.
+        let hosts_answer = last_heard.is_some_and(|heard| self.last_wave.is_some_and(|wave| heard > wave));
+        let width = if hosts_answer { 1 } else { self.width };
         let fresh = hosts.iter().filter(|h| !self.asked.contains(h));
-        let wave: Vec<WorkerId> = fresh.take(self.width).cloned().collect();
+        let wave: Vec<WorkerId> = fresh.take(width).cloned().collect();
         if wave.is_empty() {
             (self.asked, self.width, self.open) = (BTreeSet::new(), 1, 0);
             self.due = now + self.pause;
@@ -59,7 +86,10 @@
         }
         self.asked.extend(wave.iter().cloned());
         self.open += wave.len();
-        self.width = (self.width * 2).min(WIDEST);
+        if !hosts_answer {
+            self.width = (self.width * 2).min(WIDEST);
+        }
+        self.last_wave = Some(now);
         self.due = now + HEDGE;
         wave
     }
--- a/src/net/release/tests.rs
+++ b/src/net/release/tests.rs
@@ -30,7 +30,7 @@
     let mut failing: Vec<Instant> = Vec::new();
     let mut now = start;
     while now < start + Duration::from_secs(5) {
-        for worker in fanout.wave(now, &reach.order(listed.clone(), now)) {
+        for worker in fanout.wave(now, &reach.order(listed.clone(), now), reach.last_heard()) {
             match kind(&worker)? {
                 Host::Runs => return Some(now + REACHES - start),
                 Host::Refuses => failing.push(now + Duration::from_millis(1)),
@@ -106,8 +106,8 @@
     let mut widths = Vec::new();
     for _ in 0..6 {
         let now = fanout.due();
-        widths.push(fanout.wave(now, &hosts).len());
-        assert!(fanout.wave(now, &hosts).is_empty(), "nobody further before the pause is over");
+        widths.push(fanout.wave(now, &hosts, None).len());
+        assert!(fanout.wave(now, &hosts, None).is_empty(), "nobody further before the pause is over");
         assert_eq!(fanout.due(), now + HEDGE);
     }
     assert_eq!(widths, [1, 2, 4, 8, 8, 8]);
@@ -121,7 +121,7 @@
     let (mut asked, mut calls) = (Vec::new(), 0);
     while fanout.due() < start + Duration::from_secs(10) {
         let now = fanout.due();
-        let wave = fanout.wave(now, &hosts);
+        let wave = fanout.wave(now, &hosts, None);
         calls += wave.len();
         wave.iter().for_each(|_| fanout.failed(now));
         asked.extend(wave.contains(&hosts[0]).then_some(now));
@@ -135,11 +135,41 @@
 fn a_wave_that_has_failed_whole_is_followed_at_once() {
     let (start, hosts) = (Instant::now(), names(9));
     let mut fanout = Fanout::new(start);
-    fanout.wave(start, &hosts);
+    fanout.wave(start, &hosts, None);
     fanout.failed(start);
     assert_eq!(fanout.due(), start + AFTER_FAILURE);
-    assert_eq!(fanout.wave(fanout.due(), &hosts).len(), 2);
+    assert_eq!(fanout.wave(fanout.due(), &hosts, None).len(), 2);
     let due = fanout.due();
     fanout.failed(start);
     assert_eq!(fanout.due(), due, "one of two is still open");
 }
+
+/// Guards against a storm of calls where many releases are under way and the process can't keep up with its answers.
+#[test]
+fn while_hosts_answer_other_calls_waves_do_not_grow() {
+    let (start, hosts) = (Instant::now(), names(40));
+    let mut fanout = Fanout::new(start);
+    let mut widths = Vec::new();
+    for _ in 0..4 {
+        let now = fanout.due();
+        widths.push(fanout.wave(now, &hosts, Some(now)).len());
+        // Heard after the wave: the next one knows of it.
+        let heard = fanout.due() - Duration::from_millis(1);
+        assert!(fanout.wave(heard, &hosts, Some(heard)).is_empty());
+    }
+    assert_eq!(widths, [1, 1, 1, 1]);
+    let quiet = fanout.due();
+    assert_eq!(fanout.wave(quiet, &hosts, Some(start)).len(), 2, "nobody has answered since");
+}
+
+/// The same for a process that comes late to its own waves.
+#[test]
+fn a_wave_that_comes_late_is_put_off_once() {
+    let (start, hosts) = (Instant::now(), names(40));
+    let mut fanout = Fanout::new(start);
+    fanout.wave(start, &hosts, None);
+    let late = fanout.due() + Duration::from_millis(100);
+    assert!(fanout.wave(late, &hosts, None).is_empty());
+    let later = fanout.due() + Duration::from_millis(100);
+    assert_eq!(fanout.wave(later, &hosts, None).len(), 2, "put off once only");
+}
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Readers may be this many times as fast as the stated share of the aim says.
+const FASTER_THAN_STATED: f64 = 2.0;
+
 /// Requests of a tenant that may come at once, and two seconds' worth at least: fewer are chance, not excess.
 const BURST: f64 = 10.0;
 
@@ -54,7 +57,8 @@
         };
         let Some((target, unread)) = target else { return };
         let ahead = self.ahead(&target, 0.0);
-        let pace = self.learned.read_pace.or(0.0) * self.slowness(&target);
+        // What nobody has measured yet is not free, or all that waits would begin at once: taken as the fastest.
+        let pace = self.learned.read_pace.or(self.read_token() / FASTER_THAN_STATED) * self.slowness(&target);
         let takes = |work: f64| pace * (work + self.learned.unread.or(0.0));
         let (aim, waited) = (self.aim(r) as f64, (self.now - r.arrived) as f64);
         let reads = 2.0 * ahead <= unread || takes(ahead + unread) <= aim * (1.0 - STAGE_PART);
