--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -58,7 +58,8 @@
         let Some((target, unread)) = target else { return };
         let ahead = self.ahead(&target, 0.0);
         // What nobody has measured yet is not free, or all that waits would begin at once: taken as the fastest.
-        let pace = self.learned.read_pace.or(self.read_token() / FASTER_THAN_STATED) * self.slowness(&target);
+        let unmeasured = self.read_token() / FASTER_THAN_STATED;
+        let pace = self.learned.read_pace.or(unmeasured) * self.slowness(&target);
         let takes = |work: f64| pace * (work + self.learned.unread.or(0.0));
         let (aim, waited) = (self.aim(r) as f64, (self.now - r.arrived) as f64);
         let reads = 2.0 * ahead <= unread || takes(ahead + unread) <= aim * (1.0 - STAGE_PART);
