Late arrivals: what a silent host may have got is released when it answers; a soak of random faults

Ruled out: the releases of the request itself (taken in time, before the read arrived). Change: src/net/late_arrivals.rs (no I/O) and releases.rs (its calls, moved out of client.rs with those of release.rs); lab soak: 10 real conductors, overlapping faults, invariants on the history.

--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -215,7 +215,13 @@
     /// One request in the platform's form: status, and the text if the stream came whole.
     pub fn platform(&self, at: usize, ask: &Ask) -> (u16, Option<String>) {
         let (name, address) = &self.conductors[at % self.conductors.len()];
-        self.note("client.sent", ask, name, json!({ "class": ask.class, "resumed": false }));
+        self.note(
+            "client.sent",
+            ask,
+            name,
+            json!({ "class": ask.class, "resumed": false,
+            "deadline_us": ask.deadline.as_micros() as u64 }),
+        );
         let body = json!({ "model": ask.class, "stream": true,
             "messages": [{ "role": "user", "content": ask.plan.prompt() }] });
         let (body, id) = (body.to_string(), &ask.plan.name);
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -55,6 +55,8 @@
     pub seed: u64,
     /// Where files go and stay, the history among them; else they are temporary.
     pub folder: Option<PathBuf>,
+    /// A library that each conductor is started with (LD_PRELOAD).
+    pub preload: Option<PathBuf>,
 }
 
 impl Default for FleetSettings {
@@ -73,6 +75,7 @@
             more: String::new(),
             seed: 1,
             folder: None,
+            preload: None,
         }
     }
 }
@@ -199,7 +202,8 @@
             let front = fleet.block.at(RELAYS[3], 10_000 + i + 1);
             fleet.network.link("front", name, front, fleet.block.at(i + 1, 8080))?;
             fleet.fronts.push((name.clone(), front));
-            let conductor = Conductor::new(name, file, &["--log-format", "json"], fleet.history.clone());
+            let mut conductor = Conductor::new(name, file, &["--log-format", "json"], fleet.history.clone());
+            conductor.preload = fleet.settings.preload.clone();
             fleet.conductors.insert(name.clone(), conductor);
         }
         fleet.history.note("lab", "lab.fleet", json!({ "members": names, "seed": fleet.settings.seed }));
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod script;
 pub mod sim;
 pub mod sim_sites;
+pub mod soak;
 pub mod steps;
 pub mod tools;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,6 +8,7 @@
 use whinhaven_lab::history;
 use whinhaven_lab::play::Play;
 use whinhaven_lab::scale::{self, ScaleArgs};
+use whinhaven_lab::soak::{self, SoakArgs};
 
 /// Fleets of conductors on loopback: faults to try, histories to check, experiments.
 #[derive(Parser)]
@@ -32,6 +33,8 @@
         #[command(subcommand)]
         which: Experiment,
     },
+    /// Plays rounds of random faults on real conductors and holds each against the invariants; exits 1 where one breaks.
+    Soak(SoakArgs),
     /// Measures what each part costs against its size: hollow members, real processes, the deciding module.
     Scale(ScaleArgs),
 }
@@ -48,6 +51,7 @@
             }
             Err(error) => Err(format!("{}: {error}", history.display())),
         },
+        Task::Soak(args) => soak::run(&args).map_err(|e| e.to_string()),
         Task::Scale(args) => scale::run(&args).map(|()| true).map_err(|e| e.to_string()),
         Task::Experiment { which } => which.run().map(|()| true).map_err(|e| e.to_string()),
     };
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -148,6 +148,8 @@
 pub struct Conductor {
     /// Its name.
     pub name: String,
+    /// A library that it is started with (LD_PRELOAD).
+    pub preload: Option<PathBuf>,
     file: PathBuf,
     arguments: Vec<String>,
     history: History,
@@ -158,7 +160,8 @@
     /// A conductor that is not started yet, by an operator's file; `arguments` go behind `serve FILE`.
     pub fn new(name: &str, file: PathBuf, arguments: &[&str], history: History) -> Conductor {
         let arguments = arguments.iter().map(|a| (*a).to_owned()).collect();
-        Conductor { name: name.to_owned(), file, arguments, history, running: Arc::default() }
+        let (name, preload, running) = (name.to_owned(), None, Arc::default());
+        Conductor { name, preload, file, arguments, history, running }
     }
 
     fn child(&self) -> MutexGuard<'_, Option<Child>> {
@@ -205,6 +208,9 @@
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         // A group of its own: an interrupt from the keyboard is the lab's to handle.
         command.process_group(0);
+        if let Some(library) = &self.preload {
+            command.env("LD_PRELOAD", library);
+        }
         let mut child = command.spawn()?;
         watched('+', child.id());
         let stderr = child.stderr.take().map(BufReader::new);
@@ -275,6 +281,12 @@
         self.signal(Signal::HUP);
     }
 
+    /// Asks for an orderly end (SIGTERM) without waiting for it.
+    pub fn begin_to_terminate(&self) {
+        self.history.note("lab", "fault.term", json!({ "member": self.name }));
+        self.signal(Signal::TERM);
+    }
+
     /// Asks for an orderly end (SIGTERM) and waits for it.
     ///
     /// # Errors
--- /dev/null
+++ b/lab/src/soak/invariants.rs
@@ -0,0 +1,296 @@
+//! What must hold whatever the faults: the oracle of the soak, on the history alone.
+
+use super::lateness::{Late, between};
+use crate::history::Record;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+const MILLISECOND: u64 = 1_000;
+/// A state may be held for this long: the settings' limit and the operators' slack.
+const HELD_LIMIT: u64 = 800 * MILLISECOND;
+/// What a process may be held up for between a decision and its write.
+const HELD_UP: u64 = 150 * MILLISECOND;
+/// A final answer may come this long after its client's deadline.
+const ANSWER_SLACK: u64 = 500 * MILLISECOND;
+
+/// What a round was like, besides its history.
+pub struct Rules {
+    /// When the machine ran threads late.
+    pub lateness: Vec<Late>,
+    /// Conductors whose orderly end was not one.
+    pub failed_exits: Vec<String>,
+}
+
+/// What the invariants say of a round.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Broken invariants, in words.
+    pub broken: Vec<String>,
+    /// Requests that were asked.
+    pub asked: usize,
+    /// Those that got a whole stream.
+    pub served: usize,
+    /// States that were held at some time.
+    pub held: usize,
+    /// The longest time in milliseconds that one was held while its reader could be heard.
+    pub longest_held_ms: u64,
+    /// Releases that were ordered behind sends without an answer.
+    pub releases_behind_sends: usize,
+}
+
+impl Outcome {
+    /// Whether every invariant held.
+    pub fn is_kept(&self) -> bool {
+        self.broken.is_empty()
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Outcome { asked, served, held, longest_held_ms, releases_behind_sends, .. } = self;
+        write!(
+            f,
+            "{asked} asked, {served} served, {held} states held for {longest_held_ms} ms at most, \
+             {releases_behind_sends} releases behind sends, "
+        )?;
+        match self.is_kept() {
+            true => write!(f, "kept"),
+            false => write!(f, "BROKEN: {}", self.broken.join("; ")),
+        }
+    }
+}
+
+/// A request as its client saw it.
+struct Asked<'a> {
+    conductor: &'a str,
+    class: &'a str,
+    at_us: u64,
+    deadline_us: u64,
+    answered: Option<(u64, u64)>,
+}
+
+/// A state that is held.
+struct Held {
+    at_us: u64,
+    was_reader_reachable: bool,
+}
+
+impl Rules {
+    /// Holds a history against the invariants.
+    pub fn judge(&self, records: &[Record]) -> Outcome {
+        let mut outcome = Outcome::default();
+        let asked = requests(records);
+        outcome.asked = asked.len();
+        outcome.served =
+            asked.values().filter(|a| a.answered.is_some_and(|(_, status)| status == 200)).count();
+        outcome.releases_behind_sends =
+            records.iter().filter(|r| r.text("line").contains("its send is not answered yet")).count();
+        self.check_answers(records, &asked, &mut outcome);
+        self.check_held(records, &asked, &mut outcome);
+        check_runs(records, &asked, &mut outcome);
+        check_conductors(records, &self.failed_exits, &mut outcome);
+        outcome
+    }
+
+    /// Each request has its final answer in time, unless its conductor was killed or could not be reached.
+    fn check_answers(&self, records: &[Record], asked: &BTreeMap<&str, Asked>, outcome: &mut Outcome) {
+        let ends = ends_of_conductors(records);
+        for (id, request) in asked {
+            let Some((at, status)) = request.answered else { continue };
+            let until = request.deadline_us + ANSWER_SLACK;
+            let late_by = between(&self.lateness, request.at_us, at) + HELD_UP;
+            let is_restarting = ends.iter().any(|(name, from, to)| {
+                *name == request.conductor
+                    && *from <= at + MILLISECOND * 100
+                    && *to + MILLISECOND * 100 >= request.at_us
+            });
+            if status == 0 && !is_restarting {
+                outcome.broken.push(format!("{id} got no answer of {}", request.conductor));
+            }
+            if matches!(status, 429 | 502 | 503 | 504) && at > until + late_by {
+                outcome.broken.push(format!("{id} was answered {} ms late", (at - until) / MILLISECOND));
+            }
+        }
+    }
+
+    /// A state is taken or released in time, counted while its reader could be heard; and in the end in any case.
+    fn check_held(&self, records: &[Record], asked: &BTreeMap<&str, Asked>, outcome: &mut Outcome) {
+        let ends = ends_of_conductors(records);
+        let mut unreachable = Unreachable::default();
+        let mut held: BTreeMap<String, Held> = BTreeMap::new();
+        let last_us = records.last().map_or(0, |r| r.at_us);
+        for record in records {
+            unreachable.take(record);
+            match record.event.as_str() {
+                "state.held" => {
+                    outcome.held += 1;
+                    let host = record.source.trim_start_matches("host/");
+                    let state = Held { at_us: record.at_us, was_reader_reachable: !unreachable.is(host) };
+                    held.insert(record.text("id").to_owned(), state);
+                }
+                "state.taken" | "state.released" => {
+                    if let Some(state) = held.remove(record.text("id")) {
+                        self.check_one(record.text("id"), &state, record.at_us, asked, &ends, outcome);
+                    }
+                }
+                "host.killed" | "host.fell" => {
+                    let lost = record.fields.get("lost").and_then(|l| l.as_array());
+                    lost.into_iter()
+                        .flatten()
+                        .filter_map(|id| id.as_str())
+                        .for_each(|id| _ = held.remove(id));
+                }
+                _ => {}
+            }
+        }
+        for (id, state) in held {
+            let conductor = asked.get(id.as_str()).map_or("", |a| a.conductor);
+            let died = ends.iter().any(|(name, _, to)| *name == conductor && *to >= state.at_us);
+            if !died {
+                let host = if state.was_reader_reachable { "" } else { ", its reader was silent" };
+                let ms = last_us.saturating_sub(state.at_us) / MILLISECOND;
+                outcome.broken.push(format!("{id} was held to the end, for {ms} ms{host}"));
+            }
+        }
+    }
+
+    fn check_one(
+        &self,
+        id: &str,
+        state: &Held,
+        at_us: u64,
+        asked: &BTreeMap<&str, Asked>,
+        ends: &[(String, u64, u64)],
+        outcome: &mut Outcome,
+    ) {
+        let conductor = asked.get(id).map_or("", |a| a.conductor);
+        // What a dead conductor left is freed by whoever asks again, or by its hosts.
+        let died =
+            ends.iter().any(|(name, from, _)| *name == conductor && *from >= state.at_us && *from <= at_us);
+        if !state.was_reader_reachable || died {
+            return;
+        }
+        let time = at_us.saturating_sub(state.at_us);
+        outcome.longest_held_ms = outcome.longest_held_ms.max(time / MILLISECOND);
+        let allowed = HELD_LIMIT + HELD_UP + between(&self.lateness, state.at_us, at_us);
+        if time > allowed {
+            outcome.broken.push(format!("{id} was held for {} ms", time / MILLISECOND));
+        }
+    }
+}
+
+/// Hosts that some conductor can't hear now, by the faults noted.
+#[derive(Default)]
+struct Unreachable(BTreeMap<String, u32>);
+
+impl Unreachable {
+    fn take(&mut self, record: &Record) {
+        let begins = match record.event.as_str() {
+            "soak.begin" => true,
+            "soak.end" => false,
+            _ => return,
+        };
+        let fault = record.text("fault");
+        if !["Silence", "SilentWay", "Slow"].iter().any(|kind| fault.starts_with(kind)) {
+            return;
+        }
+        for host in fault.split('"').filter(|part| part.starts_with("reader-") || part.starts_with("writer-"))
+        {
+            let count = self.0.entry(host.to_owned()).or_default();
+            *count = if begins { *count + 1 } else { count.saturating_sub(1) };
+        }
+    }
+
+    fn is(&self, host: &str) -> bool {
+        self.0.get(host).is_some_and(|count| *count > 0)
+    }
+}
+
+fn requests(records: &[Record]) -> BTreeMap<&str, Asked<'_>> {
+    let mut asked = BTreeMap::new();
+    for record in records.iter().filter(|r| r.source == "client") {
+        match record.event.as_str() {
+            "client.sent" => {
+                let deadline_us = record.at_us + record.number("deadline_us").unwrap_or(0);
+                let request = Asked {
+                    conductor: record.text("at"),
+                    class: record.text("class"),
+                    at_us: record.at_us,
+                    deadline_us,
+                    answered: None,
+                };
+                asked.insert(record.text("name"), request);
+            }
+            "client.platform" => {
+                if let Some(request) = asked.get_mut(record.text("name")) {
+                    request.answered = Some((record.at_us, record.number("status").unwrap_or(0)));
+                }
+            }
+            _ => {}
+        }
+    }
+    asked
+}
+
+/// From when to when each conductor was down or on its way there: from its kill or SIGTERM until it serves again.
+fn ends_of_conductors(records: &[Record]) -> Vec<(String, u64, u64)> {
+    let mut down: BTreeMap<&str, u64> = BTreeMap::new();
+    let mut ends = Vec::new();
+    for record in records {
+        match record.event.as_str() {
+            "fault.kill" | "fault.term" => {
+                down.entry(record.text("member")).or_insert(record.at_us);
+            }
+            _ if record.text("line").contains(" serves on ") => {
+                if let Some(from) = down.remove(record.source.as_str()) {
+                    ends.push((record.source.clone(), from, record.at_us));
+                }
+            }
+            _ => {}
+        }
+    }
+    ends.extend(down.into_iter().map(|(name, from)| (name.to_owned(), from, u64::MAX / 2)));
+    ends
+}
+
+/// What must not run twice runs once at most, and not at all where its client was told to try again.
+fn check_runs(records: &[Record], asked: &BTreeMap<&str, Asked>, outcome: &mut Outcome) {
+    let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+    for record in records.iter().filter(|r| r.event == "run.begun") {
+        *runs.entry(record.text("id")).or_default() += 1;
+    }
+    let unsafe_requests = asked.iter().filter(|(_, request)| request.class == "send");
+    for (id, request) in unsafe_requests {
+        let count = runs.get(id).copied().unwrap_or(0);
+        let is_refused = request.answered.is_some_and(|(_, status)| matches!(status, 429 | 503));
+        if count > 1 {
+            outcome.broken.push(format!("{id} ran {count} times"));
+        }
+        if is_refused && count > 0 {
+            outcome.broken.push(format!("{id} was refused and ran"));
+        }
+    }
+}
+
+/// Conductors end in order, and their own accounts show no broken rule and no panic.
+fn check_conductors(records: &[Record], failed_exits: &[String], outcome: &mut Outcome) {
+    for name in failed_exits {
+        outcome.broken.push(format!("{name} did not end in order"));
+    }
+    let mut seen = BTreeSet::new();
+    for line in records.iter().map(|r| (r.source.as_str(), r.text("line"))) {
+        let (source, text) = line;
+        let has_count = |name: &str| {
+            let count = text.split(' ').find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
+            count.is_some_and(|count| count != "0")
+        };
+        let is_fault = text.contains("rule broken") || text.contains("panicked");
+        let counts = text.contains("stopped; counters:") && (has_count("violations") || has_count("panics"));
+        if (is_fault || counts) && seen.insert((source, text)) {
+            outcome.broken.push(format!("{source}: {text}"));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -118,6 +118,8 @@
         releases_behind_sends,
         /// Releases that a model host took.
         releases_taken,
+        /// Calls to release what a host that was silent may have got late.
+        late_releases,
         /// Releases that no model host took.
         releases_failed,
         /// Lists and changes of lists received.
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -3,8 +3,8 @@
 use super::Local;
 use super::answer::{Answered, End, MOST_ANSWER, Stream, Tail};
 use super::discovery::Directory;
+use super::late_arrivals::LateArrivals;
 use super::pool::{ConnectError, Connection, Pool, Target};
-use super::release::{Fanout, HEDGE};
 use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
 use crate::counters::Counters;
 use crate::exchange::{Call, FeedSource, Frame, Reply, feed, is_plain_id};
@@ -15,14 +15,13 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tower::{Service, ServiceExt};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// A stream without an event for this long is dead, whatever its connection says: a machine that vanished
 /// says nothing, and a client left waiting 5 s has lost its answer.
@@ -33,14 +32,9 @@
 const CLIENT_STALLED: Duration = Duration::from_secs(30);
 /// What a connection's close takes to reach its model host, with much to spare. Two connections are not in order with
 /// each other: what follows on another one waits this long, or it may overtake the close.
-const SETTLE: Duration = Duration::from_millis(5);
+pub(super) const SETTLE: Duration = Duration::from_millis(5);
 /// How long a read waits for a release before it: within that time some fifteen hosts of all zones are asked.
 const RELEASE_FIRST: Duration = Duration::from_millis(250);
-/// A call of a release that has had no answer by then is not waited for any longer: its host is asked again later.
-const RELEASE_CALL: Duration = Duration::from_secs(1);
-/// A release that no host has taken is given up then. Its limit is long past, but what is held must not fill a host's
-/// memory for good: the longest cut or hang that operators have recorded is over by then.
-const RELEASE_WITHIN: Duration = Duration::from_secs(30);
 
 /// The client side: an [`Outbound`] for the core, and a tower service for one call at one model host.
 #[derive(Clone)]
@@ -61,6 +55,8 @@
     pub fetch_list: Rc<Notify>,
     /// Releases under way.
     pub pending: Rc<Pending>,
+    /// Attempts given up that may arrive late.
+    pub late_arrivals: Rc<RefCell<LateArrivals>>,
 }
 
 /// Counts releases under way, so that the process doesn't end before they have.
@@ -118,7 +114,7 @@
 }
 
 impl Hosts {
-    fn target(&self, worker: &WorkerId) -> Option<Target> {
+    pub(super) fn target(&self, worker: &WorkerId) -> Option<Target> {
         let (worker, address) = (worker.clone(), self.directory.address(worker)?);
         Some(Target { worker, address, within: None, reserved: false })
     }
@@ -138,7 +134,12 @@
         let give_up_at = attempt.until.saturating_sub(SETTLE.as_micros() as u64);
         match self.connect_for(attempt, give_up_at).await {
             Ok(_) if !self.may_write(attempt) => Outcome::NotSent.into(),
-            Ok((target, connection)) => self.exchange(attempt, target, connection, give_up_at).await,
+            Ok((target, connection)) => {
+                let written = Instant::now();
+                let end = self.exchange(attempt, target, connection, give_up_at).await;
+                self.note_if_it_may_arrive_late(attempt, end.outcome, written);
+                end
+            }
             Err(outcome) => outcome.into(),
         }
     }
@@ -342,70 +343,8 @@
         });
     }
 
-    async fn release_now(&self, call: &Call, releasing: &Releasing) {
-        tokio::time::sleep(SETTLE).await;
-        // The calls end with this: one that arrives later would take what the next read leaves.
-        let mut calls = tokio::task::JoinSet::new();
-        let begun = Instant::now();
-        let mut fanout = Fanout::new(begun);
-        let spread = xxh3_64(call.id.as_bytes());
-        while releasing.is_going() && begun.elapsed() < RELEASE_WITHIN {
-            // Which hosts were just heard from may change meanwhile, and so may the list.
-            let hosts = self.pool.by_reach(self.directory.running(), spread);
-            for worker in fanout.wave(Instant::now(), &hosts, self.pool.last_heard()) {
-                calls.spawn_local(self.clone().ask_release(worker, call.id.clone()));
-            }
-            tokio::select! {
-                biased;
-                () = releasing.over() => return,
-                Some(asked) = calls.join_next() => match asked {
-                    Ok(true) => {
-                        self.counters.releases_taken.up();
-                        log::debug!("request {}: released after {:?}", call.id, begun.elapsed());
-                        return releasing.set_done();
-                    }
-                    _ => fanout.failed(Instant::now()),
-                },
-                () = tokio::time::sleep_until(fanout.due()) => {}
-            }
-        }
-        if releasing.is_going() {
-            releasing.stop();
-            self.counters.releases_failed.up();
-            log::warn!("request {}: no model host took the release of its state", call.id);
-        }
-    }
-
-    /// One call of a release; whether the host took it.
-    async fn ask_release(self, worker: WorkerId, id: String) -> bool {
-        let request = Request::delete(format!("/internal/reservations/{id}")).header("host", "model-host");
-        let (Some(mut target), Ok(request)) = (self.target(&worker), request.body(Full::new(Bytes::new())))
-        else {
-            return false;
-        };
-        target.reserved = true;
-        let calling = self.small_call(&target, request, 0);
-        tokio::pin!(calling);
-        let answer = match tokio::time::timeout(HEDGE, &mut calling).await {
-            Ok(answer) => Ok(answer),
-            Err(_) => {
-                self.pool.doubt(&worker);
-                tokio::time::timeout(RELEASE_CALL, calling).await
-            }
-        };
-        match answer {
-            // One that is turned away has let go of nothing.
-            Ok(Ok((status, _))) => status.is_success(),
-            Ok(Err(error)) => {
-                log::debug!("request {id}: release at {}: {error}", worker.0);
-                false
-            }
-            Err(_) => false,
-        }
-    }
-
     /// A call without a stream, on a connection of its own meanwhile.
-    async fn small_call(
+    pub(super) async fn small_call(
         &self,
         target: &Target,
         request: Request<Full<Bytes>>,
--- a/src/net/client/tests.rs
+++ b/src/net/client/tests.rs
@@ -43,6 +43,7 @@
             watch_again: Rc::default(),
             fetch_list: Rc::default(),
             pending: Rc::default(),
+            late_arrivals: Rc::default(),
         };
         Rig { hosts, told }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,9 +8,11 @@
 pub mod events;
 pub mod fault;
 pub mod framing;
+pub mod late_arrivals;
 pub mod pool;
 pub mod reach;
 pub mod release;
+mod releases;
 pub mod server;
 pub mod upgrade;
 
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -427,6 +427,11 @@
         self.reach.borrow().order_spread(candidates, Instant::now(), spread)
     }
 
+    /// Whether something was heard of a model host since a moment.
+    pub fn was_heard_since(&self, worker: &WorkerId, since: Instant) -> bool {
+        self.reach.borrow().was_heard_since(worker, since)
+    }
+
     /// When any model host last answered, or a connection to one came up.
     pub fn last_heard(&self) -> Option<Instant> {
         self.reach.borrow().last_heard()
--- a/src/net/reach.rs
+++ b/src/net/reach.rs
@@ -53,6 +53,11 @@
         self.last_heard = self.last_heard.max(Some(now));
     }
 
+    /// Whether something was heard of `worker` since a moment.
+    pub fn was_heard_since(&self, worker: &WorkerId, since: Instant) -> bool {
+        self.seen.get(worker).is_some_and(|seen| seen.reached.is_some_and(|reached| reached > since))
+    }
+
     /// When any host was last reached.
     pub fn last_heard(&self) -> Option<Instant> {
         self.last_heard
--- /dev/null
+++ b/src/net/releases.rs
@@ -0,0 +1,174 @@
+//! Carries releases out: the calls that [`super::release`] and [`super::late_arrivals`] decide on.
+
+use super::client::{Hosts, SETTLE};
+use super::late_arrivals::{ANSWERS_WITHIN, Round};
+use super::pool::ConnectError;
+use super::release::{Fanout, HEDGE};
+use crate::core::{Attempt, Releasing};
+use crate::exchange::Call;
+use crate::interface::{Outcome, WorkerId};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use std::io;
+use std::time::Duration;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A call of a release that has had no answer by then is not waited for any longer: its host is asked again later.
+const RELEASE_CALL: Duration = Duration::from_secs(1);
+/// A release that no host has taken is given up then. Its limit is long past, but what is held must not fill a host's
+/// memory for good: the longest cut or hang that operators have recorded is over by then.
+const RELEASE_WITHIN: Duration = Duration::from_secs(30);
+/// Calls to one host at once for what it may have got late.
+const LATE_CALLS: usize = 16;
+
+/// How a host met a call of a release.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Met {
+    /// It answered.
+    Answered,
+    /// It did not, in time.
+    Silent,
+    /// Its process is gone: connections are refused.
+    Gone,
+}
+
+impl Hosts {
+    /// Releases what is held for a request, at whichever hosts take it, until one has.
+    pub(super) async fn release_now(&self, call: &Call, releasing: &Releasing) {
+        tokio::time::sleep(SETTLE).await;
+        // The calls end with this: one that arrives later would take what the next read leaves.
+        let mut calls = tokio::task::JoinSet::new();
+        let begun = Instant::now();
+        let mut fanout = Fanout::new(begun);
+        let spread = xxh3_64(call.id.as_bytes());
+        while releasing.is_going() && begun.elapsed() < RELEASE_WITHIN {
+            // Which hosts were just heard from may change meanwhile, and so may the list.
+            let hosts = self.pool.by_reach(self.directory.running(), spread);
+            for worker in fanout.wave(Instant::now(), &hosts, self.pool.last_heard()) {
+                calls.spawn_local(self.clone().ask_release(worker, call.id.clone()));
+            }
+            tokio::select! {
+                biased;
+                () = releasing.over() => return,
+                Some(asked) = calls.join_next() => match asked {
+                    Ok(true) => {
+                        self.counters.releases_taken.up();
+                        log::debug!("request {}: released after {:?}", call.id, begun.elapsed());
+                        return releasing.set_done();
+                    }
+                    _ => fanout.failed(Instant::now()),
+                },
+                () = tokio::time::sleep_until(fanout.due()) => {}
+            }
+        }
+        if releasing.is_going() {
+            releasing.stop();
+            self.counters.releases_failed.up();
+            log::warn!("request {}: no model host took the release of its state", call.id);
+        }
+    }
+
+    /// One call of a release; whether the host took it.
+    async fn ask_release(self, worker: WorkerId, id: String) -> bool {
+        let request = Request::delete(format!("/internal/reservations/{id}")).header("host", "model-host");
+        let (Some(mut target), Ok(request)) = (self.target(&worker), request.body(Full::new(Bytes::new())))
+        else {
+            return false;
+        };
+        target.reserved = true;
+        let calling = self.small_call(&target, request, 0);
+        tokio::pin!(calling);
+        let answer = match tokio::time::timeout(HEDGE, &mut calling).await {
+            Ok(answer) => Ok(answer),
+            Err(_) => {
+                self.pool.doubt(&worker);
+                tokio::time::timeout(RELEASE_CALL, calling).await
+            }
+        };
+        match answer {
+            // One that is turned away has let go of nothing.
+            Ok(Ok((status, _))) => status.is_success(),
+            Ok(Err(error)) => {
+                log::debug!("request {id}: release at {}: {error}", worker.0);
+                false
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Remembers an attempt that has ended with nothing heard of its host since it was written.
+    pub(super) fn note_if_it_may_arrive_late(&self, attempt: &Attempt, outcome: Outcome, written: Instant) {
+        let is_unheard = outcome.may_have_arrived() && !outcome.proves_arrival();
+        if !is_unheard || self.pool.was_heard_since(&attempt.worker, written) {
+            return;
+        }
+        let (id, now) = (attempt.call.id.clone(), Instant::now());
+        let is_idle = self.late_arrivals.borrow().due().is_none();
+        self.late_arrivals.borrow_mut().abandoned(&attempt.worker, id, now);
+        if is_idle {
+            tokio::task::spawn_local(self.clone().follow_late_arrivals());
+        }
+    }
+
+    /// Asks hosts about attempts that may arrive late, until there are none.
+    async fn follow_late_arrivals(self) {
+        loop {
+            let Some(due) = self.late_arrivals.borrow().due() else { return };
+            tokio::time::sleep_until(due).await;
+            let next = self.late_arrivals.borrow_mut().next(Instant::now());
+            if let Some(round) = next {
+                tokio::task::spawn_local(self.clone().release_late(round));
+            }
+        }
+    }
+
+    /// Releases at one host what it may have got late.
+    async fn release_late(self, round: Round) {
+        let mut met = Met::Answered;
+        for requests in round.requests.chunks(LATE_CALLS) {
+            let calls = requests.iter().map(|id| self.release_at(&round.worker, id));
+            for call in futures_util::future::join_all(calls).await {
+                met = if met == Met::Answered { call } else { met };
+            }
+            if met != Met::Answered {
+                break;
+            }
+        }
+        let (worker, now) = (&round.worker, Instant::now());
+        let was_idle = self.late_arrivals.borrow().due().is_none();
+        match met {
+            Met::Answered => self.late_arrivals.borrow_mut().answered(worker, now),
+            Met::Silent => self.late_arrivals.borrow_mut().unanswered(worker, now),
+            Met::Gone => self.late_arrivals.borrow_mut().gone(worker),
+        }
+        if was_idle {
+            tokio::task::spawn_local(self.follow_late_arrivals());
+        }
+    }
+
+    /// Asks one host to release a request.
+    async fn release_at(&self, worker: &WorkerId, id: &str) -> Met {
+        let request = Request::delete(format!("/internal/reservations/{id}")).header("host", "model-host");
+        let (Some(mut target), Ok(request)) = (self.target(worker), request.body(Full::new(Bytes::new())))
+        else {
+            return Met::Gone;
+        };
+        target.reserved = true;
+        self.counters.late_releases.up();
+        match tokio::time::timeout(ANSWERS_WITHIN, self.small_call(&target, request, 0)).await {
+            Ok(Ok(_)) => Met::Answered,
+            Ok(Err(error)) if is_refusal(&*error) => Met::Gone,
+            Ok(Err(_)) | Err(_) => Met::Silent,
+        }
+    }
+}
+
+/// Whether a call failed since nobody listens.
+fn is_refusal(error: &(dyn std::error::Error + 'static)) -> bool {
+    match error.downcast_ref::<ConnectError>() {
+        Some(ConnectError::Io(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
--- a/src/run.rs
+++ b/src/run.rs
@@ -177,6 +177,7 @@
         watch_again: watch_again.clone(),
         fetch_list: fetch_list.clone(),
         pending: pending.clone(),
+        late_arrivals: Rc::default(),
     };
     // Before the fleet begins: it would wait for this member meanwhile.
     let own = config.fleet.as_ref().and_then(|f| config.sites.as_ref()?.site(f.site.as_str()));
--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -153,6 +153,7 @@
             watch_again: Rc::default(),
             fetch_list: Rc::default(),
             pending: Rc::default(),
+            late_arrivals: Rc::default(),
         };
         let (id, target, body) = ("id-1".to_owned(), "/".to_owned(), Bytes::from_static(b"hello"));
         let (_cancel, cancelled) = oneshot::channel();
--- a/tests/silent_hosts.rs
+++ b/tests/silent_hosts.rs
@@ -121,3 +121,49 @@
         }
     }
 }
+
+/// A reader that, while it is silent, takes nothing; what waited on its connections arrives when it is back.
+fn late_reader(silent: Arc<AtomicBool>, report: Report) -> Peer {
+    Peer::start(move |message, conn| {
+        let id = request_id(message);
+        if silent.load(Ordering::SeqCst) && message.method() == "POST" {
+            report.note(Seen::Buffered(id.clone()));
+        }
+        while silent.load(Ordering::SeqCst) {
+            std::thread::yield_now();
+        }
+        if message.method() == "DELETE" {
+            report.note(Seen::Released(id));
+            conn.answer("204 No Content", "", "");
+        } else {
+            report.note(Seen::Read(id));
+            conn.answer("202 Accepted", "", r#"{"cached_tokens":4}"#);
+        }
+        true
+    })
+}
+
+/// Guards against a state that nobody releases, since its read arrived after the request was over. The rule watched: what
+/// is held is let go in time, also where a connection was silent with no error and is heard again.
+#[test]
+fn a_read_that_arrives_after_its_request_is_over_is_released() {
+    let (report, seen) = Report::new();
+    let silent = Arc::new(AtomicBool::new(false));
+    let readers = [late_reader(silent.clone(), report.clone())];
+    let writers = [writer(Arc::default(), report.clone())];
+    let addresses = |peers: &[Peer]| peers.iter().map(|p| p.address).collect::<Vec<_>>();
+    let conductor = Conductor::start(&operator_file(&addresses(&readers), &addresses(&writers), ""));
+    assert_eq!(conductor.ask("warm-1", "explain").status(), 200);
+    silent.store(true, Ordering::SeqCst);
+    let late = request("late-1", "explain", "hello").replace("x-deadline: 8000m", "x-deadline: 700m");
+    assert_eq!(conductor.raw(late.as_bytes()).status(), 503);
+    silent.store(false, Ordering::SeqCst);
+    let mut was_read = false;
+    loop {
+        match seen.recv_timeout(STUCK).expect("the late read is never released") {
+            Seen::Read(id) if id == "late-1" => was_read = true,
+            Seen::Released(id) if id == "late-1" && was_read => break,
+            _ => {}
+        }
+    }
+}
