--- a/src/policy.rs
+++ b/src/policy.rs
@@ -35,7 +35,12 @@
 const HALF_LIFE: Micros = 2_000_000;
 /// What is known of streams is worth half after this: they last for seconds.
 const STREAMS_HALF_LIFE: Micros = 4 * HALF_LIFE;
+/// More requests than this that wait are gone on with together.
+const MANY_WAITING: usize = 16;
+/// How long those wait for each other: far less than a request takes, far more than a look at all of them.
+const RESUME_WITHIN: Micros = 10_000;
 const SWEEP: TimerId = TimerId(1);
+const RESUME: TimerId = TimerId(2);
 
 /// The decision module of one router.
 #[derive(Default)]
@@ -45,6 +50,7 @@
     now: Micros,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     requests: BTreeMap<RequestId, Request>,
+    out: BTreeMap<WorkerId, BTreeSet<(RequestId, usize)>>, // the attempts without an outcome at each worker
     kept: PrefixTable,
     tenants: BTreeMap<String, (f64, f64, Micros)>, // this router's part of the promised rate, level, since
     learned: Learned,
@@ -54,6 +60,7 @@
     most: [usize; 3],        // workers of each role seen in service at once
     slow_start_from: Micros, // nothing goes to workers in slow start before: a predecessor may have sent
     swept: bool,
+    is_resume_due: bool,
     call_failures: u32,
     call_due: Option<Micros>,
 }
@@ -88,6 +95,10 @@
             Event::Ended(end) => self.ended(end, out),
             Event::Left { request } => self.close(request, out),
             Event::Timer(timer) if timer == SWEEP => self.sweep(out),
+            Event::Timer(timer) if timer == RESUME => {
+                self.is_resume_due = false;
+                self.resume(false, out);
+            }
             Event::Probed { worker, report, .. } => self.heard(&worker, report),
             Event::SlowStart { allowed } => {
                 let from = now.saturating_add(self.slow_start_window());
@@ -97,7 +108,7 @@
             Event::Timer(_) | Event::Place { .. } | Event::Peer { .. } => {}
         }
         if ended {
-            self.resume(false, out);
+            self.resume_soon(out);
         }
         if !self.swept && (!self.requests.is_empty() || self.call_due.is_some()) {
             self.swept = true;
@@ -120,6 +131,19 @@
         self.resume(true, out);
     }
 
+    /// Goes on with what waits: at once, or, where much waits, with all that happens in the next moment
+    /// together. Guards against a process that a jam takes all of its time: each end of an attempt had
+    /// everything that waits looked at.
+    fn resume_soon(&mut self, out: &mut Vec<Action>) {
+        let waits = |r: &&Request| matches!(r.phase, Phase::Waiting | Phase::Held);
+        if self.requests.values().filter(waits).count() <= MANY_WAITING {
+            return self.resume(false, out);
+        }
+        if !std::mem::replace(&mut self.is_resume_due, true) {
+            out.push(Action::Timer { at: self.now + RESUME_WITHIN, timer: RESUME });
+        }
+    }
+
     /// Goes on with what waits, what is worth most first; at a sweep also with what may be overdue.
     fn resume(&mut self, all: bool, out: &mut Vec<Action>) {
         let mut open: Vec<(RequestId, f64)> = (self.requests.iter())
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -28,8 +28,8 @@
         }
         self.balance();
         // A gone worker stays known while something of ours is out there.
-        let requests = &self.requests;
-        let busy = |id: &WorkerId| requests.values().flat_map(Request::out).any(|a| a.worker == *id);
+        self.out.retain(|_, attempts| !attempts.is_empty());
+        let busy = |id: &WorkerId| self.out.contains_key(id);
         self.workers.retain(|id, w| w.status != Status::Gone || busy(id));
         for role in [Role::Reader, Role::Writer, Role::Mixed] {
             self.most[role as usize] = self.most[role as usize].max(self.ready(role).count());
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -39,6 +39,9 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(i).filter(|a| a.outcome.is_none()) else { return };
         a.outcome = Some(outcome);
+        if let Some(out) = self.out.get_mut(&a.worker) {
+            out.remove(&(id, i));
+        }
         match outcome {
             Outcome::Read => self.patience[0] = self.patience[0].saturating_sub(1),
             Outcome::NoAnswer if a.first.is_none() => {
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -117,7 +117,8 @@
 
     /// Unanswered attempts of this router at a worker.
     pub(super) fn out_at(&self, worker: &WorkerId) -> impl Iterator<Item = &Attempt> {
-        self.requests.values().flat_map(Request::out).filter(move |a| a.worker == *worker)
+        let out = self.out.get(worker).into_iter().flatten();
+        out.filter_map(|(id, index)| self.requests.get(id)?.attempts.get(*index))
     }
 
     /// Tokens that wait at a reader: this router's, what time-outs tell of the others', and what is reported.
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -70,6 +70,7 @@
         let attempt =
             Attempt { worker: worker.clone(), writes, far, sent, due, tokens, work, outcome, first };
         if let Some(r) = self.requests.get_mut(&id) {
+            self.out.entry(worker.clone()).or_default().insert((id, r.attempts.len()));
             r.attempts.push(attempt);
             r.phase = if writes { Phase::Writing } else { Phase::Reading };
             if !writes {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -1306,3 +1306,26 @@
     rig.list(ListKind::Full, list(Status::Ready, None));
     assert_eq!(sent(&rig.ask(66, "safe")), 1);
 }
+
+/// Guards against a jam that takes all of a process's time: each end of an attempt had everything that waits looked at.
+#[test]
+fn where_much_waits_the_ends_of_a_moment_are_gone_on_with_together() {
+    let mut rig = Rig::fleet(settings());
+    // Readers that can't be used: all that comes later waits.
+    for id in 0..10 {
+        rig.ask(id, "safe");
+    }
+    let drain = |w: &str, c| entry(w, c, Status::Draining, None);
+    rig.list(ListKind::Changes, vec![drain("r1", 0), drain("r2", 1)]);
+    for id in 100..200 {
+        rig.ask(id, "safe");
+    }
+    rig.list(ListKind::Changes, ["r1", "r2"].map(|w| entry(w, 0, Status::Ready, None)).to_vec());
+    let mut at_once = Vec::new();
+    for id in 0..10 {
+        at_once.extend(rig.end(id, 0, Outcome::Read));
+    }
+    let to_readers = |actions: &[Action]| sends(actions).iter().filter(|w| w.starts_with('r')).count();
+    assert_eq!(to_readers(&at_once), 0);
+    assert!(to_readers(&rig.pass(10 * MS)) > 0, "not gone on with in time");
+}
