--- /dev/null
+++ b/lab/tests/system_calls.rs
@@ -0,0 +1,111 @@
+//! Conductors whose system calls fail: real processes with the fault shim, under load.
+
+use rstest::rstest;
+use whinhaven_lab::clients::Ask;
+use whinhaven_lab::fleet::{Fleet, FleetSettings};
+use whinhaven_lab::history::Record;
+use whinhaven_lab::process::fault_shim;
+use whinhaven_lab::soak::environment;
+
+const REQUESTS: usize = 60;
+const HOUR: i64 = 3_600;
+
+fn fleet(environment: Vec<(&'static str, std::ffi::OsString)>) -> Fleet {
+    Fleet::start(FleetSettings { conductors: 1, environment, ..FleetSettings::default() }).unwrap()
+}
+
+/// Asks one after the other, each on a new connection; how many got a whole answer.
+fn ask(fleet: &Fleet, prefix: &str) -> usize {
+    let client = fleet.client();
+    let served = (0..REQUESTS).filter(|number| {
+        let class = if number % 2 == 0 { "send" } else { "explain" };
+        let ask = Ask { class: class.to_owned(), ..Ask::send(&format!("{prefix}-{number}"), 5, 0) };
+        let (status, text) = client.platform(0, &ask);
+        status == 200 && text.is_some_and(|text| ask.plan.accepts(&text))
+    });
+    served.count()
+}
+
+/// Ends the conductor in order; a counter that it prints then.
+fn end(fleet: &Fleet) -> impl Fn(&str) -> u64 {
+    let status = fleet.conductor("c1").terminate().unwrap();
+    assert!(status.is_some_and(|status| status.success()), "an orderly end");
+    let is_last = |record: &&Record| record.text("line").contains("stopped; counters:");
+    let records = fleet.history.records();
+    let line = records.iter().rev().find(is_last).expect("the counters").text("line").to_owned();
+    move |name| {
+        let found = line.split(' ').find_map(|part| part.strip_prefix(name)?.strip_prefix('='));
+        found.and_then(|number| number.parse().ok()).unwrap_or_else(|| panic!("no counter {name}"))
+    }
+}
+
+/// The rule watched: a request is never lost nor refused for an accept that fails for a moment, also at the end.
+#[rstest]
+#[case::aborted(libc::ECONNABORTED, true)]
+#[case::protocol(libc::EPROTO, true)]
+#[case::interrupted(libc::EINTR, true)]
+#[case::host_unreachable(libc::EHOSTUNREACH, true)]
+#[case::network_unreachable(libc::ENETUNREACH, true)]
+#[case::descriptors_of_the_system(libc::ENFILE, false)]
+#[case::descriptors_of_the_process(libc::EMFILE, false)]
+#[case::buffers(libc::ENOBUFS, false)]
+#[case::memory(libc::ENOMEM, false)]
+fn clients_are_served_though_accepts_fail(#[case] number: i32, #[case] is_of_one: bool) {
+    let fleet = fleet(environment(&format!("accept4:{number}:2")));
+    assert_eq!(ask(&fleet, "a"), REQUESTS);
+    let counter = end(&fleet);
+    let (of_one, local) = (counter("accepts_of_one_failed"), counter("accepts_failed"));
+    // The runtime itself repeats what was interrupted.
+    assert!(
+        number == libc::EINTR || (of_one > 0) == is_of_one && (local > 0) != is_of_one,
+        "{of_one} {local}"
+    );
+}
+
+/// The rule watched: what this machine is short of for a moment is no failure of a host, and costs no request.
+#[rstest]
+#[case::no_port(libc::EADDRNOTAVAIL)]
+#[case::network_unreachable(libc::ENETUNREACH)]
+#[case::buffers(libc::ENOBUFS)]
+#[case::descriptors_of_the_system(libc::ENFILE)]
+#[case::interrupted(libc::EINTR)]
+fn requests_are_served_though_connects_fail_here(#[case] number: i32) {
+    let fleet = fleet(environment(&format!("connect:{number}:2")));
+    assert_eq!(ask(&fleet, "a"), REQUESTS);
+    let counter = end(&fleet);
+    assert!(counter("connects_repeated") > 0);
+    assert_eq!((counter("ended_no_connection"), counter("connects_failed_locally")), (0, 0));
+}
+
+/// The rule watched: a host that can't be reached costs a try, not a request.
+#[rstest]
+#[case::timed_out(libc::ETIMEDOUT)]
+#[case::unreachable(libc::EHOSTUNREACH)]
+#[case::refused(libc::ECONNREFUSED)]
+fn requests_are_served_though_some_connects_to_hosts_fail(#[case] number: i32) {
+    let fleet = fleet(environment(&format!("connect:{number}:3")));
+    assert_eq!(ask(&fleet, "a"), REQUESTS);
+    assert!(end(&fleet)("ended_no_connection") > 0);
+}
+
+/// The rule watched: deadlines, waits and graces are spans of the monotonic clock.
+#[rstest]
+#[case::forward(HOUR)]
+#[case::back(-HOUR)]
+fn a_step_of_the_wall_clock_changes_nothing(#[case] step: i64) {
+    let folder = whinhaven_lab::process::Folder::temporary().unwrap();
+    let file = folder.path().join("step");
+    std::fs::write(&file, "0").unwrap();
+    let fleet = fleet(vec![("LD_PRELOAD", fault_shim().into()), ("FAULT_SHIM_WALL", file.clone().into())]);
+    assert_eq!(ask(&fleet, "before"), REQUESTS);
+    std::fs::write(&file, step.to_string()).unwrap();
+    assert_eq!(ask(&fleet, "after"), REQUESTS);
+    // A host that starts anew now, by a clock that was not stepped.
+    let restarted = fleet.hosts.keys().next().unwrap();
+    fleet.hosts[restarted].restart().unwrap();
+    assert_eq!(ask(&fleet, "restarted"), REQUESTS);
+    fleet.conductor("c1").begin_to_terminate();
+    let counter = end(&fleet);
+    assert_eq!((counter("violations"), counter("panics"), counter("answered_refused")), (0, 0, 0));
+    assert!(fleet.wait_for_release().is_ok());
+}
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -407,7 +407,7 @@
 
     /// Takes a connection back whose last answer was read to its end.
     pub fn put_back(&self, target: &Target, connection: Connection) {
-        self.reach.borrow_mut().reached(&target.worker, Instant::now());
+        self.reach.borrow_mut().heard(&target.worker, Instant::now());
         if self.distrusts() {
             return;
         }
@@ -429,16 +429,11 @@
         self.reach.borrow().order_spread(candidates, Instant::now(), spread)
     }
 
-    /// Whether something was heard of a model host since a moment.
+    /// Whether an answer of a model host came whole since a moment.
     pub fn was_heard_since(&self, worker: &WorkerId, since: Instant) -> bool {
         self.reach.borrow().was_heard_since(worker, since)
     }
 
-    /// When any model host last answered, or a connection to one came up.
-    pub fn last_heard(&self) -> Option<Instant> {
-        self.reach.borrow().last_heard()
-    }
-
     /// A host has said nothing to a call for longer than one that runs would. Guards against a machine that has
     /// vanished being asked first over and over, for a connection to it that was kept and looks alive.
     pub fn doubt(&self, worker: &WorkerId) {
--- a/src/net/reach.rs
+++ b/src/net/reach.rs
@@ -17,12 +17,13 @@
 /// What is older than this says nothing of a host any more, and is forgotten.
 pub const REMEMBER: Duration = Duration::from_secs(30);
 
-/// When a host was last reached and last found unreachable.
+/// When a host was last reached, last answered and last found unreachable.
 #[derive(Clone, Copy, Debug, Default)]
 struct Seen {
     reached: Option<Instant>,
     unreached: Option<Instant>,
     connect_failed: Option<Instant>,
+    heard: Option<Instant>,
 }
 
 /// The table of reachability, one entry a host heard of within [`REMEMBER`].
@@ -32,7 +33,6 @@
 #[derive(Debug, Default)]
 pub struct Reach {
     seen: HashMap<WorkerId, Seen>,
-    last_heard: Option<Instant>,
 }
 
 /// How a host ranks for a call that any host may take: lower first.
@@ -47,20 +47,20 @@
 }
 
 impl Reach {
-    /// A connection to `worker` came up, or an answer of it came whole, at `now`.
+    /// A connection to `worker` came up, at `now`. Its machine takes connections; whether its process runs is not said.
     pub fn reached(&mut self, worker: &WorkerId, now: Instant) {
         self.seen.entry(worker.clone()).or_default().reached = Some(now);
-        self.last_heard = self.last_heard.max(Some(now));
     }
 
-    /// Whether something was heard of `worker` since a moment.
-    pub fn was_heard_since(&self, worker: &WorkerId, since: Instant) -> bool {
-        self.seen.get(worker).is_some_and(|seen| seen.reached.is_some_and(|reached| reached > since))
+    /// An answer of `worker` came whole, at `now`.
+    pub fn heard(&mut self, worker: &WorkerId, now: Instant) {
+        self.reached(worker, now);
+        self.seen.entry(worker.clone()).or_default().heard = Some(now);
     }
 
-    /// When any host was last reached.
-    pub fn last_heard(&self) -> Option<Instant> {
-        self.last_heard
+    /// Whether an answer of `worker` came since a moment.
+    pub fn was_heard_since(&self, worker: &WorkerId, since: Instant) -> bool {
+        self.seen.get(worker).is_some_and(|seen| seen.heard.is_some_and(|heard| heard > since))
     }
 
     /// Nothing was heard of `worker` where something should have been, at `now`.
@@ -89,6 +89,7 @@
                 reached: fresh(seen.reached),
                 unreached: fresh(seen.unreached),
                 connect_failed: fresh(seen.connect_failed),
+                heard: fresh(seen.heard),
             };
             seen.reached.is_some() || seen.unreached.is_some()
         });
--- a/src/net/release.rs
+++ b/src/net/release.rs
@@ -8,8 +8,8 @@
 //! hosts of all zones have been asked. On an ordinary day the first host takes it and no second one hears of it.
 //!
 //! A call without an answer has two explanations: a host that is silent, or a process that is held up and has not looked
-//! yet. Where a wave comes late, or hosts answer other calls meanwhile, the second one holds: more hosts at once would
-//! only add to the work of a process that has too much already, and to that of hosts which are well.
+//! yet. Where a wave comes late, the second one holds: more hosts at once would only add to the work of a process that has
+//! too much already. And where some host has answered another call since the last wave, that one is asked alone: it runs.
 
 use crate::interface::WorkerId;
 use std::collections::BTreeSet;
@@ -61,10 +61,15 @@
         self.due
     }
 
-    /// The hosts to ask now, out of all that there are, best first; `last_heard` is when any host last answered any
-    /// call. Once all have been asked in vain, the next round begins after a pause, which grows up to a quarter of a
-    /// second.
-    pub fn wave(&mut self, now: Instant, hosts: &[WorkerId], last_heard: Option<Instant>) -> Vec<WorkerId> {
+    /// The hosts to ask now, out of all that there are, best first; `was_heard_since` tells whether a host has answered
+    /// any call since a moment. Once all have been asked in vain, the next round begins after a pause, which grows up to
+    /// a quarter of a second.
+    pub fn wave(
+        &mut self,
+        now: Instant,
+        hosts: &[WorkerId],
+        was_heard_since: impl Fn(&WorkerId, Instant) -> bool,
+    ) -> Vec<WorkerId> {
         if now < self.due {
             return Vec::new();
         }
@@ -73,11 +78,13 @@
             return Vec::new();
         }
         self.is_put_off = false;
-        // Those that answer stand first: one more of them is enough.
-        let hosts_answer = last_heard.is_some_and(|heard| self.last_wave.is_some_and(|wave| heard > wave));
-        let width = if hosts_answer { 1 } else { self.width };
-        let fresh = hosts.iter().filter(|h| !self.asked.contains(h));
-        let wave: Vec<WorkerId> = fresh.take(width).cloned().collect();
+        let fresh = || hosts.iter().filter(|h| !self.asked.contains(h));
+        let answers = |h: &&WorkerId| self.last_wave.is_some_and(|wave| was_heard_since(h, wave));
+        let running = fresh().find(answers).cloned();
+        let wave: Vec<WorkerId> = match &running {
+            Some(worker) => vec![worker.clone()],
+            None => fresh().take(self.width).cloned().collect(),
+        };
         if wave.is_empty() {
             (self.asked, self.width, self.open) = (BTreeSet::new(), 1, 0);
             self.due = now + self.pause;
@@ -86,7 +93,7 @@
         }
         self.asked.extend(wave.iter().cloned());
         self.open += wave.len();
-        if !hosts_answer {
+        if running.is_none() {
             self.width = (self.width * 2).min(WIDEST);
         }
         self.last_wave = Some(now);
--- a/src/net/releases.rs
+++ b/src/net/releases.rs
@@ -46,7 +46,8 @@
         while releasing.is_going() && begun.elapsed() < RELEASE_WITHIN {
             // Which hosts were just heard from may change meanwhile, and so may the list.
             let hosts = self.pool.by_reach(self.directory.running(), spread);
-            for worker in fanout.wave(Instant::now(), &hosts, self.pool.last_heard()) {
+            let was_heard_since = |worker: &WorkerId, since| self.pool.was_heard_since(worker, since);
+            for worker in fanout.wave(Instant::now(), &hosts, was_heard_since) {
                 calls.spawn_local(self.clone().ask_release(worker, call.id.clone()));
             }
             tokio::select! {
