--- a/lab/src/soak/invariants.rs
+++ b/lab/src/soak/invariants.rs
@@ -10,6 +10,10 @@
 const HELD_LIMIT: u64 = 800 * MILLISECOND;
 /// What a process may be held up for between a decision and its write.
 const HELD_UP: u64 = 150 * MILLISECOND;
+/// The answer of a read reaches its conductor within this, unless its host falls silent: until then the read is out.
+const ANSWER_ARRIVES_WITHIN: u64 = 50 * MILLISECOND;
+/// A host that was silent is asked this long after it can be heard again: what it got late is known of from then on.
+const LATE_ASKED_WITHIN: u64 = 500 * MILLISECOND;
 /// What a conductor logs of a state that it did not release in time.
 const HELD_VIOLATION: &str = "what may be held was not released in time";
 /// A final answer may come this long after its client's deadline.
@@ -78,6 +82,8 @@
 /// A state that is held.
 struct Held {
     at_us: u64,
+    /// Whether the reader could be heard until its answer was, or, where the read came late, for as long as the conductor
+    /// may take to ask.
     was_reader_reachable: bool,
 }
 
@@ -131,7 +137,12 @@
                 "state.held" => {
                     outcome.held += 1;
                     let host = record.source.trim_start_matches("host/");
-                    let state = Held { at_us: record.at_us, was_reader_reachable: !unreachable.is(host) };
+                    let answered = asked.get(record.text("id")).and_then(|a| a.answered);
+                    let is_late = answered.is_some_and(|(at, _)| at <= record.at_us);
+                    let needed = if is_late { LATE_ASKED_WITHIN } else { ANSWER_ARRIVES_WITHIN };
+                    let was_reader_reachable =
+                        !unreachable.is(host) && !falls_silent(records, host, record.at_us, needed);
+                    let state = Held { at_us: record.at_us, was_reader_reachable };
                     held.insert(record.text("id").to_owned(), state);
                 }
                 "state.taken" | "state.released" => {
@@ -189,6 +200,13 @@
     }
 }
 
+/// Whether a fault on a host begins within some time of a moment.
+fn falls_silent(records: &[Record], host: &str, at_us: u64, within_us: u64) -> bool {
+    let begins = |r: &&Record| r.event == "soak.begin" && r.at_us >= at_us && r.at_us <= at_us + within_us;
+    let quoted = format!("\"{host}\"");
+    records.iter().filter(begins).any(|r| r.text("fault").contains(&quoted))
+}
+
 /// Hosts that some conductor can't hear now, by the faults noted.
 #[derive(Default)]
 struct Unreachable(BTreeMap<String, u32>);
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -135,9 +135,8 @@
         match self.connect_for(attempt, give_up_at).await {
             Ok(_) if !self.may_write(attempt) => Outcome::NotSent.into(),
             Ok((target, connection)) => {
-                let written = Instant::now();
                 let end = self.exchange(attempt, target, connection, give_up_at).await;
-                self.note_if_it_may_arrive_late(attempt, end.outcome, written);
+                self.note_if_it_may_arrive_late(attempt, end.outcome);
                 end
             }
             Err(outcome) => outcome.into(),
--- a/src/net/late_arrivals.rs
+++ b/src/net/late_arrivals.rs
@@ -3,7 +3,7 @@
 //! A request that was written to a host which had fallen silent waits on the way. Closing its connection doesn't take it
 //! back: when the host can be heard again the request may still arrive, and a reader then holds a state for a request
 //! that is over, or was released meanwhile, and that nobody asks for any more. So each attempt that ends with nothing
-//! heard of its host since it was written is remembered here. The host is asked at once, by a release of that very
+//! heard of it is remembered here. The host is asked at once, by a release of that very
 //! request. If it answers it was never silent, and the release that follows every such end has done its work. If it does
 //! not, it is asked again and again; when it answers, all requests remembered are released there, and once more after
 //! what has just arrived may have been read.
@@ -62,7 +62,7 @@
 }
 
 impl LateArrivals {
-    /// An attempt of `request` has ended, written and with nothing heard of its host since.
+    /// An attempt of `request` has ended, written and with nothing heard of it.
     pub fn abandoned(&mut self, worker: &WorkerId, request: String, now: Instant) {
         let fresh = || Host { phase: Phase::Asking, requests: VecDeque::new(), due: Some(now) };
         let host = self.hosts.entry(worker.clone()).or_insert_with(fresh);
@@ -82,7 +82,7 @@
     pub fn next(&mut self, now: Instant) -> Option<Round> {
         self.forget_old(now);
         let is_due = |host: &&mut Host| host.due.is_some_and(|due| due <= now);
-        let (worker, host) = self.hosts.iter_mut().find(|(_, host)| is_due(&host))?;
+        let (worker, host) = self.hosts.iter_mut().find(|(_, host)| is_due(host))?;
         host.due = None;
         let most = if matches!(host.phase, Phase::Back { .. }) { MOST_REQUESTS } else { 1 };
         let requests = host.requests.iter().rev().take(most).map(|(_, request)| request.clone()).collect();
--- a/src/net/releases.rs
+++ b/src/net/releases.rs
@@ -99,11 +99,11 @@
         }
     }
 
-    /// Remembers an attempt that has ended with nothing heard of its host since it was written.
-    pub(super) fn note_if_it_may_arrive_late(&self, attempt: &Attempt, outcome: Outcome, written: Instant) {
+    /// Remembers an attempt that has ended with nothing heard of it. That its host has answered other calls meanwhile
+    /// says nothing: its connection, or the way there alone, may have been silent.
+    pub(super) fn note_if_it_may_arrive_late(&self, attempt: &Attempt, outcome: Outcome) {
         // A connection that its other end has broken carries nothing any more.
-        let is_unheard = matches!(outcome, Outcome::NoAnswer | Outcome::Dropped);
-        if !is_unheard || self.pool.was_heard_since(&attempt.worker, written) {
+        if !matches!(outcome, Outcome::NoAnswer | Outcome::Dropped) {
             return;
         }
         let (id, now) = (attempt.call.id.clone(), Instant::now());
