Soak: what nobody could have heard, and what a dead conductor left, is not held against anyone

Change: the oracle counts from the moment in which some host could be heard, and leaves out what a conductor had sent that died before it arrived. Tests of both.

--- a/lab/src/soak/invariants.rs
+++ b/lab/src/soak/invariants.rs
@@ -146,7 +146,9 @@
                     held.insert(record.text("id").to_owned(), state);
                 }
                 "state.taken" | "state.released" => {
-                    if let Some(state) = held.remove(record.text("id")) {
+                    if let Some(mut state) = held.remove(record.text("id")) {
+                        // Where no host could be heard there was nobody to take it or to release it.
+                        state.at_us = state.at_us.max(unreachable.last_all_us.min(record.at_us));
                         self.check_one(record.text("id"), &state, record.at_us, asked, &ends, outcome);
                     }
                 }
@@ -182,8 +184,8 @@
     ) {
         let conductor = asked.get(id).map_or("", |a| a.conductor);
         // What a dead conductor left is freed by whoever asks again, or by its hosts.
-        let died =
-            ends.iter().any(|(name, from, _)| *name == conductor && *from >= state.at_us && *from <= at_us);
+        let sent_us = asked.get(id).map_or(state.at_us, |a| a.at_us);
+        let died = ends.iter().any(|(name, from, to)| name == conductor && *from <= at_us && *to >= sent_us);
         if !state.was_reader_reachable || died {
             return;
         }
@@ -209,10 +211,22 @@
 
 /// Hosts that some conductor can't hear now, by the faults noted.
 #[derive(Default)]
-struct Unreachable(BTreeMap<String, u32>);
+struct Unreachable {
+    /// Faults on each host.
+    counts: BTreeMap<String, u32>,
+    /// Hosts that have been seen, and those of them that are dead.
+    hosts: BTreeSet<String>,
+    dead: BTreeSet<String>,
+    /// When no host at all could be heard for the last time.
+    last_all_us: u64,
+}
 
 impl Unreachable {
     fn take(&mut self, record: &Record) {
+        if self.is_all() {
+            self.last_all_us = record.at_us;
+        }
+        self.take_life(record);
         let begins = match record.event.as_str() {
             "soak.begin" => true,
             "soak.end" => false,
@@ -224,13 +238,29 @@
         }
         for host in fault.split('"').filter(|part| part.starts_with("reader-") || part.starts_with("writer-"))
         {
-            let count = self.0.entry(host.to_owned()).or_default();
+            let count = self.counts.entry(host.to_owned()).or_default();
             *count = if begins { *count + 1 } else { count.saturating_sub(1) };
         }
     }
 
+    fn take_life(&mut self, record: &Record) {
+        let Some(host) = record.source.strip_prefix("host/") else { return };
+        match record.event.as_str() {
+            "host.started" => {
+                self.hosts.insert(host.to_owned());
+                self.dead.remove(host);
+            }
+            "host.killed" | "host.fell" => _ = self.dead.insert(host.to_owned()),
+            _ => {}
+        }
+    }
+
     fn is(&self, host: &str) -> bool {
-        self.0.get(host).is_some_and(|count| *count > 0)
+        self.counts.get(host).is_some_and(|count| *count > 0)
+    }
+
+    fn is_all(&self) -> bool {
+        !self.hosts.is_empty() && self.hosts.iter().all(|host| self.dead.contains(host) || self.is(host))
     }
 }
 
--- a/lab/src/soak/invariants/tests.rs
+++ b/lab/src/soak/invariants/tests.rs
@@ -58,6 +58,19 @@
     record(20, "lab", "fault.kill", json!({ "member": "c1" })),
     answered(30, 0),
 ])]
+#[case::its_conductor_was_killed_before_the_read_arrived(vec![
+    record(20, "lab", "fault.kill", json!({ "member": "c1" })),
+    host(30, "state.held"),
+    host(2_000, "state.released"),
+    answered(2_010, 0),
+])]
+#[case::no_host_at_all_could_be_heard(vec![
+    host(1, "host.started"),
+    host(10, "state.held"),
+    record(200, "lab", "soak.begin", json!({ "fault": "Silence([\"reader-1\"])" })),
+    record(2_000, "lab", "soak.end", json!({ "fault": "Silence([\"reader-1\"])" })),
+    host(2_500, "state.released"),
+])]
 #[case::its_reader_could_not_be_heard(vec![
     record(5, "lab", "soak.begin", json!({ "fault": "Silence([\"reader-1\"])" })),
     host(10, "state.held"),
