Releases, tool calls and closes of client connections need permits; dead orders removed

Probes, places, peer messages and moves of the module: never ordered, their code is removed. Change: src/policy/call_permission.rs, src/policy/close_permission.rs; the pool takes a WritePermit or a CallPermit; calls typed (CallError); src/net/client_connection.rs taken out of server.rs; counter calls_refused. tests/client: fields of Hosts that are gone.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 use crate::exchange::{AnswerHandle, Call, Feed, ServerSide, open};
 use crate::interface::*;
 use crate::policy::Policy;
+use crate::policy::call_permission::ReleaseHistory;
 use monitor::{Monitor, Violation};
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -129,15 +130,9 @@
     /// Sends a request. Answered by one [`Input::Ended`].
     fn send(&self, attempt: Attempt);
     /// Lets go of all that is held for a request, at whichever model host; stops trying when told.
-    fn release(&self, call: Rc<Call>, releasing: Rc<Releasing>);
-    /// Asks a writer to hold a place. Answered by [`Input::Place`] if the writer can be heard.
-    fn hold(&self, request: RequestId, call: Rc<Call>, worker: WorkerId);
-    /// Probes a model host. Answered by [`Input::Probed`].
-    fn probe(&self, worker: WorkerId);
-    /// Closes idle connections.
-    fn hang_up(&self, worker: &WorkerId);
-    /// Asks discovery: for its changes from now on, or once for the whole list.
-    fn ask_list(&self, watch: bool);
+    fn release(&self, call: Rc<Call>, permit: ReleasePermit, releasing: Rc<Releasing>);
+    /// Asks discovery for its changes from now on.
+    fn subscribe(&self);
 }
 
 /// What comes to the core.
@@ -186,24 +181,6 @@
         /// Its entries.
         entries: Vec<Entry>,
     },
-    /// The answer to a hold.
-    Place {
-        /// The request.
-        request: RequestId,
-        /// The writer.
-        worker: WorkerId,
-        /// Whether the place is held.
-        held: bool,
-    },
-    /// A probe's result.
-    Probed {
-        /// The model host.
-        worker: WorkerId,
-        /// How it went.
-        outcome: Outcome,
-        /// Its load, if told.
-        report: Option<Report>,
-    },
     /// Whether this process may send to model hosts in slow start.
     SlowStart {
         /// Of two processes of one router, one may.
@@ -265,8 +242,8 @@
     attempts: Vec<Slot>,
     /// The last release, from its order until a stream has begun.
     releasing: Option<Rc<Releasing>>,
-    /// An attempt has ended since that release was ordered, which may have kept it from having an effect.
-    is_release_outdated: bool,
+    /// What decides whether another one begins.
+    release_history: ReleaseHistory,
     /// Its account, by which orders are checked.
     monitor: Monitor,
 }
@@ -383,14 +360,6 @@
                 self.counters.lists.up();
                 self.handle(Event::List { kind, entries });
             }
-            Input::Place { request, worker, held } => {
-                if self.open.contains_key(&request) {
-                    self.handle(Event::Place { request, worker, held });
-                }
-            }
-            Input::Probed { worker, outcome, report } => {
-                self.handle(Event::Probed { worker, outcome, report })
-            }
             Input::SlowStart { allowed } => self.handle(Event::SlowStart { allowed }),
             Input::CountAvoided(reply) => {
                 let now = self.clock.now();
@@ -415,7 +384,7 @@
             most_attempts,
             attempts: Vec::new(),
             releasing: None,
-            is_release_outdated: false,
+            release_history: ReleaseHistory::default(),
             monitor,
         };
         self.open.insert(request, open);
@@ -470,7 +439,7 @@
         );
         let settled = open.answer.is_none();
         open.monitor.ended(attempt.0 as usize, outcome, self.clock.now());
-        open.is_release_outdated |= outcome.may_have_arrived();
+        open.release_history.attempt_ended(outcome);
         let c = &self.counters;
         let count = match outcome {
             Outcome::Read => &c.ended_read,
@@ -558,26 +527,8 @@
                 }
             }
             Action::Release { request, reason } => self.release(request, reason),
-            Action::Hold { request, worker } => {
-                if let Some(open) = self.open.get(&request) {
-                    self.outbound.hold(request, open.call.clone(), worker);
-                }
-            }
-            Action::Move { request } => {
-                // Cut off without its last chunk, a stream makes its client come again for the rest.
-                if let Some(open) = self.open.get_mut(&request) {
-                    open.attempts.iter_mut().filter(|s| s.streaming).for_each(|s| s.cancel = None);
-                }
-            }
             Action::Timer { at, timer } => self.due.push(Reverse((at, Due::Timer(timer)))),
-            Action::Probe { worker } => self.outbound.probe(worker),
-            Action::HangUp { worker } => self.outbound.hang_up(&worker),
-            Action::Subscribe => self.outbound.ask_list(true),
-            Action::FetchList => self.outbound.ask_list(false),
-            Action::Tell { .. } => {
-                log::debug!("conductors share nothing here: a message to peers is dropped")
-            }
-            Action::Log(text) => log::info!("module: {text}"),
+            Action::Subscribe => self.outbound.subscribe(),
         }
     }
 
@@ -615,12 +566,14 @@
     fn release(&mut self, request: RequestId, reason: ReleaseReason) {
         let Some(open) = self.open.get_mut(&request) else { return };
         open.monitor.released();
-        let is_outdated = std::mem::take(&mut open.is_release_outdated);
-        if let Some(last) = &open.releasing {
-            // Nothing has ended since that one began: it lets go of all that there is.
-            if last.is_going() && !is_outdated {
-                return;
+        let is_under_way = open.releasing.as_ref().is_some_and(|last| last.is_going());
+        let permit = match open.release_history.permit(reason, is_under_way) {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                return log::debug!("request {}: no release for {reason:?}: {refusal}", open.call.id);
             }
+        };
+        if let Some(last) = &open.releasing {
             last.stop();
         }
         let releasing = Rc::<Releasing>::default();
@@ -632,7 +585,7 @@
             }
             _ => log::debug!("request {}: release ordered: {reason:?}", open.call.id),
         }
-        self.outbound.release(open.call.clone(), releasing.clone());
+        self.outbound.release(open.call.clone(), permit, releasing.clone());
         open.releasing = Some(releasing);
     }
 
--- a/src/core/tests.rs
+++ b/src/core/tests.rs
@@ -5,11 +5,8 @@
 
 impl Outbound for Nowhere {
     fn send(&self, _: Attempt) {}
-    fn release(&self, _: Rc<Call>, _: Rc<Releasing>) {}
-    fn hold(&self, _: RequestId, _: Rc<Call>, _: WorkerId) {}
-    fn probe(&self, _: WorkerId) {}
-    fn hang_up(&self, _: &WorkerId) {}
-    fn ask_list(&self, _: bool) {}
+    fn release(&self, _: Rc<Call>, _: ReleasePermit, _: Rc<Releasing>) {}
+    fn subscribe(&self) {}
 }
 
 /// Guards against memory that grows with every request for as long as the longest deadline that clients state.
@@ -57,11 +54,8 @@
     fn send(&self, attempt: Attempt) {
         self.0.borrow_mut().push(attempt);
     }
-    fn release(&self, _: Rc<Call>, _: Rc<Releasing>) {}
-    fn hold(&self, _: RequestId, _: Rc<Call>, _: WorkerId) {}
-    fn probe(&self, _: WorkerId) {}
-    fn hang_up(&self, _: &WorkerId) {}
-    fn ask_list(&self, _: bool) {}
+    fn release(&self, _: Rc<Call>, _: ReleasePermit, _: Rc<Releasing>) {}
+    fn subscribe(&self) {}
 }
 
 /// Guards against a fleet's record that allows an open request fewer attempts than it began with.
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -84,6 +84,8 @@
         repeats_held_back,
         /// Sends that were decided and not permitted.
         sends_refused,
+        /// Calls beside the attempts that were not written: what they were for was over by then.
+        calls_refused,
         /// Attempts that ended: prompt read.
         ended_read,
         /// Attempts that ended: answer streamed to its end.
--- a/src/fleet/net/work.rs
+++ b/src/fleet/net/work.rs
@@ -13,7 +13,8 @@
 use crate::fleet::hands::{Action, Event, Hands, Ticket, Verdict};
 use crate::fleet::state::{Answer, Command, Effect, Refusal as Unlooked};
 use crate::fleet::takeover::{self, Bounds, MOST_OVER, Notice, Refusal, Reply};
-use crate::interface::{Micros, Outcome, RequestId, WorkerId};
+use crate::interface::{Micros, Outcome, ReleasePermit, ReleaseReason, WorkerId};
+use crate::policy::call_permission::ReleaseHistory;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -324,7 +325,10 @@
         let call =
             Call { id: id.into(), target, headers: hyper::HeaderMap::new(), body, keeps: None, name: None };
         let releasing = Rc::new(Releasing::default());
-        outbound.release(Rc::new(call), releasing.clone());
+        let Ok(permit) = ReleaseHistory::default().permit(ReleaseReason::ConductorDied, false) else {
+            return false;
+        };
+        outbound.release(Rc::new(call), permit, releasing.clone());
         releasing.over().await;
         let taken = !releasing.is_cut_short();
         if taken {
@@ -460,26 +464,14 @@
         tokio::task::spawn_local(going.send(attempt, command));
     }
 
-    fn release(&self, call: Rc<Call>, releasing: Rc<Releasing>) {
+    fn release(&self, call: Rc<Call>, permit: ReleasePermit, releasing: Rc<Releasing>) {
         if let Some(noted) = self.noted.borrow_mut().get_mut(&call.id) {
             noted.releasing = Some(releasing.clone());
         }
-        self.inner.release(call, releasing);
-    }
-
-    fn hold(&self, request: RequestId, call: Rc<Call>, worker: WorkerId) {
-        self.inner.hold(request, call, worker);
-    }
-
-    fn probe(&self, worker: WorkerId) {
-        self.inner.probe(worker);
-    }
-
-    fn hang_up(&self, worker: &WorkerId) {
-        self.inner.hang_up(worker);
+        self.inner.release(call, permit, releasing);
     }
 
-    fn ask_list(&self, watch: bool) {
-        self.inner.ask_list(watch);
+    fn subscribe(&self) {
+        self.inner.subscribe();
     }
 }
--- a/src/front/ledger.rs
+++ b/src/front/ledger.rs
@@ -6,7 +6,7 @@
 use super::record::Claim;
 use crate::config::ToolSettings;
 use crate::counters::Counters;
-use crate::interface::WorkerId;
+use crate::interface::{CallState, WorkerId, permit_call};
 use crate::net::pool::{Pool, Target};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -330,10 +330,11 @@
             .header("idempotency-key", id)
             .body(Full::new(body))?;
         let meter = connection.meter();
+        let permit = permit_call(CallState::ToolCall { may_have_run: written.get() })?;
         self.counters.tool_runs.up();
         // Taken to be written until the meter says otherwise, should this be dropped half-way.
         written.set(true);
-        let answered = connection.send(request, length).await;
+        let answered = connection.send_call(request, length, permit).await;
         written.set(meter.complete());
         let (head, body) = answered?.into_parts();
         written.set(true);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,7 +2,8 @@
 //!
 //! Everything here is plain data in the words of the domain. Times are microseconds on the caller's clock.
 
-pub use crate::policy::permission::{SendPermit, SendRefusal, WriteState};
+pub use crate::policy::call_permission::{CallPermit, CallRefusal, CallState, ReleasePermit, permit_call};
+pub use crate::policy::permission::{SendPermit, SendRefusal, WritePermit, WriteState};
 use std::sync::Arc;
 
 /// Microseconds: a moment on the caller's monotonic clock, or a length of time.
@@ -319,6 +320,8 @@
     AttemptEnded,
     /// The request is over.
     RequestOver,
+    /// The conductor that had the request has died, and another one has adopted it.
+    ConductorDied,
 }
 
 /// Why a request ends without an answer of a worker.
@@ -477,13 +480,6 @@
         /// The attempt.
         attempt: AttemptIndex,
     },
-    /// Hold a place at a writer while a read is out.
-    Hold {
-        /// The request.
-        request: RequestId,
-        /// The writer.
-        worker: WorkerId,
-    },
     /// Let go of every state and place held for the request.
     Release {
         /// The request.
@@ -491,11 +487,6 @@
         /// Why.
         reason: ReleaseReason,
     },
-    /// End a running stream so that its client resumes it elsewhere.
-    Move {
-        /// The request.
-        request: RequestId,
-    },
     /// Hand a timer back at that moment.
     Timer {
         /// When.
@@ -503,27 +494,6 @@
         /// Which.
         timer: TimerId,
     },
-    /// Probe a worker.
-    Probe {
-        /// The worker.
-        worker: WorkerId,
-    },
-    /// Close idle connections to a worker.
-    HangUp {
-        /// The worker.
-        worker: WorkerId,
-    },
-    /// Send a message to one router, or to all.
-    Tell {
-        /// The receiver's index; `None`: all.
-        to: Option<u32>,
-        /// At most 256 bytes.
-        payload: Vec<u8>,
-    },
     /// Subscribe to list changes.
     Subscribe,
-    /// Ask for the whole list once.
-    FetchList,
-    /// A line for the operators.
-    Log(String),
 }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,25 +1,24 @@
 //! The client side: carries out attempts at model hosts and the calls around them.
 
-use super::Local;
 use super::answer::{Answered, End, MOST_ANSWER, Stream, Tail};
 use super::discovery::Directory;
 use super::late_arrivals::LateArrivals;
 use super::pool::{ConnectError, Connection, Pool, Target};
 use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
 use crate::counters::Counters;
-use crate::exchange::{Call, FeedSource, Frame, Reply, feed, is_plain_id};
+use crate::exchange::{Call, FeedSource, Frame, Reply, feed};
 use crate::interface::{
-    AttemptIndex, Micros, Outcome, Reports, RequestId, SendRefusal, WorkerId, WriteState,
+    AttemptIndex, CallRefusal, CallState, Micros, Outcome, ReleasePermit, RequestId, SendRefusal, WorkerId,
+    WritePermit, WriteState, permit_call,
 };
-use crate::wire::read_report;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::sync::mpsc::WeakSender;
 use tokio::time::Instant;
 use tower::{Service, ServiceExt};
 
@@ -45,14 +44,10 @@
     pub pool: Pool,
     /// Whom outcomes are told.
     pub core: CoreHandle,
-    /// How load is reported.
-    pub reports: Reports,
     /// Counters.
     pub counters: Rc<Counters>,
     /// Asks for a new watch.
     pub watch_again: Rc<Notify>,
-    /// Asks for the whole list.
-    pub fetch_list: Rc<Notify>,
     /// Releases under way.
     pub pending: Rc<Pending>,
     /// Attempts given up that may arrive late.
@@ -90,11 +85,24 @@
     }
 }
 
-/// A small call to a model host: no body wanted back but what fits in memory.
-pub struct SmallCall {
-    worker: WorkerId,
-    request: Request<Full<Bytes>>,
-    body: usize,
+/// Why a call beside the attempts has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// The directory doesn't know its host.
+    #[error("no address")]
+    NoAddress,
+    /// There is no connection.
+    #[error(transparent)]
+    Connect(#[from] ConnectError),
+    /// It was not written.
+    #[error("not written: {0}")]
+    NotPermitted(#[from] CallRefusal),
+    /// The connection broke, or its answer can't be read.
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    /// Its answer is too long, or its body broke off.
+    #[error("{0}")]
+    Body(String),
 }
 
 /// Reports an attempt's end however its task ends: a panic in it must not leave the request without an outcome.
@@ -133,9 +141,9 @@
         // Given up in time for its end to be told by then (see `abandon`).
         let give_up_at = attempt.until.saturating_sub(SETTLE.as_micros() as u64);
         match self.connect_for(attempt, give_up_at).await {
-            Ok(_) if !self.may_write(attempt) => Outcome::NotSent.into(),
             Ok((target, connection)) => {
-                let end = self.exchange(attempt, target, connection, give_up_at).await;
+                let Some(permit) = self.may_write(attempt) else { return Outcome::NotSent.into() };
+                let end = self.exchange(attempt, target, connection, permit, give_up_at).await;
                 self.note_if_it_may_arrive_late(attempt, end.outcome);
                 end
             }
@@ -191,21 +199,21 @@
         attempt: &mut Attempt,
         target: Target,
         mut connection: Connection,
+        permit: WritePermit,
         give_up_at: Micros,
     ) -> End {
         let clock: Clock = self.core.clock;
         let left = give_up_at.saturating_sub(clock.now());
         let Some(request) = passed_on(&attempt.call, left) else { return Outcome::NotSent.into() };
         self.counters.sent.up();
-        let meter = connection.meter();
+        let (body, counters, meter) = (attempt.call.body.len(), self.counters.clone(), connection.meter());
         // What never left whole has never run.
         let cut_off = |outcome: Outcome| if meter.complete() { outcome } else { Outcome::NoConnection };
         let answering = async {
             let response = tokio::select! {
                 // First: until it has begun, the meter tells of the answer before.
                 biased;
-                response = connection.send_attempt(request, attempt.call.body.len(), self.counters.clone()) =>
-                    response?,
+                response = connection.send_attempt(request, body, counters, permit) => response?,
                 () = meter.overdue(HEAD_WHOLE) => return Err("a head that doesn't end".into()),
             };
             Answered::read(response).await
@@ -263,19 +271,22 @@
 
     /// Whether an attempt may be written now. It was decided a connection's time ago: since then the list may have told
     /// that the host drains, the client may have left, or the time in which a repeat is dropped may be over.
-    fn may_write(&self, attempt: &Attempt) -> bool {
+    fn may_write(&self, attempt: &Attempt) -> Option<WritePermit> {
         let state = WriteState {
             now: self.core.clock.now(),
             is_in_service: self.directory.is_ready(&attempt.worker),
             has_client_left: attempt.gone.get(),
         };
-        let Err(refusal) = attempt.permit.check_write(state) else { return true };
+        let refusal = match attempt.permit.check_write(state) {
+            Ok(permit) => return Some(permit),
+            Err(refusal) => refusal,
+        };
         log::info!("request {}: not written to {}: {refusal}", attempt.call.id, attempt.worker.0);
         match refusal {
             SendRefusal::MayHaveRun => self.counters.repeats_held_back.up(),
             _ => self.counters.held_back.up(),
         }
-        false
+        None
     }
 
     /// Passes a stream on: its events as they come, unchanged, no deadline, until one side ends it.
@@ -302,7 +313,7 @@
                 () = frames.closed() => return (Outcome::Dropped.into(), false),
                 Some(reply) = replies.recv() => {
                     heard = Instant::now();
-                    self.reply(attempt, reply);
+                    self.reply(attempt, reply, frames.downgrade());
                 }
                 // From the last whole event on: bytes that make none are no sign of life.
                 came = tokio::time::timeout_at(heard + STALLED, events.next()) => match came {
@@ -329,34 +340,39 @@
         }
     }
 
-    /// Sends what the server side has for the writer, beside the stream.
-    fn reply(&self, attempt: &Attempt, reply: Reply) {
+    /// Sends what the server side has for the writer, beside the stream, for as long as that has an end to go to.
+    fn reply(&self, attempt: &Attempt, reply: Reply, stream: WeakSender<Frame>) {
         let target = format!("/internal/tool-results/{}", attempt.call.id);
         let request =
             Request::post(target).header("host", "model-host").header("content-type", "application/json");
         let body = reply.body.len();
         let Ok(request) = request.body(Full::new(reply.body)) else { return };
-        let call = SmallCall { worker: attempt.worker.clone(), request, body };
-        let mut hosts = self.clone();
+        let (hosts, target) = (self.clone(), self.target(&attempt.worker));
         tokio::task::spawn_local(async move {
-            let answer = tokio::time::timeout(STALLED, hosts.call(call)).await;
-            let _ = reply.done.send(matches!(answer, Ok(Ok((status, _))) if status.is_success()));
+            let is_streaming = || stream.upgrade().is_some_and(|frames| !frames.is_closed());
+            let state = || CallState::ToolResult { is_streaming: is_streaming() };
+            let calling = hosts.small_call(target.as_ref(), request, body, state);
+            let answer = tokio::time::timeout(STALLED, calling).await;
+            let _ = reply.done.send(matches!(answer, Ok(Ok(status)) if status.is_success()));
         });
     }
 
-    /// A call without a stream, on a connection of its own meanwhile.
+    /// A call without a stream, on a connection of its own meanwhile. `state` tells what is known once that is up.
     pub(super) async fn small_call(
         &self,
-        target: &Target,
+        target: Option<&Target>,
         request: Request<Full<Bytes>>,
         body: usize,
-    ) -> Result<(StatusCode, Bytes), Box<dyn std::error::Error>> {
+        state: impl Fn() -> CallState,
+    ) -> Result<StatusCode, CallError> {
+        let target = target.ok_or(CallError::NoAddress)?;
         let mut connection = self.connect(target).await?;
-        let response = connection.send(request, body).await?;
+        let permit = permit_call(state()).inspect_err(|_| self.counters.calls_refused.up())?;
+        let response = connection.send_call(request, body, permit).await?;
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, MOST_ANSWER).collect().await.map_err(|e| e.to_string())?.to_bytes();
+        Limited::new(body, MOST_ANSWER).collect().await.map_err(|e| CallError::Body(e.to_string()))?;
         self.pool.put_back(target, connection);
-        Ok((head.status, body))
+        Ok(head.status)
     }
 }
 
@@ -380,80 +396,21 @@
     request.body(Full::new(call.body.clone())).ok()
 }
 
-impl Service<SmallCall> for Hosts {
-    type Response = (StatusCode, Bytes);
-    type Error = Box<dyn std::error::Error>;
-    type Future = Local<Result<Self::Response, Self::Error>>;
-
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, call: SmallCall) -> Self::Future {
-        let hosts = self.clone();
-        Box::pin(async move {
-            let target = hosts.target(&call.worker).ok_or("no address")?;
-            hosts.small_call(&target, call.request, call.body).await
-        })
-    }
-}
-
 impl Outbound for Hosts {
     fn send(&self, attempt: Attempt) {
         tokio::task::spawn_local(self.clone().attempt(attempt));
     }
 
-    fn release(&self, call: Rc<Call>, releasing: Rc<Releasing>) {
+    fn release(&self, call: Rc<Call>, permit: ReleasePermit, releasing: Rc<Releasing>) {
         let (hosts, entered) = (self.clone(), self.pending.enter());
         tokio::task::spawn_local(async move {
             let _entered = entered;
-            hosts.release_now(&call, &releasing).await
-        });
-    }
-
-    fn hold(&self, request: RequestId, call: Rc<Call>, worker: WorkerId) {
-        debug_assert!(is_plain_id(&call.id));
-        // The drain rule holds for places as for sends.
-        if !self.directory.is_ready(&worker) {
-            return;
-        }
-        let path = format!("/internal/reservations/{}", call.id);
-        let asked = Request::post(path).header("host", "model-host").body(Full::new(Bytes::new()));
-        let (mut hosts, Ok(asked)) = (self.clone(), asked) else { return };
-        tokio::task::spawn_local(async move {
-            let call = SmallCall { worker: worker.clone(), request: asked, body: 0 };
-            if let Ok((status @ (StatusCode::OK | StatusCode::CONFLICT), _)) = hosts.call(call).await {
-                hosts.core.tell(Input::Place { request, worker, held: status == StatusCode::OK });
-            }
-        });
-    }
-
-    fn probe(&self, worker: WorkerId) {
-        let mut hosts = self.clone();
-        tokio::task::spawn_local(async move {
-            let path = if hosts.reports == Reports::None { "/healthz" } else { "/load" };
-            let request = Request::get(path).header("host", "model-host").body(Full::new(Bytes::new()));
-            let Ok(request) = request else { return };
-            let call = hosts.call(SmallCall { worker: worker.clone(), request, body: 0 });
-            let (outcome, report) = match tokio::time::timeout(Duration::from_secs(1), call).await {
-                Ok(Ok((StatusCode::OK, body))) => (
-                    Outcome::Served,
-                    std::str::from_utf8(&body).ok().and_then(|t| read_report(t.trim()).ok()),
-                ),
-                Ok(Ok(_)) => (Outcome::TurnedAway, None),
-                Ok(Err(_)) => (Outcome::NoConnection, None),
-                Err(_) => (Outcome::NoAnswer, None),
-            };
-            hosts.core.tell(Input::Probed { worker, outcome, report });
+            hosts.release_now(&call, permit, releasing).await
         });
     }
 
-    fn hang_up(&self, worker: &WorkerId) {
-        self.pool.hang_up(worker);
-    }
-
-    fn ask_list(&self, watch: bool) {
-        if watch { self.watch_again.notify_one() } else { self.fetch_list.notify_one() }
+    fn subscribe(&self) {
+        self.watch_again.notify_one();
     }
 }
 
--- a/src/net/client/tests.rs
+++ b/src/net/client/tests.rs
@@ -38,10 +38,8 @@
             directory,
             pool: Pool::new(64, Duration::from_secs(10), Duration::from_secs(10), counters.clone()),
             core,
-            reports: Reports::None,
             counters,
             watch_again: Rc::default(),
-            fetch_list: Rc::default(),
             pending: Rc::default(),
             late_arrivals: Rc::default(),
         };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer;
 pub mod client;
+mod client_connection;
 pub mod discovery;
 pub mod drain;
 pub mod events;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -7,7 +7,7 @@
 use super::fault::{Fault, SystemCall, classify};
 use super::reach::Reach;
 use crate::counters::Counters;
-use crate::interface::WorkerId;
+use crate::interface::{CallPermit, WorkerId, WritePermit};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -245,21 +245,23 @@
         self.meter.clone()
     }
 
-    /// Sends a request. The answer's body must be read to its end before the connection is used again.
-    pub async fn send(
+    /// Sends a call beside the attempts. The answer's body must be read to its end before the connection is used again.
+    pub async fn send_call(
         &mut self,
         request: Request<Full<Bytes>>,
         body: usize,
+        _permit: CallPermit,
     ) -> hyper::Result<Response<Incoming>> {
         self.send_counted(request, body, None).await
     }
 
-    /// The same for an attempt of a client's request, which is counted as soon as its last byte is written.
+    /// Sends an attempt of a client's request, which is counted as soon as its last byte is written.
     pub async fn send_attempt(
         &mut self,
         request: Request<Full<Bytes>>,
         body: usize,
         counters: Rc<Counters>,
+        _permit: WritePermit,
     ) -> hyper::Result<Response<Incoming>> {
         self.send_counted(request, body, Some(counters)).await
     }
--- a/src/net/releases.rs
+++ b/src/net/releases.rs
@@ -1,16 +1,17 @@
 //! Carries releases out: the calls that [`super::release`] and [`super::late_arrivals`] decide on.
 
-use super::client::{Hosts, SETTLE};
+use super::client::{CallError, Hosts, SETTLE};
 use super::late_arrivals::{ANSWERS_WITHIN, Round};
 use super::pool::ConnectError;
 use super::release::{Fanout, HEDGE};
 use crate::core::{Attempt, Releasing};
 use crate::exchange::Call;
-use crate::interface::{Outcome, WorkerId};
+use crate::interface::{CallState, Outcome, ReleasePermit, WorkerId};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -36,7 +37,7 @@
 
 impl Hosts {
     /// Releases what is held for a request, at whichever hosts take it, until one has.
-    pub(super) async fn release_now(&self, call: &Call, releasing: &Releasing) {
+    pub(super) async fn release_now(&self, call: &Call, permit: ReleasePermit, releasing: Rc<Releasing>) {
         tokio::time::sleep(SETTLE).await;
         // The calls end with this: one that arrives later would take what the next read leaves.
         let mut calls = tokio::task::JoinSet::new();
@@ -48,7 +49,7 @@
             let hosts = self.pool.by_reach(self.directory.running(), spread);
             let was_heard_since = |worker: &WorkerId, since| self.pool.was_heard_since(worker, since);
             for worker in fanout.wave(Instant::now(), &hosts, was_heard_since) {
-                calls.spawn_local(self.clone().ask_release(worker, call.id.clone()));
+                calls.spawn_local(self.clone().ask_release(worker, call.id.clone(), releasing.clone()));
             }
             tokio::select! {
                 biased;
@@ -56,7 +57,7 @@
                 Some(asked) = calls.join_next() => match asked {
                     Ok(true) => {
                         self.counters.releases_taken.up();
-                        log::debug!("request {}: released after {:?}", call.id, begun.elapsed());
+                        log::debug!("request {}: {:?} released after {:?}", call.id, permit.reason(), begun.elapsed());
                         return releasing.set_done();
                     }
                     _ => fanout.failed(Instant::now()),
@@ -72,14 +73,15 @@
     }
 
     /// One call of a release; whether the host took it.
-    async fn ask_release(self, worker: WorkerId, id: String) -> bool {
+    async fn ask_release(self, worker: WorkerId, id: String, releasing: Rc<Releasing>) -> bool {
         let request = Request::delete(format!("/internal/reservations/{id}")).header("host", "model-host");
         let (Some(mut target), Ok(request)) = (self.target(&worker), request.body(Full::new(Bytes::new())))
         else {
             return false;
         };
         target.reserved = true;
-        let calling = self.small_call(&target, request, 0);
+        let state = || CallState::Release { is_going: releasing.is_going() };
+        let calling = self.small_call(Some(&target), request, 0, state);
         tokio::pin!(calling);
         let answer = match tokio::time::timeout(HEDGE, &mut calling).await {
             Ok(answer) => Ok(answer),
@@ -90,7 +92,7 @@
         };
         match answer {
             // One that is turned away has let go of nothing.
-            Ok(Ok((status, _))) => status.is_success(),
+            Ok(Ok(status)) => status.is_success(),
             Ok(Err(error)) => {
                 log::debug!("request {id}: release at {}: {error}", worker.0);
                 false
@@ -159,18 +161,23 @@
         };
         target.reserved = true;
         self.counters.late_releases.up();
-        match tokio::time::timeout(ANSWERS_WITHIN, self.small_call(&target, request, 0)).await {
+        match tokio::time::timeout(
+            ANSWERS_WITHIN,
+            self.small_call(Some(&target), request, 0, || CallState::LateRelease),
+        )
+        .await
+        {
             Ok(Ok(_)) => Met::Answered,
-            Ok(Err(error)) if is_refusal(&*error) => Met::Gone,
+            Ok(Err(error)) if is_refusal(&error) => Met::Gone,
             Ok(Err(_)) | Err(_) => Met::Silent,
         }
     }
 }
 
 /// Whether a call failed since nobody listens.
-fn is_refusal(error: &(dyn std::error::Error + 'static)) -> bool {
-    match error.downcast_ref::<ConnectError>() {
-        Some(ConnectError::Io(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+fn is_refusal(error: &CallError) -> bool {
+    match error {
+        CallError::Connect(ConnectError::Io(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
         _ => false,
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,8 +1,9 @@
 //! The server side: accepts clients, takes requests in, passes answers on.
 
 use super::Local;
+use super::client_connection::{Answerer, Answering, serve};
 use super::fault::pause_after_accept;
-use super::framing::{Standing, Watch, Watched};
+use super::framing::{Standing, Watch};
 use super::upgrade::socket::turn_away_new;
 use crate::counters::Counters;
 use crate::exchange::Call;
@@ -10,61 +11,39 @@
 use crate::front::platform::{self, AnswerBody, end_to_end, plain};
 use crate::front::shared::{COME_BACK, CUT_OFF, Held, InHand, MOST_BODY, Shared};
 use crate::interface::Micros;
-use crate::ops::figures::{Ending, Tally};
+use crate::ops::figures::Tally;
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
 use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::io;
-use std::mem::MaybeUninit;
 use std::panic::AssertUnwindSafe;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::Instant;
 use tower::{Service, ServiceBuilder, ServiceExt};
 
 /// Accepts that may fail while what waits is taken at the end.
 const ACCEPTS_AFTER_FAULTS: usize = 64;
-/// A request has this long to come whole, from its first byte and, the first on a connection, from the accept on.
-/// Progress doesn't renew it: half a head, half a body and a drip without end all hold a place.
-const ARRIVE: Duration = Duration::from_millis(2_400);
 /// A client that has said nothing since it connected is let go after this.
-const SILENT_CLIENT: Duration = Duration::from_millis(2_200);
+pub(super) const SILENT_CLIENT: Duration = Duration::from_millis(2_200);
 /// The same during a drain, where no place is wanted but none may be held for long.
 const LATE_CLIENT: Duration = Duration::from_millis(500);
-/// One that was answered before may come again: a session's next turn, and this conductor knows where its text is
-/// kept. It is let go after this, or as soon as its place is wanted.
-const IDLE_CLIENT: Duration = Duration::from_secs(30);
-/// A client that takes nothing of its answer for this long is gone.
-const CLIENT_STALLED: Duration = Duration::from_secs(30);
 /// Where places are short, a connection may have to go that has been idle for this long: a client that has just
 /// connected gets to send its request.
 const SETTLED: Duration = Duration::from_millis(50);
 /// The same for a request that is still not whole.
-const DAWDLES: Duration = Duration::from_millis(400);
-/// After the conductor has ended its sending, the client has this long to take its last answer and to close: a socket
-/// closed over unread bytes is reset, and what the client has not read is lost with it.
-const LINGER: Duration = Duration::from_secs(1);
-/// Bytes that are read and forgotten meanwhile.
-const MOST_LINGER: usize = 2 * MOST_BODY;
+pub(super) const DAWDLES: Duration = Duration::from_millis(400);
 /// Connections over the bound that are still told so; beyond them, new ones wait in the system's queue.
 pub const OVER: usize = 16;
 /// How long a listener that leaves an address to another one waits for the end of handshakes that had begun.
 const HANDSHAKE: Duration = Duration::from_millis(2);
-/// For a request that did not come in time.
-const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// The tower service that clients reach.
 #[derive(Clone)]
@@ -251,7 +230,7 @@
     }
 
     /// Whether connections that rest are closed.
-    fn closes_resting(self) -> bool {
+    pub(super) fn closes_resting(self) -> bool {
         matches!(self, Stage::Draining | Stage::Closing)
     }
 
@@ -261,7 +240,7 @@
     }
 
     /// How long a connection that has just been accepted is left open without a request.
-    fn first_request_within(self) -> Duration {
+    pub(super) fn first_request_within(self) -> Duration {
         match self {
             Stage::Open | Stage::Leaving => SILENT_CLIENT,
             Stage::Draining => LATE_CLIENT,
@@ -330,58 +309,6 @@
     }
 }
 
-/// An answer's body that tells its connection when it is over, and the figures how it ended.
-struct Answering {
-    body: AnswerBody,
-    watch: Rc<Watch>,
-    tally: Rc<Tally>,
-}
-
-impl Answering {
-    fn new(response: Response<AnswerBody>, watch: Rc<Watch>, tally: Rc<Tally>) -> Response<Self> {
-        if let AnswerBody::Fixed(_) = response.body() {
-            tally.end(Ending::of_status(response.status()));
-        }
-        response.map(|body| Answering { body, watch, tally })
-    }
-}
-
-impl Drop for Answering {
-    fn drop(&mut self) {
-        self.watch.finish();
-    }
-}
-
-impl Body for Answering {
-    type Data = Bytes;
-    type Error = platform::Broken;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<hyper::body::Frame<Bytes>, platform::Broken>>> {
-        // hyper drops what a slow client has not taken yet when a body fails; it asks again once that is written.
-        if matches!(self.body, AnswerBody::Breaking) && self.watch.is_blocked() {
-            return Poll::Pending;
-        }
-        let next = Pin::new(&mut self.body).poll_frame(cx);
-        match &next {
-            Poll::Ready(None) => self.tally.end(Ending::Passed),
-            Poll::Ready(Some(Err(_))) => self.tally.end(Ending::BadGateway),
-            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
-        }
-        next
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> hyper::body::SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Accepts clients until told to stop, at most `bound` at once.
 pub struct Listener {
     /// The service.
@@ -396,9 +323,6 @@
     pub open: Rc<Connections>,
 }
 
-/// What answers the requests of one connection.
-type Answerer = Local<Result<Response<Answering>, Infallible>>;
-
 impl Listener {
     /// Accepts until the connections are to be closed, and then what still waits in the system's queue: a request
     /// written to a connection that this machine has accepted is taken, and a listener that goes resets those.
@@ -548,143 +472,5 @@
     }
 }
 
-/// When a connection is to be closed as it stands.
-fn due(watch: &Watch, accepted: Instant) -> Option<Instant> {
-    match watch.standing() {
-        Standing::InHand => None,
-        Standing::Idle(since) | Standing::Arriving(since) if watch.is_blocked() => {
-            Some(since + CLIENT_STALLED)
-        }
-        Standing::Idle(_) if watch.is_unwanted() => Some(accepted),
-        // It was to go while it rested, and just then a request came.
-        Standing::Arriving(since) if watch.is_unwanted() => Some(since + DAWDLES),
-        Standing::Idle(since) if watch.has_answered() => Some(since + IDLE_CLIENT),
-        Standing::Idle(since) => Some(since + SILENT_CLIENT),
-        Standing::Arriving(_) if !watch.has_answered() => Some(accepted + ARRIVE),
-        Standing::Arriving(since) => Some(since + ARRIVE),
-    }
-}
-
-/// Resolves when a connection is to be closed for a drain or for the conductor's own end. One that was just accepted
-/// may have its first request on the way.
-async fn closing(stage: &mut watch::Receiver<Stage>, watch: &Watch, accepted: Instant) {
-    loop {
-        let Ok(now) = stage.wait_for(|s| s.closes_resting()).await.map(|s| *s) else { return };
-        if watch.has_answered() {
-            return;
-        }
-        tokio::select! {
-            () = tokio::time::sleep_until(accepted + now.first_request_within()) => return,
-            Ok(()) = stage.changed() => {}
-        }
-    }
-}
-
-/// Whether a request has come on a resting connection that is about to be closed: the system has it, and the runtime
-/// was not told yet.
-fn crossed(socket: &TcpStream, watch: &Watch) -> bool {
-    let rests = matches!(watch.standing(), Standing::Idle(_)) && !watch.is_blocked();
-    rests && SockRef::from(socket).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|n| n > 0)
-}
-
-async fn serve<S>(
-    stream: TcpStream,
-    service: S,
-    mut stage: watch::Receiver<Stage>,
-    watch: &Rc<Watch>,
-    mut room: Held,
-    counters: &Counters,
-) where
-    S: hyper::service::Service<
-            Request<Incoming>,
-            Response = Response<Answering>,
-            Error = Infallible,
-            Future = Answerer,
-        > + Unpin,
-{
-    let _ = stream.set_nodelay(true);
-    let accepted = Instant::now();
-    let socket = Rc::new(stream);
-    let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(None)
-        .max_buf_size(64 * 1024)
-        .serve_connection(TokioIo::new(Watched::new(socket.clone(), watch.clone())), service);
-    let mut stopping = false;
-    let ended = loop {
-        room.shrink_to(watch.kept_ahead());
-        let due = due(watch, accepted);
-        // hyper takes a kept connection for idle until a head is whole. What has begun to come gets its answer first.
-        let may_close = !stopping && !matches!(watch.standing(), Standing::Arriving(_));
-        tokio::select! {
-            biased;
-            // First: what has come by now is looked at before any deadline is.
-            ended = &mut connection => break Some(ended),
-            gone = watch.read_ahead(&socket, &mut room), if watch.standing() == Standing::InHand => {
-                if gone {
-                    log::debug!("client connection: closed under its request");
-                    return;
-                }
-            }
-            () = closing(&mut stage, watch, accepted), if may_close => {
-                if crossed(&socket, watch) {
-                    tokio::task::yield_now().await;
-                    continue;
-                }
-                stopping = true;
-                Pin::new(&mut connection).graceful_shutdown();
-            }
-            () = watch.changed() => {}
-            () = async { tokio::time::sleep_until(due.unwrap_or(accepted)).await }, if due.is_some() => {
-                if !crossed(&socket, watch) {
-                    break None;
-                }
-                tokio::task::yield_now().await;
-            }
-        }
-    };
-    let late = match &ended {
-        // hyper has answered what was no HTTP with a 4xx of its own.
-        Some(Err(error)) if error.is_parse() || error.is_parse_too_large() => {
-            counters.bad_requests.up();
-            false
-        }
-        Some(_) => false,
-        None => watch.is_spent() || matches!(watch.standing(), Standing::Arriving(_)),
-    };
-    if let Some(Err(error)) = &ended {
-        log::debug!("client connection: {error}");
-    }
-    drop(connection);
-    if late && !watch.is_blocked() {
-        counters.slow_clients.up();
-        let _ = socket.try_write(TOO_SLOW);
-    }
-    if ended.is_some() || !watch.is_blocked() {
-        watch.finish();
-        let _ = SockRef::from(&*socket).shutdown(std::net::Shutdown::Write);
-        tokio::select! {
-            biased;
-            () = async { while !watch.is_unwanted() { watch.changed().await } } => {}
-            _ = tokio::time::timeout(LINGER, linger(&socket)) => {}
-        }
-    }
-}
-
-/// Reads and forgets, so that a client can take its last answer though more of its bytes come: until it has closed,
-/// too. A socket closed over unread bytes is reset.
-async fn linger(socket: &TcpStream) {
-    let (mut scrap, mut left) = (vec![0; 8 * 1024], MOST_LINGER);
-    while left > 0 {
-        match socket.readable().await.and_then(|()| socket.try_read(&mut scrap)) {
-            Ok(n) if n > 0 => left = left.saturating_sub(n),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            _ => return,
-        }
-    }
-    // Past that its sending is left to stand.
-    std::future::pending().await
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -1,13 +1,18 @@
 //! Closes that cross a request, over loopback: the client writes and the conductor decides in one and the same turn,
 //! so that the runtime has not been told of the bytes that the system has.
 
+use super::super::client_connection::LINGER;
+use super::super::framing::Watched;
 use super::*;
 use crate::core::Clock;
 use crate::ops::figures::Figures;
 use rstest::rstest;
+use socket2::SockRef;
+use std::io;
 use std::io::{Read, Write};
 use tokio::io::AsyncReadExt;
 use tokio::task::{LocalSet, spawn_blocking, spawn_local};
+use tokio::time::Instant;
 
 const ASKED: &[u8] = b"GET /healthz HTTP/1.1\r\nhost: a\r\n\r\n";
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,6 +3,8 @@
 //! Preble's E2 decides the ordinary path; everything else answers a trouble and says which.
 
 mod admission;
+pub(crate) mod call_permission;
+pub(crate) mod close_permission;
 mod health;
 pub(crate) mod held_state;
 mod membership;
--- a/src/policy/permission.rs
+++ b/src/policy/permission.rs
@@ -2,8 +2,12 @@
 //!
 //! Every attempt needs a [`SendPermit`], which only [`Policy::permit_send`] makes, so that no other code can
 //! put a request on a connection. A permit is given when the send is decided and checked again when its
-//! first byte is about to be written, a connection's time later ([`SendPermit::check_write`]). It goes by
-//! what is known of each attempt: written, answered, ended, never ran. Until an attempt has ended nobody
+//! first byte is about to be written, a connection's time later ([`SendPermit::check_write`]). Releases,
+//! calls of tools and their results need a permit of [`super::call_permission`], closes of clients'
+//! connections one of [`super::close_permission`].
+//!
+//! A permit for an attempt goes by what is known of each earlier one: written, answered, ended, never ran.
+//! Until an attempt has ended nobody
 //! knows whether it has arrived, so it counts as run where that is the danger (repeats, refusals), and as
 //! not arrived where that is (held state, see [`super::held_state`]).
 
@@ -59,6 +63,10 @@
     pub has_client_left: bool,
 }
 
+/// Permission to write one attempt, now.
+#[derive(Debug)]
+pub struct WritePermit(());
+
 impl SendPermit {
     /// A permit to read that no module has given.
     #[cfg(test)]
@@ -87,7 +95,7 @@
     ///
     /// # Errors
     /// Why it may not.
-    pub fn check_write(&self, state: WriteState) -> Result<(), SendRefusal> {
+    pub fn check_write(&self, state: WriteState) -> Result<WritePermit, SendRefusal> {
         if !state.is_in_service {
             return Err(SendRefusal::NotInService);
         }
@@ -97,7 +105,7 @@
         if self.send_by.is_some_and(|by| state.now >= by) {
             return Err(SendRefusal::MayHaveRun);
         }
-        Ok(())
+        Ok(WritePermit(()))
     }
 }
 
--- a/src/policy/permission/tests.rs
+++ b/src/policy/permission/tests.rs
@@ -16,5 +16,5 @@
     #[case] expected: Result<(), SendRefusal>,
 ) {
     let permit = SendPermit { send_by: Some(SEND_BY), connect_by: None, reads: false };
-    assert_eq!(permit.check_write(WriteState { now, is_in_service, has_client_left }), expected);
+    assert_eq!(permit.check_write(WriteState { now, is_in_service, has_client_left }).map(drop), expected);
 }
--- a/src/run.rs
+++ b/src/run.rs
@@ -178,10 +178,8 @@
         directory: directory.clone(),
         pool: pool.clone(),
         core: core.clone(),
-        reports: settings.reports,
         counters: counters.clone(),
         watch_again: watch_again.clone(),
-        fetch_list: fetch_list.clone(),
         pending: pending.clone(),
         late_arrivals: Rc::default(),
     };
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -543,22 +543,8 @@
         Action::Drop { request, attempt } => {
             writeln!(out, "DROP_ATTEMPT\t{router}\t{}\t{}", request.0, attempt.0)
         }
-        Action::Hold { request, worker } => {
-            writeln!(out, "HOLD_PLACE\t{router}\t{}\t{}", request.0, worker.0)
-        }
         Action::Release { request, .. } => writeln!(out, "DROP_STATE\t{router}\t{}", request.0),
-        Action::Move { request } => writeln!(out, "MIGRATE\t{router}\t{}", request.0),
         Action::Timer { at, timer } => writeln!(out, "AFTER\t{router}\t{at}\t{}", timer.0),
-        Action::Probe { worker } => writeln!(out, "TOUCH\t{router}\t{}", worker.0),
-        Action::HangUp { worker } => writeln!(out, "HANG_UP\t{router}\t{}", worker.0),
-        Action::Tell { to, payload } => {
-            let to = to.map_or(-1, i64::from);
-            let hex: String = payload.iter().map(|b| format!("{b:02x}")).collect();
-            let hex = if hex.is_empty() { "-".to_owned() } else { hex };
-            writeln!(out, "WRITE_PEER\t{router}\t{to}\t{hex}")
-        }
         Action::Subscribe => writeln!(out, "TRACK\t{router}\t1"),
-        Action::FetchList => writeln!(out, "PULL\t{router}"),
-        Action::Log(text) => writeln!(out, "LOG\t{router}\t{}", one_line(text)),
     }
 }
--- a/tests/held.rs
+++ b/tests/held.rs
@@ -134,7 +134,7 @@
         });
     }
 
-    fn release(&self, call: Rc<Call>, releasing: Rc<Releasing>) {
+    fn release(&self, call: Rc<Call>, _: ReleasePermit, releasing: Rc<Releasing>) {
         let world = self.0.clone();
         tokio::task::spawn_local(async move {
             // The hosts asked first may be silent.
@@ -151,10 +151,7 @@
         });
     }
 
-    fn hold(&self, _: RequestId, _: Rc<Call>, _: WorkerId) {}
-    fn probe(&self, _: WorkerId) {}
-    fn hang_up(&self, _: &WorkerId) {}
-    fn ask_list(&self, _: bool) {}
+    fn subscribe(&self) {}
 }
 
 fn settings() -> Settings {
--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -148,10 +148,8 @@
             directory,
             pool: Pool::new(64, wait, wait, counters.clone()),
             core: core.clone(),
-            reports: Reports::None,
             counters,
             watch_again: Rc::default(),
-            fetch_list: Rc::default(),
             pending: Rc::default(),
             late_arrivals: Rc::default(),
         };
