Fault shim: reads, writes, waits, folders, half a write; red tests of EINTR

Ruled out: short reads and writes (every second call), EINTR of epoll_wait: served whole; ETIMEDOUT, EHOSTUNREACH, ECONNRESET, EPIPE, ENOBUFS on open connections: rules kept. Change: lab/shim in two modules, Rate and control file; recv, writev, epoll_wait, pwrite64, fsync, fdatasync, ftruncate64, rename; 11 tests.

--- a/lab/shim/src/lib.rs
+++ b/lab/shim/src/lib.rs
@@ -1,61 +1,49 @@
 //! A library for LD_PRELOAD that makes system calls of a process under test fail. Loaded by tests and the soak alone.
 //!
-//! `FAULT_SHIM` lists the faults: `CALL:ERRNO:EVERY`, separated by commas, so that every `EVERY`th call of `accept4` or
-//! `connect` fails with that error number. `FAULT_SHIM_WALL` names a file that holds a number of seconds, by which the wall
-//! clock is stepped from the moment in which the file says so; the monotonic clock runs on.
+//! Three things drive it: `FAULT_SHIM`, calls that fail now and then; `FAULT_SHIM_FILES`, a file with the faults of a
+//! folder that hold just now; `FAULT_SHIM_WALL`, a file with a number of seconds by which the wall clock is stepped from the
+//! moment in which the file says so, while the monotonic clock runs on. Their forms stand in [`faults`].
 //!
 //! The one place of the project with `unsafe`: each block says why it is sound.
 
-use std::ffi::{CStr, c_int};
+pub mod faults;
+
+use faults::{Effect, Rate, strike_file, strike_path, wall_step};
+use std::ffi::{CStr, OsStr, c_char, c_int, c_void};
+use std::os::unix::ffi::OsStrExt;
 use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU64, Ordering};
-
-/// One kind of call that fails now and then.
-struct Fault {
-    number: c_int,
-    every: u64,
-    calls: AtomicU64,
-}
-
-impl Fault {
-    /// The fault that the environment names for a call.
-    fn of(call: &str) -> Option<Fault> {
-        let all = std::env::var("FAULT_SHIM").ok()?;
-        let one = all
-            .split(',')
-            .find_map(|fault| fault.strip_prefix(call)?.strip_prefix(':').map(str::to_owned))?;
-        let (number, every) = one.split_once(':')?;
-        Some(Fault { number: number.parse().ok()?, every: every.parse().ok()?, calls: AtomicU64::new(0) })
-    }
 
-    /// Whether this call is one that fails; the error number is set then.
-    fn strikes(&self) -> bool {
-        let call = self.calls.fetch_add(1, Ordering::Relaxed) + 1;
-        if self.every == 0 || !call.is_multiple_of(self.every) {
-            return false;
-        }
-        // SAFETY: the pointer is the calling thread's own error number, valid for as long as the thread runs.
-        unsafe { *libc::__errno_location() = self.number };
-        true
-    }
+/// The function of this name in the library behind this one.
+fn next(name: &CStr) -> usize {
+    // SAFETY: the name is a string that ends in zero; RTLD_NEXT is a handle that dlsym knows.
+    unsafe { libc::dlsym(libc::RTLD_NEXT, name.as_ptr()) as usize }
 }
 
-fn strikes(fault: &OnceLock<Option<Fault>>, call: &str) -> bool {
-    fault.get_or_init(|| Fault::of(call)).as_ref().is_some_and(Fault::strikes)
+fn set_errno(number: c_int) {
+    // SAFETY: the pointer is the calling thread's own error number, valid for as long as the thread runs.
+    unsafe { *libc::__errno_location() = number };
 }
 
-static ACCEPT: OnceLock<Option<Fault>> = OnceLock::new();
-static CONNECT: OnceLock<Option<Fault>> = OnceLock::new();
+/// Ends the process as SIGKILL from outside would.
+fn kill_self() {
+    // SAFETY: kill(2) with the process's own number touches no memory.
+    unsafe { libc::kill(libc::getpid(), libc::SIGKILL) };
+}
 
-/// The function of this name in the library behind this one.
-fn next(name: &CStr) -> *mut libc::c_void {
-    // SAFETY: the name is a string that ends in zero; RTLD_NEXT is a handle that dlsym knows.
-    unsafe { libc::dlsym(libc::RTLD_NEXT, name.as_ptr()) }
+/// How many bytes a call that is cut short moves: half, and one at the least.
+fn half(length: usize) -> usize {
+    length.div_ceil(2)
 }
 
-type Accept4 = unsafe extern "C" fn(c_int, *mut libc::sockaddr, *mut libc::socklen_t, c_int) -> c_int;
-type Connect = unsafe extern "C" fn(c_int, *const libc::sockaddr, libc::socklen_t) -> c_int;
-type ClockGettime = unsafe extern "C" fn(libc::clockid_t, *mut libc::timespec) -> c_int;
+/// The C library's function of a name, as the type that it has.
+macro_rules! real {
+    ($name:literal, fn($($argument:ty),*) -> $result:ty) => {{
+        static REAL: OnceLock<usize> = OnceLock::new();
+        let address = *REAL.get_or_init(|| next($name));
+        // SAFETY: the address is that of the C library's function of this name, which has this type.
+        unsafe { std::mem::transmute::<usize, unsafe extern "C" fn($($argument),*) -> $result>(address) }
+    }};
+}
 
 /// accept4(2), which may fail without having taken a connection.
 ///
@@ -68,13 +56,12 @@
     length: *mut libc::socklen_t,
     flags: c_int,
 ) -> c_int {
-    if strikes(&ACCEPT, "accept4") {
+    static RATE: Rate = Rate::of("accept4");
+    if let Some(Effect::Fail(number)) = RATE.strike() {
+        set_errno(number);
         return -1;
     }
-    static REAL: OnceLock<usize> = OnceLock::new();
-    let real = *REAL.get_or_init(|| next(c"accept4") as usize);
-    // SAFETY: the address is that of the C library's accept4, which has this type.
-    let real: Accept4 = unsafe { std::mem::transmute(real) };
+    let real = real!(c"accept4", fn(c_int, *mut libc::sockaddr, *mut libc::socklen_t, c_int) -> c_int);
     // SAFETY: the caller keeps to accept4(2), and everything is passed on as it came.
     unsafe { real(socket, address, length, flags) }
 }
@@ -89,23 +76,172 @@
     address: *const libc::sockaddr,
     length: libc::socklen_t,
 ) -> c_int {
-    if strikes(&CONNECT, "connect") {
+    static RATE: Rate = Rate::of("connect");
+    if let Some(Effect::Fail(number)) = RATE.strike() {
+        set_errno(number);
         return -1;
     }
-    static REAL: OnceLock<usize> = OnceLock::new();
-    let real = *REAL.get_or_init(|| next(c"connect") as usize);
-    // SAFETY: the address is that of the C library's connect, which has this type.
-    let real: Connect = unsafe { std::mem::transmute(real) };
+    let real = real!(c"connect", fn(c_int, *const libc::sockaddr, libc::socklen_t) -> c_int);
     // SAFETY: the caller keeps to connect(2), and everything is passed on as it came.
     unsafe { real(socket, address, length) }
 }
 
-/// The step of the wall clock in seconds, by the file that the environment names.
-fn wall_step() -> i64 {
-    static FILE: OnceLock<Option<String>> = OnceLock::new();
-    let file = FILE.get_or_init(|| std::env::var("FAULT_SHIM_WALL").ok());
-    let text = file.as_ref().and_then(|file| std::fs::read_to_string(file).ok());
-    text.and_then(|text| text.trim().parse().ok()).unwrap_or(0)
+/// recv(2), which may fail or read a part of what is there.
+///
+/// # Safety
+/// As recv(2).
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recv(socket: c_int, bytes: *mut c_void, length: usize, flags: c_int) -> isize {
+    static RATE: Rate = Rate::of("recv");
+    let length = match RATE.strike() {
+        Some(Effect::Fail(number)) => {
+            set_errno(number);
+            return -1;
+        }
+        Some(Effect::Short | Effect::HalfThenKill) => length.min(1),
+        None => length,
+    };
+    let real = real!(c"recv", fn(c_int, *mut c_void, usize, c_int) -> isize);
+    // SAFETY: the caller keeps to recv(2); the length is at most the caller's.
+    unsafe { real(socket, bytes, length, flags) }
+}
+
+/// writev(2), which may fail or write a part.
+///
+/// # Safety
+/// As writev(2).
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn writev(file: c_int, parts: *const libc::iovec, count: c_int) -> isize {
+    static RATE: Rate = Rate::of("writev");
+    let real = real!(c"writev", fn(c_int, *const libc::iovec, c_int) -> isize);
+    match RATE.strike() {
+        Some(Effect::Fail(number)) => {
+            set_errno(number);
+            return -1;
+        }
+        Some(Effect::Short | Effect::HalfThenKill) if count > 0 => {
+            // SAFETY: the caller gives `count` parts that can be read, and there is one at the least.
+            let mut first = unsafe { *parts };
+            first.iov_len = half(first.iov_len);
+            // SAFETY: the part lies in the caller's first one; it outlives the call.
+            return unsafe { real(file, &first, 1) };
+        }
+        _ => {}
+    }
+    // SAFETY: the caller keeps to writev(2), and everything is passed on as it came.
+    unsafe { real(file, parts, count) }
+}
+
+/// epoll_wait(2), which may be interrupted.
+///
+/// # Safety
+/// As epoll_wait(2).
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn epoll_wait(
+    poll: c_int,
+    events: *mut libc::epoll_event,
+    most: c_int,
+    timeout: c_int,
+) -> c_int {
+    static RATE: Rate = Rate::of("epoll_wait");
+    if let Some(Effect::Fail(number)) = RATE.strike() {
+        set_errno(number);
+        return -1;
+    }
+    let real = real!(c"epoll_wait", fn(c_int, *mut libc::epoll_event, c_int, c_int) -> c_int);
+    // SAFETY: the caller keeps to epoll_wait(2), and everything is passed on as it came.
+    unsafe { real(poll, events, most, timeout) }
+}
+
+/// pwrite64(2) to a file, which may fail, write a part, or be the process's last act.
+///
+/// # Safety
+/// As pwrite64(2).
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn pwrite64(
+    file: c_int,
+    bytes: *const c_void,
+    length: usize,
+    offset: libc::off64_t,
+) -> isize {
+    let effect = strike_file("pwrite64", file);
+    let part = match effect {
+        Some(Effect::Fail(number)) => {
+            set_errno(number);
+            return -1;
+        }
+        Some(Effect::Short | Effect::HalfThenKill) => half(length),
+        None => length,
+    };
+    let real = real!(c"pwrite64", fn(c_int, *const c_void, usize, libc::off64_t) -> isize);
+    // SAFETY: the caller keeps to pwrite64(2); the length is at most the caller's.
+    let written = unsafe { real(file, bytes, part, offset) };
+    if effect == Some(Effect::HalfThenKill) {
+        kill_self();
+    }
+    written
+}
+
+/// fsync(2), which may fail.
+///
+/// # Safety
+/// As fsync(2).
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fsync(file: c_int) -> c_int {
+    if let Some(Effect::Fail(number)) = strike_file("fsync", file) {
+        set_errno(number);
+        return -1;
+    }
+    let real = real!(c"fsync", fn(c_int) -> c_int);
+    // SAFETY: the caller keeps to fsync(2).
+    unsafe { real(file) }
+}
+
+/// fdatasync(2), which may fail.
+///
+/// # Safety
+/// As fdatasync(2).
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fdatasync(file: c_int) -> c_int {
+    if let Some(Effect::Fail(number)) = strike_file("fdatasync", file) {
+        set_errno(number);
+        return -1;
+    }
+    let real = real!(c"fdatasync", fn(c_int) -> c_int);
+    // SAFETY: the caller keeps to fdatasync(2).
+    unsafe { real(file) }
+}
+
+/// ftruncate64(2), which may fail.
+///
+/// # Safety
+/// As ftruncate64(2).
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn ftruncate64(file: c_int, length: libc::off64_t) -> c_int {
+    if let Some(Effect::Fail(number)) = strike_file("ftruncate64", file) {
+        set_errno(number);
+        return -1;
+    }
+    let real = real!(c"ftruncate64", fn(c_int, libc::off64_t) -> c_int);
+    // SAFETY: the caller keeps to ftruncate64(2), and everything is passed on as it came.
+    unsafe { real(file, length) }
+}
+
+/// rename(2), which may fail.
+///
+/// # Safety
+/// As rename(2).
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn rename(from: *const c_char, to: *const c_char) -> c_int {
+    // SAFETY: the caller gives strings that end in zero.
+    let path = unsafe { CStr::from_ptr(to) };
+    if let Some(Effect::Fail(number)) = strike_path("rename", OsStr::from_bytes(path.to_bytes()).as_ref()) {
+        set_errno(number);
+        return -1;
+    }
+    let real = real!(c"rename", fn(*const c_char, *const c_char) -> c_int);
+    // SAFETY: the caller keeps to rename(2), and everything is passed on as it came.
+    unsafe { real(from, to) }
 }
 
 /// clock_gettime(2), whose wall clock may be stepped.
@@ -114,10 +250,7 @@
 /// As clock_gettime(2).
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn clock_gettime(clock: libc::clockid_t, time: *mut libc::timespec) -> c_int {
-    static REAL: OnceLock<usize> = OnceLock::new();
-    let real = *REAL.get_or_init(|| next(c"clock_gettime") as usize);
-    // SAFETY: the address is that of the C library's clock_gettime, which has this type.
-    let real: ClockGettime = unsafe { std::mem::transmute(real) };
+    let real = real!(c"clock_gettime", fn(libc::clockid_t, *mut libc::timespec) -> c_int);
     // SAFETY: the caller keeps to clock_gettime(2), and everything is passed on as it came.
     let done = unsafe { real(clock, time) };
     if clock == libc::CLOCK_REALTIME && done == 0 {
--- a/lab/tests/system_calls.rs
+++ b/lab/tests/system_calls.rs
@@ -88,6 +88,39 @@
     assert!(end(&fleet)("ended_no_connection") > 0);
 }
 
+/// The rule watched: calls that are interrupted, or that move a part of the bytes, change nothing.
+#[rstest]
+#[case::short_reads("recv:short:2".to_owned())]
+#[case::short_writes("writev:short:2".to_owned())]
+#[case::interrupted_reads(format!("recv:{}:3", libc::EINTR))]
+#[case::interrupted_writes(format!("writev:{}:3", libc::EINTR))]
+#[case::interrupted_waits(format!("epoll_wait:{}:3", libc::EINTR))]
+fn requests_are_served_whole_though_calls_are_cut_short(#[case] faults: String) {
+    let fleet = fleet(environment(&faults));
+    assert_eq!(ask(&fleet, "a"), REQUESTS);
+    let counter = end(&fleet);
+    let broken = ["ended_lost", "ended_no_connection", "streams_broken", "clients_left", "bad_requests"];
+    assert_eq!(broken.map(&counter), [0; 5]);
+}
+
+/// The rule watched: a connection that breaks, however it shows, breaks no rule; most requests are served. A stream takes
+/// some ten writes, one of which may fail towards its client.
+#[rstest]
+#[case::timed_out("recv", libc::ETIMEDOUT, 15)]
+#[case::unreachable("recv", libc::EHOSTUNREACH, 15)]
+#[case::reset("recv", libc::ECONNRESET, 15)]
+#[case::pipe("writev", libc::EPIPE, 40)]
+#[case::timed_out_in_a_write("writev", libc::ETIMEDOUT, 40)]
+#[case::no_buffers("writev", libc::ENOBUFS, 40)]
+fn rules_are_kept_though_connections_break(#[case] call: &str, #[case] number: i32, #[case] every: u32) {
+    let fleet = fleet(environment(&format!("{call}:{number}:{every}")));
+    assert!(ask(&fleet, "a") > REQUESTS / 2);
+    let counter = end(&fleet);
+    assert_eq!((counter("violations"), counter("panics")), (0, 0));
+    let struck = ["ended_lost", "streams_broken", "clients_left", "ended_no_connection", "watches_lost"];
+    assert!(struck.map(&counter).iter().sum::<u64>() > 0, "a fault struck");
+}
+
 /// The rule watched: deadlines, waits and graces are spans of the monotonic clock.
 #[rstest]
 #[case::forward(HOUR)]
