A folder that fails for a while ends a life, not the member; unsynced bytes are written anew

Ruled out: reopening in the same life (what is on the disk is not known). Change: store: rewrite what lies behind the acknowledged length at an opening; StoreError::may_pass, DiskError::may_pass; drive.rs: the next life begins as soon as the folder can be opened and written to, with doubling pauses; what is corrupt or foreign still ends the member.

--- a/src/fleet/net/disk.rs
+++ b/src/fleet/net/disk.rs
@@ -36,6 +36,17 @@
     Gone,
 }
 
+impl DiskError {
+    /// Whether the folder may be well again later.
+    pub fn may_pass(&self) -> bool {
+        match self {
+            DiskError::Store(error) => error.may_pass(),
+            DiskError::Stalled(_) | DiskError::Gone => true,
+            DiskError::Foreign(_) => false,
+        }
+    }
+}
+
 /// A store that is open, and what has to be written with each hard state.
 #[derive(Debug)]
 pub struct Disk {
--- a/src/fleet/net/drive.rs
+++ b/src/fleet/net/drive.rs
@@ -99,6 +99,14 @@
     Dropped,
 }
 
+/// The program leaves the fleet, or has dropped its end.
+struct ProgramEnds;
+
+/// A pause that doubles with each time.
+fn doubled(times: u32) -> Duration {
+    FIRST_PAUSE.saturating_mul(1 << times.min(8)).min(LONGEST_PAUSE)
+}
+
 /// The store, at hand or at the thread that writes.
 enum Writing {
     Idle(Box<Disk>),
@@ -125,7 +133,8 @@
 }
 
 impl Driver {
-    /// Runs until the program ends. Where the store fails, the member is silent from then on.
+    /// Runs until the program ends. Where the store fails, the member is silent until it can be opened again, for good where
+    /// time alone can't mend it.
     pub async fn run(mut self, mut found: Found) {
         let mut wants = vec![];
         let mut short = 0;
@@ -136,7 +145,7 @@
             let acted = self.fleet.may_act(&self.fleet.0.life);
             self.fleet.0.rights.take();
             let history = History(self.fleet.who());
-            let failed = match over {
+            let least = match over {
                 Over::Dropped => return,
                 Over::Ended(least) => {
                     short = if self.now() - begun < SHORT_LIFE { short + 1 } else { 0 };
@@ -144,29 +153,67 @@
                         history.note(
                             "lives end soon after their beginning: is there another process of this name?",
                         );
-                        let wait = FIRST_PAUSE.saturating_mul(1 << short.min(8)).min(LONGEST_PAUSE);
-                        let pause = self.silent("between two lives", &mut wants);
-                        if tokio::time::timeout(wait, pause).await.is_ok() {
+                        if self.pause("between two lives", doubled(short), &mut wants).await.is_err() {
                             return;
                         }
                     }
-                    match self.reopen(least).await {
-                        Ok(again) => {
-                            found = again;
-                            continue;
-                        }
-                        Err(error) => error,
+                    least
+                }
+                Over::Failed(error) => {
+                    if let Some(token) = acted {
+                        history.life(Some(token), false);
+                        self.fleet.tell(&Told::MayAct(false));
                     }
+                    history.failed(&error.to_string());
+                    if !error.may_pass() {
+                        return self.give_up(&error, &mut wants).await;
+                    }
+                    0
                 }
-                Over::Failed(error) => error,
             };
-            if let Some(token) = acted {
-                history.life(Some(token), false);
-                self.fleet.tell(&Told::MayAct(false));
+            found = match self.reopen_in_time(least, &mut wants).await {
+                Some(again) => again,
+                None => return,
+            };
+        }
+    }
+
+    /// Opens the store for another life, as soon as the folder lets it be; `None`: the program ends.
+    async fn reopen_in_time(&mut self, least: u64, wants: &mut Vec<LeaseName>) -> Option<Found> {
+        let mut tries = 0;
+        loop {
+            let error = match self.reopen(least).await {
+                Ok(found) => return Some(found),
+                Err(error) => error,
+            };
+            let history = History(self.fleet.who());
+            if !error.may_pass() {
+                history.failed(&error.to_string());
+                self.give_up(&error, wants).await;
+                return None;
             }
-            history.failed(&failed.to_string());
-            self.fleet.0.stopped.set(true);
-            return self.silent(&format!("the store failed: {failed}"), &mut wants).await;
+            history.note(&format!("the store can't be opened yet: {error}"));
+            self.pause(&format!("the store failed: {error}"), doubled(tries), wants).await.ok()?;
+            tries += 1;
+        }
+    }
+
+    /// Takes no part any more, until the program ends.
+    async fn give_up(&mut self, error: &DiskError, wants: &mut Vec<LeaseName>) {
+        self.fleet.0.stopped.set(true);
+        self.silent(&format!("the store failed: {error}"), wants).await;
+    }
+
+    /// Takes no part for some time.
+    async fn pause(
+        &mut self,
+        why: &str,
+        time: Duration,
+        wants: &mut Vec<LeaseName>,
+    ) -> Result<(), ProgramEnds> {
+        match tokio::time::timeout(time, self.silent(why, wants)).await {
+            Ok(()) => Err(ProgramEnds),
+            Err(_) => Ok(()),
         }
     }
 
--- a/src/fleet/net/history.rs
+++ b/src/fleet/net/history.rs
@@ -48,10 +48,11 @@
         event!(self, info, TARGET, "fleet.stop", at unix_us(), { cause = cause }, "fleet: {} stops: {cause}", self.0);
     }
 
-    /// The store failed: this member takes part no more.
+    /// The store failed: this life is over.
     pub fn failed(&self, error: &str) {
         event!(self, error, TARGET, "fleet.stop", at unix_us(), { cause = "store", error = error },
-            "fleet: the store failed: {error}; this conductor acts no more and takes no part until it is restarted");
+            "fleet: the store failed: {error}; this conductor acts no more, and takes part again when the folder can be written to, or, where what it holds is wrong, \
+             after a restart");
     }
 
     /// Another conductor has taken a request over, asked by its client.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -135,6 +135,19 @@
 }
 
 impl StoreError {
+    /// Whether the same folder may be opened later without anybody doing something about what it holds: it failed, or is
+    /// held by a write that has not ended.
+    pub fn may_pass(&self) -> bool {
+        match self {
+            StoreError::InUse(_) | StoreError::Broken | StoreError::Io { .. } => true,
+            StoreError::Corrupt { .. }
+            | StoreError::Missing { .. }
+            | StoreError::Full { .. }
+            | StoreError::TooLong { .. }
+            | StoreError::Gap { .. } => false,
+        }
+    }
+
     /// Whether room is what is missing: the store's own bound, or the disk's.
     pub fn is_full(&self) -> bool {
         use io::ErrorKind::{FileTooLarge, QuotaExceeded, StorageFull};
@@ -228,7 +241,8 @@
         if torn.is_some() {
             io_of(&name, disk.cut(&name, read.end))?;
         }
-        // The last frame may have been written whole and not made durable before a kill, and a name too.
+        rewrite(&mut disk, &name, synced, read.end)?;
+        // A name may not be durable either.
         io_of(&name, disk.sync(&name))?;
         io_of(".", disk.sync_names())?;
         for old in names.iter().filter(|old| **old != name) {
@@ -509,6 +523,18 @@
     }
 }
 
+/// Writes what lies between two offsets of a file anew. It may have been written whole and not made durable before a kill;
+/// and where a sync of it had failed, the system shows what was written and takes it for durable, so that another sync alone
+/// would say nothing.
+fn rewrite(disk: &mut impl Disk, name: &str, from: u64, to: u64) -> Result<(), StoreError> {
+    let mut bytes = vec![0; to.saturating_sub(from) as usize];
+    if bytes.is_empty() {
+        return Ok(());
+    }
+    io_of(name, disk.read(name, from, &mut bytes))?;
+    io_of(name, disk.write(name, from, &bytes))
+}
+
 /// The furthest that [`Store::note_synced`] tells of, if anything.
 fn read_synced(disk: &mut impl Disk, names: &[String]) -> Option<(Salt, u64)> {
     names.iter().find(|name| *name == SYNCED)?;
