Starts of hosts by discovery's clock where this machine's differs; clock steps in the soak

Change: HostStarts::heard_date, Follower::note_date; the lab's peers send a Date; WallClock; Fault::StepClock and interrupted, short calls in the soak.

--- a/lab/src/peer.rs
+++ b/lab/src/peer.rs
@@ -5,7 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 /// A message as a peer reads it.
 #[derive(Debug, Default, Clone)]
@@ -104,13 +104,16 @@
     /// Writes a whole answer; `headers` are lines that end in `\r\n`.
     pub fn answer(&mut self, status: &str, headers: &str, body: &str) {
         let length = body.len();
-        let answer = format!("HTTP/1.1 {status}\r\n{headers}content-length: {length}\r\n\r\n{body}");
+        let date = date();
+        let answer = format!("HTTP/1.1 {status}\r\n{date}{headers}content-length: {length}\r\n\r\n{body}");
         let _ = self.0.write_all(answer.as_bytes());
     }
 
     /// Writes the head of a stream of events.
     pub fn begin_stream(&mut self) {
-        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+        let (date, kind) = (date(), "text/event-stream");
+        let head =
+            format!("HTTP/1.1 200 OK\r\n{date}content-type: {kind}\r\ntransfer-encoding: chunked\r\n\r\n");
         let _ = self.0.write_all(head.as_bytes());
     }
 
@@ -302,3 +305,8 @@
         Silent { address, _listener: listener, _queued: queued }
     }
 }
+
+/// The header that tells this machine's time.
+fn date() -> String {
+    format!("date: {}\r\n", httpdate::fmt_http_date(SystemTime::now()))
+}
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -38,6 +38,43 @@
     build("libwhinhaven_fault_shim.so", &["--package", "whinhaven-fault-shim"], "lab/shim/src")
 }
 
+/// The wall clock of processes that run with the fault shim.
+pub struct WallClock {
+    folder: Folder,
+}
+
+impl WallClock {
+    /// A clock that is right.
+    ///
+    /// # Errors
+    /// The file that drives it can't be written.
+    pub fn new() -> std::io::Result<WallClock> {
+        let clock = WallClock { folder: Folder::temporary()? };
+        clock.step(0)?;
+        Ok(clock)
+    }
+
+    /// From now on it is so many seconds ahead.
+    ///
+    /// # Errors
+    /// The file that drives it can't be written.
+    pub fn step(&self, seconds: i64) -> std::io::Result<()> {
+        // In one step: processes read it at any moment.
+        let new = self.folder.path().join("new");
+        std::fs::write(&new, seconds.to_string())?;
+        std::fs::rename(&new, self.file())
+    }
+
+    /// What a process has to find in its environment, beside the shim itself.
+    pub fn variable(&self) -> (&'static str, OsString) {
+        ("FAULT_SHIM_WALL", self.file().into())
+    }
+
+    fn file(&self) -> PathBuf {
+        self.folder.path().join("step")
+    }
+}
+
 /// A file of this build, beside this executable, made anew where it is older than the sources in `folder`.
 fn build(file: &str, what: &[&str], sources: &str) -> PathBuf {
     let me = std::env::current_exe().expect("an executable knows its path");
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! One round starts a fleet on loopback, asks on and on, and lets a drawn [`schedule`] of faults run: hosts that fall
 //! silent behind open connections, slow links, processes that are killed, restarted, stopped for a moment, hosts that
-//! drain. The [`invariants`] read the history of the stand-in hosts, the clients and the conductors, and nothing else.
+//! drain, wall clocks that are stepped. The [`invariants`] read the history of the stand-in hosts, the clients and the conductors, and nothing else.
 //! A round follows from its seed, but for the timing of the machine.
 
 pub mod invariants;
@@ -13,7 +13,7 @@
 use crate::fleet::{Fleet, FleetError, FleetSettings};
 use crate::history::Record;
 use crate::hosts::{HostRole, HostSettings};
-use crate::process::{StartError, fault_shim};
+use crate::process::{StartError, WallClock, fault_shim};
 use invariants::{Outcome, Rules, stops};
 use lateness::Lateness;
 use load::Load;
@@ -65,12 +65,14 @@
     }
 }
 
-fn fleet_settings(args: &SoakArgs, seed: u64) -> FleetSettings {
+fn fleet_settings(args: &SoakArgs, seed: u64, wall_clock: &WallClock) -> FleetSettings {
     let host = HostSettings {
         slots: 256,
         tokens_per_s: 1_000.0,
         ..HostSettings::quick("", HostRole::Reader, ([127, 0, 0, 1], 0).into())
     };
+    let mut environment = environment(args.system_calls.as_deref().unwrap_or_default());
+    environment.push(wall_clock.variable());
     FleetSettings {
         conductors: args.conductors,
         sites: 3,
@@ -79,7 +81,7 @@
         host,
         discovery: true,
         seed,
-        environment: args.system_calls.as_deref().map(environment).unwrap_or_default(),
+        environment,
         ..FleetSettings::default()
     }
 }
@@ -94,12 +96,13 @@
 /// # Errors
 /// The fleet can't be started, or a process does not come back.
 pub fn play(args: &SoakArgs, seed: u64) -> Result<Round, FleetError> {
-    let fleet = Fleet::start(fleet_settings(args, seed))?;
+    let wall_clock = WallClock::new()?;
+    let fleet = Fleet::start(fleet_settings(args, seed, &wall_clock))?;
     let lateness = Lateness::start();
     let load = Load::start(&fleet.client(), seed);
     let schedule = Schedule::draw(seed, Duration::from_secs(args.seconds), &fleet);
     let faults = schedule.len();
-    schedule.run(&fleet)?;
+    schedule.run(&fleet, &wall_clock)?;
     fleet.network.heal();
     load.stop();
     wait_for_the_aftermath(&fleet);
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::{Fleet, FleetError};
 use crate::network::Faults;
-use crate::process::StartError;
+use crate::process::{StartError, WallClock};
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -14,6 +14,9 @@
 /// How long a conductor may be held up.
 const HOLD_UP: Duration = Duration::from_millis(100);
 
+/// How far wall clocks are stepped.
+const CLOCK_STEP_SECONDS: i64 = 3_600;
+
 /// One fault.
 #[derive(Clone, Debug)]
 pub enum Fault {
@@ -33,6 +36,8 @@
     Kill(String),
     /// A conductor does not run for a moment (SIGSTOP).
     HoldUp(String),
+    /// The wall clocks of all conductors are stepped by so many seconds; those that start meanwhile have the stepped time.
+    StepClock(i64),
 }
 
 #[derive(Debug)]
@@ -80,13 +85,13 @@
     ///
     /// # Errors
     /// A process does not come back.
-    pub fn run(self, fleet: &Fleet) -> Result<(), FleetError> {
+    pub fn run(self, fleet: &Fleet, wall_clock: &WallClock) -> Result<(), FleetError> {
         let begun = Instant::now();
         for (at, step) in self.steps {
             std::thread::sleep((begun + at).saturating_duration_since(Instant::now()));
             match step {
-                Step::Begin(fault) => begin(&fault, fleet),
-                Step::End(fault) => end(&fault, fleet)?,
+                Step::Begin(fault) => begin(&fault, fleet, wall_clock)?,
+                Step::End(fault) => end(&fault, fleet, wall_clock)?,
             }
         }
         Ok(())
@@ -100,7 +105,7 @@
 fn draw_fault(random: &mut ChaCha8Rng, fleet: &Fleet) -> Fault {
     let hosts: Vec<String> = fleet.hosts.keys().cloned().collect();
     let conductors = fleet.names();
-    match random.random_range(0..11) {
+    match random.random_range(0..12) {
         0..=3 => Fault::Silence(draw_silent(random, &hosts)),
         4 => Fault::SilentWay(any_of(random, &conductors), any_of(random, &hosts)),
         5 => Fault::Slow(any_of(random, &hosts), Duration::from_millis(random.random_range(20..300))),
@@ -108,7 +113,9 @@
         7 => Fault::Drain(any_of(random, &hosts)),
         8 => Fault::Terminate(any_of(random, &conductors)),
         9 => Fault::Kill(any_of(random, &conductors)),
-        _ => Fault::HoldUp(any_of(random, &conductors)),
+        10 => Fault::HoldUp(any_of(random, &conductors)),
+        _ if random.random() => Fault::StepClock(CLOCK_STEP_SECONDS),
+        _ => Fault::StepClock(-CLOCK_STEP_SECONDS),
     }
 }
 
@@ -125,7 +132,7 @@
     some
 }
 
-fn begin(fault: &Fault, fleet: &Fleet) {
+fn begin(fault: &Fault, fleet: &Fleet, wall_clock: &WallClock) -> Result<(), FleetError> {
     fleet.history.note("lab", "soak.begin", json!({ "fault": format!("{fault:?}") }));
     match fault {
         Fault::Silence(hosts) => hosts.iter().for_each(|host| fleet.network.cut("*", host)),
@@ -138,10 +145,12 @@
         Fault::Terminate(conductor) => fleet.conductor(conductor).begin_to_terminate(),
         Fault::Kill(conductor) => fleet.conductor(conductor).kill(),
         Fault::HoldUp(conductor) => fleet.conductor(conductor).stop(),
+        Fault::StepClock(seconds) => wall_clock.step(*seconds)?,
     }
+    Ok(())
 }
 
-fn end(fault: &Fault, fleet: &Fleet) -> Result<(), FleetError> {
+fn end(fault: &Fault, fleet: &Fleet, wall_clock: &WallClock) -> Result<(), FleetError> {
     fleet.history.note("lab", "soak.end", json!({ "fault": format!("{fault:?}") }));
     match fault {
         Fault::Silence(hosts) => {
@@ -169,6 +178,7 @@
             }
         }
         Fault::HoldUp(conductor) => fleet.conductor(conductor).cont(),
+        Fault::StepClock(_) => wall_clock.step(0)?,
     }
     Ok(())
 }
--- a/lab/tests/system_calls.rs
+++ b/lab/tests/system_calls.rs
@@ -4,7 +4,7 @@
 use whinhaven_lab::clients::Ask;
 use whinhaven_lab::fleet::{Fleet, FleetSettings};
 use whinhaven_lab::history::Record;
-use whinhaven_lab::process::fault_shim;
+use whinhaven_lab::process::{WallClock, fault_shim};
 use whinhaven_lab::soak::environment;
 
 const REQUESTS: usize = 60;
@@ -122,17 +122,19 @@
     assert!(struck.map(&counter).iter().sum::<u64>() > 0, "a fault struck");
 }
 
+/// A conductor whose wall clock can be stepped.
+fn fleet_with_clock(settings: FleetSettings) -> (Fleet, WallClock) {
+    let clock = WallClock::new().unwrap();
+    let environment = vec![("LD_PRELOAD", fault_shim().into()), clock.variable()];
+    (Fleet::start(FleetSettings { conductors: 1, environment, ..settings }).unwrap(), clock)
+}
+
 /// The rule watched: deadlines, waits and graces are spans of the monotonic clock.
 #[rstest]
-#[case::forward(HOUR)]
-#[case::back(-HOUR)]
-fn a_step_of_the_wall_clock_changes_nothing(#[case] step: i64) {
-    let folder = whinhaven_lab::process::Folder::temporary().unwrap();
-    let file = folder.path().join("step");
-    std::fs::write(&file, "0").unwrap();
-    let fleet = fleet(vec![("LD_PRELOAD", fault_shim().into()), ("FAULT_SHIM_WALL", file.clone().into())]);
+fn a_step_of_the_wall_clock_changes_nothing(#[values(HOUR, -HOUR)] step: i64) {
+    let (fleet, clock) = fleet_with_clock(FleetSettings::default());
     assert_eq!(ask(&fleet, "before"), REQUESTS);
-    std::fs::write(&file, step.to_string()).unwrap();
+    clock.step(step).unwrap();
     assert_eq!(ask(&fleet, "after"), REQUESTS);
     // A host that starts anew now, by a clock that was not stepped.
     let restarted = fleet.hosts.keys().next().unwrap();
@@ -143,3 +145,37 @@
     assert_eq!((counter("violations"), counter("panics"), counter("answered_refused")), (0, 0, 0));
     assert!(fleet.wait_for_release().is_ok());
 }
+
+/// The rule watched: what was taken is answered after SIGTERM, whatever the wall clock does meanwhile.
+#[rstest]
+fn a_step_of_the_wall_clock_after_sigterm_cuts_no_answer_off(#[values(HOUR, -HOUR)] step: i64) {
+    let (fleet, clock) = fleet_with_clock(FleetSettings::default());
+    let client = fleet.client();
+    let slow = Ask { class: "send".to_owned(), ..Ask::send("slow", 40, 0) };
+    std::thread::scope(|scope| {
+        let before = fleet.history.len();
+        let asked = scope.spawn(|| client.platform(0, &slow));
+        fleet.wait_for(before, |record| record.event == "run.first").unwrap();
+        fleet.conductor("c1").begin_to_terminate();
+        fleet.wait_for(before, |record| record.text("line").contains("stopping:")).unwrap();
+        clock.step(step).unwrap();
+        let (status, text) = asked.join().unwrap();
+        assert!(status == 200 && text.is_some_and(|text| slow.plan.accepts(&text)));
+    });
+    let counter = end(&fleet);
+    assert_eq!((counter("violations"), counter("panics")), (0, 0));
+}
+
+/// The rule watched: a process that starts with its clock an hour off serves, and tells the operators.
+#[rstest]
+fn a_process_that_starts_with_its_wall_clock_off_serves(#[values(HOUR, -HOUR)] step: i64) {
+    let settings = FleetSettings { discovery: true, ..FleetSettings::default() };
+    let (fleet, clock) = fleet_with_clock(settings);
+    clock.step(step).unwrap();
+    let before = fleet.history.len();
+    fleet.conductor("c1").terminate().unwrap();
+    fleet.conductor("c1").start().unwrap();
+    fleet.wait_for(before, |record| record.text("line").contains("ahead of discovery's")).unwrap();
+    assert_eq!(ask(&fleet, "a"), REQUESTS);
+    assert_eq!(end(&fleet)("violations"), 0);
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,10 +10,12 @@
 use super::uninterrupted::Uninterrupted;
 use crate::core::{CoreHandle, Input};
 use crate::counters::Counters;
-use crate::interface::{Entry, Kind, ListKind, Role, Status, WorkerId};
+use crate::interface::{Entry, Kind, ListKind, Micros, Role, Status, WorkerId};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
+use hyper::HeaderMap;
 use hyper::body::Incoming;
+use hyper::header::DATE;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
@@ -22,7 +24,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
@@ -404,6 +406,7 @@
         log::debug!("discovery: GET {target}");
         let response = discovery.ready().await?.call(target);
         let response = tokio::time::timeout(self.patience(), response).await??;
+        self.note_date(response.headers());
         tokio::select! {
             ended = self.watch(response.into_body(), calls) => ended,
             never = self.refresh(discovery) => match never {},
@@ -467,10 +470,26 @@
         Ok(())
     }
 
+    /// Compares this machine's wall clock with discovery's, by which starts of hosts are told.
+    fn note_date(&self, headers: &HeaderMap) {
+        let date = headers.get(DATE).and_then(|value| value.to_str().ok());
+        let Some(date) = date.and_then(|text| httpdate::parse_http_date(text).ok()) else { return };
+        let since = date.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let reading = Reading::at(self.core.clock.now());
+        let ahead = (i128::from(reading.wall) - since.as_micros() as i128) / 1_000_000;
+        log::debug!("discovery: answered at {since:?}, {ahead} s behind this machine's clock");
+        if self.starts.borrow_mut().heard_date(since.as_micros() as Micros, reading) {
+            log::warn!("discovery: this machine's clock is {ahead} s ahead of discovery's");
+            // Those that were read by it are told again.
+            self.fetch_list.notify_one();
+        }
+    }
+
     /// Asks once for the whole list.
     async fn fetch(&self, discovery: &mut Discovery) -> Result<Listing, Error> {
         let fetched = async {
             let response = discovery.ready().await?.call("/v1/servers".into()).await?;
+            self.note_date(response.headers());
             let body = http_body_util::Limited::new(response.into_body(), MOST_BYTES).collect().await;
             let message =
                 serde_json::from_slice::<ListMessage>(&body.map_err(|e| e.to_string())?.to_bytes())?;
--- a/src/net/host_starts.rs
+++ b/src/net/host_starts.rs
@@ -7,7 +7,10 @@
 //! can't be so shows that the clock was stepped, and the host is taken to have started just now: that costs some of what
 //! it could do, where a start too early costs the host.
 //!
-//! What remains open: the lists that a process gets first. Nothing in them tells a long age from a step forward.
+//! Nothing in the lists that a process gets first tells a long age from a step forward. There the wall clock is compared
+//! with the `Date` that discovery's answers carry (RFC 9110): where the two differ, discovery's clock, carried on by the
+//! monotonic one, is the one by which lists are read. Where no answer carries it, a process that starts with its clock an
+//! hour ahead takes hosts in slow start for warm ones.
 
 use crate::interface::{Micros, WorkerId};
 use std::collections::{BTreeMap, VecDeque};
@@ -15,6 +18,8 @@
 
 /// Lists are told this late at the most.
 const LATE: Micros = 15_000_000;
+/// A clock that differs by less from discovery's is right: `Date` counts whole seconds, and answers take their time.
+const IN_STEP: Micros = 3_000_000;
 /// Starts that are remembered; the oldest is forgotten first.
 const MOST: usize = 16_384;
 
@@ -33,6 +38,11 @@
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Reading { wall: since.as_micros() as Micros, now }
     }
+
+    /// What the wall clock of this reading shows at another moment.
+    fn wall_at(self, now: Micros) -> Micros {
+        (self.wall + now).saturating_sub(self.now)
+    }
 }
 
 /// The start of one life of a host, as it was first judged.
@@ -50,6 +60,8 @@
     starts: BTreeMap<WorkerId, Start>,
     order: VecDeque<WorkerId>,
     last_told: Option<Micros>,
+    /// Discovery's clock as it was last read, where this machine's differs from it.
+    discovery_clock: Option<Reading>,
 }
 
 impl HostStarts {
@@ -59,7 +71,8 @@
         if let Some(known) = self.starts.get(worker).filter(|known| known.born == born) {
             return known.at;
         }
-        let age = reading.wall.saturating_sub(born);
+        let wall = self.discovery_clock.map_or(reading.wall, |clock| clock.wall_at(reading.now));
+        let age = wall.saturating_sub(born);
         let since_told = self.last_told.filter(|_| is_change).map(|told| reading.now.saturating_sub(told));
         let most = since_told.map_or(Micros::MAX, |since| since.saturating_add(LATE));
         let age = if age > most { 0 } else { age };
@@ -75,6 +88,20 @@
         at
     }
 
+    /// An answer of discovery carries this date. Whether starts have to be told again: they were read by a clock that
+    /// differs from the one that counts now.
+    pub fn heard_date(&mut self, date: Micros, reading: Reading) -> bool {
+        let differs = reading.wall.abs_diff(date) > IN_STEP;
+        let clock = differs.then_some(Reading { wall: date, now: reading.now });
+        let before = std::mem::replace(&mut self.discovery_clock, clock);
+        let is_news = before.is_none() && differs;
+        if is_news {
+            self.starts.clear();
+            self.order.clear();
+        }
+        is_news
+    }
+
     /// A message of the list was taken in.
     pub fn told(&mut self, now: Micros) {
         self.last_told = Some(now);
--- a/src/net/host_starts/tests.rs
+++ b/src/net/host_starts/tests.rs
@@ -46,3 +46,20 @@
     let other = WorkerId("writer".into());
     assert_eq!(starts.judge(&other, WALL, reading(WALL + 200 * SECOND, NOW), false), NOW - 200 * SECOND);
 }
+
+/// Guards against hosts in slow start that are taken for warm ones by a process that starts with its clock ahead.
+#[rstest]
+#[case::right(0, 4 * SECOND)]
+#[case::ahead(HOUR as i64, 4 * SECOND)]
+#[case::behind(-(HOUR as i64), 4 * SECOND)]
+fn discoverys_clock_counts_where_this_machines_differs(#[case] ahead: i64, #[case] age: Micros) {
+    let own = |wall: Micros| wall.wrapping_add_signed(ahead);
+    let mut starts = HostStarts::default();
+    // Read before discovery could be asked.
+    starts.judge(&host(), WALL, reading(own(WALL + SECOND), NOW), false);
+    let differs = starts.heard_date(WALL + 2 * SECOND, reading(own(WALL + 2 * SECOND), NOW + SECOND));
+    assert_eq!(differs, ahead != 0);
+    let now = NOW + 3 * SECOND;
+    assert_eq!(starts.judge(&host(), WALL, reading(own(WALL + 4 * SECOND), now), false), now - age);
+    assert!(!starts.heard_date(WALL + 4 * SECOND, reading(own(WALL + 4 * SECOND), now)), "told once");
+}
