Late arrivals are followed by one task; silent test hosts wait instead of spinning

Cause: a review of the incident's change: the task that follows late arrivals was started from two places by a guess whether it runs, and slept on a moment that had become later than the first one due; a test host spun while it was silent. Ruled out: a change of when hosts are asked (tests of late_arrivals as they were). Change: LateFollower (one task, told of changes); RequestService in place of a bound that stood twice; Silence in tests/silent_hosts.rs.

--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,8 +2,8 @@
 
 use super::answer::{Answered, End, MOST_ANSWER, Stream, Tail};
 use super::discovery::Directory;
-use super::late_arrivals::LateArrivals;
 use super::pool::{ConnectError, Connection, Pool, Target};
+use super::releases::LateFollower;
 use crate::core::{Attempt, Clock, CoreHandle, Input, Outbound, Releasing};
 use crate::counters::Counters;
 use crate::exchange::{Call, FeedSource, Frame, Reply, feed};
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -51,7 +51,7 @@
     /// Releases under way.
     pub pending: Rc<Pending>,
     /// Attempts given up that may arrive late.
-    pub late_arrivals: Rc<RefCell<LateArrivals>>,
+    pub late_arrivals: Rc<LateFollower>,
 }
 
 /// Counts releases under way, so that the process doesn't end before they have.
--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -43,9 +43,30 @@
 /// For a request that did not come in time.
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// What answers the requests of one connection.
+/// What answers one request.
 pub(super) type Answerer = Local<Result<Response<Answering>, Infallible>>;
 
+/// What answers the requests of one connection.
+pub(super) trait RequestService:
+    hyper::service::Service<
+        Request<Incoming>,
+        Response = Response<Answering>,
+        Error = Infallible,
+        Future = Answerer,
+    > + Unpin
+{
+}
+
+impl<S> RequestService for S where
+    S: hyper::service::Service<
+            Request<Incoming>,
+            Response = Response<Answering>,
+            Error = Infallible,
+            Future = Answerer,
+        > + Unpin
+{
+}
+
 /// An answer's body that tells its connection when it is over, and the figures how it ended.
 pub(super) struct Answering {
     body: AnswerBody,
@@ -164,12 +185,7 @@
     room: Held,
     counters: &Counters,
 ) where
-    S: hyper::service::Service<
-            Request<Incoming>,
-            Response = Response<Answering>,
-            Error = Infallible,
-            Future = Answerer,
-        > + Unpin,
+    S: RequestService,
 {
     let _ = stream.set_nodelay(true);
     let socket = Rc::new(stream);
@@ -213,12 +229,7 @@
     mut room: Held,
 ) -> Served
 where
-    S: hyper::service::Service<
-            Request<Incoming>,
-            Response = Response<Answering>,
-            Error = Infallible,
-            Future = Answerer,
-        > + Unpin,
+    S: RequestService,
 {
     let accepted = Instant::now();
     let mut connection = http1::Builder::new()
--- a/src/net/late_arrivals.rs
+++ b/src/net/late_arrivals.rs
@@ -72,6 +72,11 @@
         host.requests.push_back((now, request));
     }
 
+    /// Whether no host is asked any more.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
     /// When [`LateArrivals::next`] has something to do.
     pub fn due(&self) -> Option<Instant> {
         self.hosts.values().filter_map(|host| host.due).min()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,7 +14,7 @@
 pub mod pool;
 pub mod reach;
 pub mod release;
-mod releases;
+pub mod releases;
 pub mod server;
 pub mod uninterrupted;
 pub mod upgrade;
--- a/src/net/releases.rs
+++ b/src/net/releases.rs
@@ -1,7 +1,7 @@
 //! Carries releases out: the calls that [`super::release`] and [`super::late_arrivals`] decide on.
 
 use super::client::{CallError, Hosts, SETTLE};
-use super::late_arrivals::{ANSWERS_WITHIN, Round};
+use super::late_arrivals::{ANSWERS_WITHIN, LateArrivals, Round};
 use super::pool::ConnectError;
 use super::release::{Fanout, HEDGE};
 use crate::core::{Attempt, Releasing};
@@ -10,9 +10,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -35,6 +37,22 @@
     Gone,
 }
 
+/// Attempts that may arrive late, and the task that follows them.
+#[derive(Default)]
+pub struct LateFollower {
+    arrivals: RefCell<LateArrivals>,
+    /// Tells the task that something is due at another moment.
+    changed: Notify,
+    is_followed: Cell<bool>,
+}
+
+impl LateFollower {
+    fn change(&self, change: impl FnOnce(&mut LateArrivals)) {
+        change(&mut self.arrivals.borrow_mut());
+        self.changed.notify_one();
+    }
+}
+
 impl Hosts {
     /// Releases what is held for a request, at whichever hosts take it, until one has.
     pub(super) async fn release_now(&self, call: &Call, permit: ReleasePermit, releasing: Rc<Releasing>) {
@@ -109,23 +127,28 @@
             return;
         }
         let (id, now) = (attempt.call.id.clone(), Instant::now());
-        let is_idle = self.late_arrivals.borrow().due().is_none();
-        self.late_arrivals.borrow_mut().abandoned(&attempt.worker, id, now);
-        if is_idle {
+        self.late_arrivals.change(|late| late.abandoned(&attempt.worker, id, now));
+        if !self.late_arrivals.is_followed.replace(true) {
             tokio::task::spawn_local(self.clone().follow_late_arrivals());
         }
     }
 
-    /// Asks hosts about attempts that may arrive late, until there are none.
+    /// Asks hosts about attempts that may arrive late, for as long as there are any.
     async fn follow_late_arrivals(self) {
-        loop {
-            let Some(due) = self.late_arrivals.borrow().due() else { return };
-            tokio::time::sleep_until(due).await;
-            let next = self.late_arrivals.borrow_mut().next(Instant::now());
+        let late = &self.late_arrivals;
+        while !late.arrivals.borrow().is_empty() {
+            let due = late.arrivals.borrow().due();
+            tokio::select! {
+                biased;
+                () = late.changed.notified() => continue,
+                () = async { tokio::time::sleep_until(due.unwrap_or_else(Instant::now)).await }, if due.is_some() => {}
+            }
+            let next = late.arrivals.borrow_mut().next(Instant::now());
             if let Some(round) = next {
                 tokio::task::spawn_local(self.clone().release_late(round));
             }
         }
+        late.is_followed.set(false);
     }
 
     /// Releases at one host what it may have got late.
@@ -141,15 +164,11 @@
             }
         }
         let (worker, now) = (&round.worker, Instant::now());
-        let was_idle = self.late_arrivals.borrow().due().is_none();
-        match met {
-            Met::Answered => self.late_arrivals.borrow_mut().answered(worker, now),
-            Met::Silent => self.late_arrivals.borrow_mut().unanswered(worker, now),
-            Met::Gone => self.late_arrivals.borrow_mut().gone(worker),
-        }
-        if was_idle {
-            tokio::task::spawn_local(self.follow_late_arrivals());
-        }
+        self.late_arrivals.change(|late| match met {
+            Met::Answered => late.answered(worker, now),
+            Met::Silent => late.unanswered(worker, now),
+            Met::Gone => late.gone(worker),
+        });
     }
 
     /// Asks one host to release a request.
--- a/tests/silent_hosts.rs
+++ b/tests/silent_hosts.rs
@@ -5,8 +5,7 @@
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::io::Write;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, mpsc};
+use std::sync::{Arc, Condvar, Mutex, mpsc};
 use support::*;
 
 /// What the hosts saw, in its order.
@@ -41,24 +40,37 @@
     path.or(message.header("x-request-id")).unwrap_or("").to_owned()
 }
 
+/// Whether hosts are silent, for all of them and the test.
+#[derive(Default)]
+struct Silence {
+    is_on: Mutex<bool>,
+    over: Condvar,
+}
+
+impl Silence {
+    fn is_on(&self) -> bool {
+        *self.is_on.lock().unwrap()
+    }
+
+    fn set(&self, is_on: bool) {
+        *self.is_on.lock().unwrap() = is_on;
+        self.over.notify_all();
+    }
+
+    fn wait_until_over(&self) {
+        drop(self.over.wait_while(self.is_on.lock().unwrap(), |is_on| *is_on).unwrap());
+    }
+}
+
+/// Takes reads and releases at once.
 fn reader(report: Report) -> Peer {
-    Peer::start(move |message, conn| {
-        let id = request_id(message);
-        if message.method() == "DELETE" {
-            report.note(Seen::Released(id));
-            conn.answer("204 No Content", "", "");
-        } else {
-            report.note(Seen::Read(id));
-            conn.answer("202 Accepted", "", r#"{"cached_tokens":4}"#);
-        }
-        true
-    })
+    late_reader(Arc::default(), report)
 }
 
 /// Streams while it is not silent; once silent, what comes to it is lost to it, and its connections stay open.
-fn writer(silent: Arc<AtomicBool>, report: Report) -> Peer {
+fn writer(silent: Arc<Silence>, report: Report) -> Peer {
     Peer::start(move |message, conn| {
-        if silent.load(Ordering::SeqCst) {
+        if silent.is_on() {
             let id = request_id(message);
             if message.method() == "POST" {
                 report.note(Seen::Buffered(id.clone()));
@@ -88,7 +100,7 @@
 #[case::unsafe_to_repeat("send")]
 fn a_state_is_let_go_while_the_only_send_lies_at_a_silent_writer(#[case] class: &str) {
     let (report, seen) = Report::new();
-    let silent = Arc::new(AtomicBool::new(false));
+    let silent = Arc::<Silence>::default();
     let readers: Vec<Peer> = (0..2).map(|_| reader(report.clone())).collect();
     let writers: Vec<Peer> = (0..3).map(|_| writer(silent.clone(), report.clone())).collect();
     let addresses = |peers: &[Peer]| peers.iter().map(|p| p.address).collect::<Vec<_>>();
@@ -97,7 +109,7 @@
     for warm in 0..12 {
         assert_eq!(conductor.ask(&format!("warm-{warm}"), class).status(), 200);
     }
-    silent.store(true, Ordering::SeqCst);
+    silent.set(true);
     let mut client = conductor.connect();
     client.write_all(request("lost-1", class, "hello").as_bytes()).unwrap();
     let mut released = BTreeSet::new();
@@ -123,15 +135,13 @@
 }
 
 /// A reader that, while it is silent, takes nothing; what waited on its connections arrives when it is back.
-fn late_reader(silent: Arc<AtomicBool>, report: Report) -> Peer {
+fn late_reader(silent: Arc<Silence>, report: Report) -> Peer {
     Peer::start(move |message, conn| {
         let id = request_id(message);
-        if silent.load(Ordering::SeqCst) && message.method() == "POST" {
+        if silent.is_on() && message.method() == "POST" {
             report.note(Seen::Buffered(id.clone()));
         }
-        while silent.load(Ordering::SeqCst) {
-            std::thread::yield_now();
-        }
+        silent.wait_until_over();
         if message.method() == "DELETE" {
             report.note(Seen::Released(id));
             conn.answer("204 No Content", "", "");
@@ -148,16 +158,16 @@
 #[test]
 fn a_read_that_arrives_after_its_request_is_over_is_released() {
     let (report, seen) = Report::new();
-    let silent = Arc::new(AtomicBool::new(false));
+    let silent = Arc::<Silence>::default();
     let readers = [late_reader(silent.clone(), report.clone())];
     let writers = [writer(Arc::default(), report.clone())];
     let addresses = |peers: &[Peer]| peers.iter().map(|p| p.address).collect::<Vec<_>>();
     let conductor = Conductor::start(&operator_file(&addresses(&readers), &addresses(&writers), ""));
     assert_eq!(conductor.ask("warm-1", "explain").status(), 200);
-    silent.store(true, Ordering::SeqCst);
+    silent.set(true);
     let late = request("late-1", "explain", "hello").replace("x-deadline: 8000m", "x-deadline: 700m");
     assert_eq!(conductor.raw(late.as_bytes()).status(), 503);
-    silent.store(false, Ordering::SeqCst);
+    silent.set(false);
     let mut was_read = false;
     loop {
         match seen.recv_timeout(STUCK).expect("the late read is never released") {
