--- a/src/fleet/net/admin.rs
+++ b/src/fleet/net/admin.rs
@@ -6,7 +6,7 @@
 use crate::fleet::group::VoterId;
 use crate::fleet::node::Status;
 use crate::fleet::{Incarnation, MemberName, Who, policy_epoch};
-use crate::net::uninterrupted::Uninterrupted;
+use crate::net::stream::SteadyStream;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::fmt::Write;
@@ -128,7 +128,7 @@
     bounds: &Bounds,
     request: Request,
 ) -> io::Result<Reply> {
-    let mut stream = Uninterrupted(TcpStream::connect(address).await?);
+    let mut stream = SteadyStream(TcpStream::connect(address).await?);
     let mut session = [0; 16];
     stream.read_exact(&mut session).await?;
     let own = MemberName::try_from(ADMINISTRATOR).map_err(io::Error::other)?;
--- a/src/fleet/net/links.rs
+++ b/src/fleet/net/links.rs
@@ -7,7 +7,7 @@
 use super::{MESSAGE, within};
 use crate::counters::FleetCounters;
 use crate::fleet::{MemberName, Who};
-use crate::net::uninterrupted::Uninterrupted;
+use crate::net::stream::SteadyStream;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -16,7 +16,6 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -164,23 +163,23 @@
     }
 }
 
-async fn connect(link: &Link) -> io::Result<(TcpStream, Session)> {
-    let mut stream = within(CONNECT, TcpStream::connect(link.address.get())).await?;
+async fn connect(link: &Link) -> io::Result<(SteadyStream, Session)> {
+    let stream = within(CONNECT, TcpStream::connect(link.address.get())).await?;
     stream.set_nodelay(true)?;
+    let mut stream = SteadyStream(stream);
     let mut session = [0; 16];
-    within(CONNECT, Uninterrupted(&mut stream).read_exact(&mut session)).await?;
+    within(CONNECT, stream.read_exact(&mut session)).await?;
     Ok((stream, Session(session)))
 }
 
 /// Carries what comes until there is nothing for long. The receiver says nothing: whatever can be read is its end.
 async fn carry(
     link: &Link,
-    stream: TcpStream,
+    stream: SteadyStream,
     mut sealer: StreamSealer,
     counters: &FleetCounters,
 ) -> io::Result<()> {
-    let (from, to): (OwnedReadHalf, OwnedWriteHalf) = stream.into_split();
-    let (mut from, mut to) = (Uninterrupted(from), Uninterrupted(to));
+    let (mut from, mut to) = tokio::io::split(stream);
     let mut scrap = [0];
     loop {
         let (mut bytes, mut frames) = (Vec::new(), 0);
--- a/src/fleet/net/reception.rs
+++ b/src/fleet/net/reception.rs
@@ -12,7 +12,7 @@
 use crate::fleet::message::Message;
 use crate::fleet::{MemberName, Who};
 use crate::net::fault::pause_after_accept;
-use crate::net::uninterrupted::Uninterrupted;
+use crate::net::stream::SteadyStream;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -118,7 +118,7 @@
 
     async fn serve(&self, stream: TcpStream, from: IpAddr, place: &Place) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let mut stream = Uninterrupted(stream);
+        let mut stream = SteadyStream(stream);
         let session = Session(draw()?);
         stream.write_all(&session.0).await?;
         let mut inbound = Inbound::new(session);
@@ -170,7 +170,7 @@
         }
     }
 
-    async fn frame(&self, stream: &mut Uninterrupted<TcpStream>, from: IpAddr) -> io::Result<Vec<u8>> {
+    async fn frame(&self, stream: &mut SteadyStream, from: IpAddr) -> io::Result<Vec<u8>> {
         let mut prefix = [0; 4];
         stream.read_exact(&mut prefix).await?;
         let length = frame_length(prefix, &self.bounds).map_err(|reason| {
@@ -189,7 +189,7 @@
     /// Answers one request. Its opener is its own: administrators are no members.
     async fn administrator(
         &self,
-        stream: &mut Uninterrupted<TcpStream>,
+        stream: &mut SteadyStream,
         from: IpAddr,
         mut inbound: Inbound,
         frame: &[u8],
--- a/src/fleet/net/sites.rs
+++ b/src/fleet/net/sites.rs
@@ -18,7 +18,7 @@
 use crate::fleet::view;
 use crate::interface::{Entry, Kind, ListKind, Role, Status, WorkerId};
 use crate::net::discovery::Directory;
-use crate::net::uninterrupted::Uninterrupted;
+use crate::net::stream::SteadyStream;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -255,7 +255,7 @@
 
 /// Whether anything answers there.
 async fn answers(address: SocketAddr) -> std::io::Result<()> {
-    let mut stream = Uninterrupted(TcpStream::connect(address).await?);
+    let mut stream = SteadyStream(TcpStream::connect(address).await?);
     stream.write_all(TRY).await?;
     stream.read_u8().await.map(|_| ())
 }
--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -4,7 +4,7 @@
 use super::Local;
 use super::framing::{Standing, Watch, Watched};
 use super::server::{DAWDLES, SILENT_CLIENT, Stage};
-use super::uninterrupted::uninterrupted;
+use super::stream::{end_sending, uninterrupted};
 use crate::counters::Counters;
 use crate::front::platform::{self, AnswerBody};
 use crate::front::shared::{Held, MOST_BODY};
@@ -211,7 +211,7 @@
     }
     if !matches!(served, Served::Closed(_)) || !watch.is_blocked() {
         watch.finish();
-        let _ = SockRef::from(&*socket).shutdown(std::net::Shutdown::Write);
+        let _ = end_sending(&socket);
         tokio::select! {
             biased;
             () = async { while !watch.is_unwanted() { watch.changed().await } } => {}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,7 +7,7 @@
 use self::messages::Messages;
 use super::Local;
 use super::host_starts::{HostStarts, Reading};
-use super::uninterrupted::Uninterrupted;
+use super::stream::SteadyStream;
 use crate::core::{CoreHandle, Input};
 use crate::counters::Counters;
 use crate::interface::{Entry, Kind, ListKind, Micros, Role, Status, WorkerId};
@@ -248,7 +248,7 @@
     fn call(&mut self, target: String) -> Self::Future {
         let stream = (self.dial)(self.address);
         Box::pin(async move {
-            let stream = TokioIo::new(Uninterrupted(stream.await?));
+            let stream = TokioIo::new(stream.await?);
             let (mut sender, connection) = hyper::client::conn::http1::handshake(stream).await?;
             tokio::task::spawn_local(connection);
             let request = Request::get(target).header("host", "discovery").body(Empty::<Bytes>::new())?;
@@ -335,7 +335,9 @@
     /// the watch moves at once.
     pub async fn follow(self, address: watch::Receiver<Option<SocketAddr>>) {
         let dial = |address| -> Local<std::io::Result<Box<dyn Stream>>> {
-            Box::pin(async move { Ok(Box::new(TcpStream::connect(address).await?) as Box<dyn Stream>) })
+            Box::pin(async move {
+                Ok(Box::new(SteadyStream(TcpStream::connect(address).await?)) as Box<dyn Stream>)
+            })
         };
         self.follow_over(Rc::new(dial), address).await;
     }
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -3,9 +3,8 @@
 //! hyper settles a head with both `Content-Length` and `Transfer-Encoding` by dropping the one, and before the
 //! service can see it. Such a head may hide a second request in its body, so heads are looked at here, as bytes.
 
-use super::uninterrupted::uninterrupted;
+use super::stream::{self, uninterrupted};
 use crate::front::shared::Held;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
@@ -320,19 +319,15 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let kept = self.watch.ahead.borrow_mut().hand_on(buf);
-        let mut done = Ok(0);
-        while kept.is_none() && !self.watch.ahead.borrow().cut {
-            ready!(self.stream.poll_read_ready(cx))?;
-            done = uninterrupted(|| self.stream.try_read_buf(buf));
-            if !matches!(&done, Err(error) if error.kind() == io::ErrorKind::WouldBlock) {
-                break;
-            }
+        let mut done = Ok(());
+        if kept.is_none() && !self.watch.ahead.borrow().cut {
+            done = ready!(stream::poll_read(&self.stream, cx, buf));
         }
         let come = &buf.filled()[before..];
         if !come.is_empty() {
             self.watch.read(come, kept.unwrap_or_else(Instant::now));
         }
-        Poll::Ready(done.map(|_| ()))
+        Poll::Ready(done)
     }
 }
 
@@ -347,16 +342,9 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.watch.blocked.set(true);
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match uninterrupted(|| self.stream.try_write_vectored(bufs)) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => {
-                    self.watch.blocked.set(false);
-                    return Poll::Ready(done);
-                }
-            }
-        }
+        let written = ready!(stream::poll_write(&self.stream, cx, bufs));
+        self.watch.blocked.set(false);
+        Poll::Ready(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -368,7 +356,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(stream::end_sending(&self.stream))
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,7 +16,7 @@
 pub mod release;
 pub mod releases;
 pub mod server;
-pub mod uninterrupted;
+pub mod stream;
 pub mod upgrade;
 
 use std::pin::Pin;
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -6,7 +6,7 @@
 use super::Local;
 use super::fault::{Fault, SystemCall, classify};
 use super::reach::Reach;
-use super::uninterrupted::uninterrupted;
+use super::stream::{self, uninterrupted};
 use crate::counters::Counters;
 use crate::interface::{CallPermit, WorkerId, WritePermit};
 use bytes::Bytes;
@@ -170,16 +170,9 @@
 impl AsyncRead for Metered {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match uninterrupted(|| self.stream.try_read_buf(buf)) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => {
-                    self.meter.hear(&buf.filled()[before..]);
-                    return Poll::Ready(done.map(|_| ()));
-                }
-            }
-        }
+        let read = stream::poll_read(&self.stream, cx, buf);
+        self.meter.hear(&buf.filled()[before..]);
+        read
     }
 }
 
@@ -193,13 +186,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match uninterrupted(|| self.stream.try_write_vectored(bufs)) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                done => break done?,
-            }
-        };
+        let written = ready!(stream::poll_write(&self.stream, cx, bufs))?;
         let mut left = written;
         for buf in bufs {
             let part = left.min(buf.len());
@@ -218,7 +205,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(stream::end_sending(&self.stream))
     }
 }
 
--- a/src/ops/door.rs
+++ b/src/ops/door.rs
@@ -11,7 +11,7 @@
 use crate::net::discovery::Directory;
 use crate::net::drain::DrainSwitch;
 use crate::net::fault::pause_after_accept;
-use crate::net::uninterrupted::{Uninterrupted, uninterrupted};
+use crate::net::stream::{SteadyStream, end_sending, uninterrupted};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -23,7 +23,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -105,7 +104,7 @@
             .half_close(true)
             .header_read_timeout(None)
             .max_buf_size(MOST_HEAD)
-            .serve_connection(TokioIo::new(Uninterrupted(stream)), service)
+            .serve_connection(TokioIo::new(SteadyStream(stream)), service)
             .without_shutdown();
         match tokio::time::timeout(CALL_WITHIN, serving).await {
             Ok(Ok(parts)) => linger(parts.io.into_inner().0).await,
@@ -222,7 +221,7 @@
 /// Ends the sending, then reads and forgets until the caller has closed: it can take its answer though more
 /// of its bytes come.
 async fn linger(stream: TcpStream) {
-    let _ = socket2::SockRef::from(&stream).shutdown(Shutdown::Write);
+    let _ = end_sending(&stream);
     let drained = async {
         let (mut scrap, mut left) = (vec![0; 4 * 1024], MOST_LINGER);
         while left > 0 && stream.readable().await.is_ok() {
