--- a/lab/tests/system_calls.rs
+++ b/lab/tests/system_calls.rs
@@ -1,14 +1,19 @@
 //! Conductors whose system calls fail: real processes with the fault shim, under load.
 
 use rstest::rstest;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use whinhaven_lab::clients::Ask;
 use whinhaven_lab::fleet::{Fleet, FleetSettings};
-use whinhaven_lab::history::Record;
+use whinhaven_lab::history::{Record, STUCK};
 use whinhaven_lab::process::{WallClock, fault_shim};
 use whinhaven_lab::soak::environment;
 
 const REQUESTS: usize = 60;
 const HOUR: i64 = 3_600;
+/// Clients that come after SIGTERM: more than are accepted in the 0.7 s for which the listener stays, where every second accept
+/// fails and is followed by 20 ms.
+const AT_THE_END: usize = 80;
 
 fn fleet(environment: Vec<(&'static str, std::ffi::OsString)>) -> Fleet {
     Fleet::start(FleetSettings { conductors: 1, environment, ..FleetSettings::default() }).unwrap()
@@ -63,6 +68,38 @@
     );
 }
 
+/// The rule watched: a request written to a connection that this machine has taken is answered, also at the end.
+#[rstest]
+#[case::aborted(libc::ECONNABORTED)]
+#[case::descriptors_of_the_system(libc::ENFILE)]
+#[case::buffers(libc::ENOBUFS)]
+fn what_waits_at_the_end_is_answered_though_accepts_fail(#[case] number: i32) {
+    let fleet = fleet(environment(&format!("accept4:{number}:2")));
+    let records = fleet.history.records();
+    let served = records.iter().find_map(|r| r.text("line").split_once(" serves on ")).expect("an address");
+    let address = served.1.split(',').next().unwrap().to_owned();
+    let before = fleet.history.len();
+    fleet.conductor("c1").begin_to_terminate();
+    fleet.wait_for(before, |record| record.text("line").contains("stopping:")).unwrap();
+    // More than it accepts before its listener goes, where each failed accept is followed by a pause.
+    let asked: Vec<TcpStream> = (0..AT_THE_END).map(|_| ask_for_health(&address)).collect();
+    for mut client in asked {
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).expect("no reset");
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer:?}");
+    }
+    let counter = end(&fleet);
+    assert!(counter("accepts_failed") + counter("accepts_of_one_failed") > 0);
+}
+
+/// Writes a request on a new connection.
+fn ask_for_health(address: &str) -> TcpStream {
+    let mut client = TcpStream::connect(address).unwrap();
+    client.set_read_timeout(Some(STUCK)).unwrap();
+    client.write_all(b"GET /healthz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").unwrap();
+    client
+}
+
 /// The rule watched: what this machine is short of for a moment is no failure of a host, and costs no request.
 #[rstest]
 #[case::no_port(libc::EADDRNOTAVAIL)]
