--- a/lab/tests/system_calls.rs
+++ b/lab/tests/system_calls.rs
@@ -225,6 +225,26 @@
     assert_eq!((counter("violations"), counter("panics")), (0, 0));
 }
 
+/// The rule watched: nothing new goes to a host that drains, whatever the wall clock does meanwhile.
+#[rstest]
+fn a_step_of_the_wall_clock_sends_nothing_to_a_draining_host(#[values(HOUR, -HOUR)] step: i64) {
+    let settings = FleetSettings { discovery: true, ..FleetSettings::default() };
+    let (fleet, clock) = fleet_with_clock(settings);
+    assert_eq!(ask(&fleet, "before"), REQUESTS);
+    let drained = fleet.history.len();
+    fleet.discovery.set_health("writer-1", "draining");
+    let is_told = |r: &Record| r.source == "c1" && r.text("line").contains("is Draining");
+    fleet.wait_for(drained, is_told).unwrap();
+    clock.step(step).unwrap();
+    let stepped = fleet.history.len();
+    assert_eq!(ask(&fleet, "after"), REQUESTS);
+    let records = fleet.history.since(stepped);
+    let begins = |r: &&Record| r.event == "run.begun" && r.source == "host/writer-1";
+    assert_eq!(records.iter().filter(begins).count(), 0);
+    assert!(records.iter().any(|r| r.event == "run.begun"));
+    assert_eq!(end(&fleet)("violations"), 0);
+}
+
 /// The rule watched: a process that starts with its clock an hour off serves, and tells the operators.
 #[rstest]
 fn a_process_that_starts_with_its_wall_clock_off_serves(#[values(HOUR, -HOUR)] step: i64) {
