Log requests and connections of a shutdown with their time since the signal

Now: a line for each request that comes whole while the process stops, a summary of connections when they close, and (debug) the state of each connection that closes for the end or for its time. The time of the signal is taken by the thread that waits for it. No behaviour changes.

--- a/src/dispatch/clock.rs
+++ b/src/dispatch/clock.rs
@@ -29,6 +29,13 @@
         self.reading_at_origin + self.origin.elapsed().as_micros() as Micros
     }
 
+    /// The reading at a time of the runtime's clock, also one before the clock was started.
+    pub fn reading(&self, at: Instant) -> Micros {
+        let before = self.origin.saturating_duration_since(at);
+        let after = at.saturating_duration_since(self.origin);
+        self.reading_at_origin + after.as_micros() as Micros - before.as_micros() as Micros
+    }
+
     /// Converts a time to the runtime's clock.
     pub fn instant(&self, at: Micros) -> Instant {
         self.origin + Duration::from_micros(at.saturating_sub(self.reading_at_origin))
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -698,6 +698,7 @@
             self.shared.counters.cut_off.up();
             return Err(Fault::refused(Some(CUT_OFF)));
         }
+        self.shared.log_late_arrival(&params.request);
         let mut in_hand =
             self.take_in_hand(params.request.as_str().into(), params.resume.is_some())?;
         let deadline = message.arrived + params.deadline_ms * 1000;
--- a/src/front/shared.rs
+++ b/src/front/shared.rs
@@ -5,6 +5,7 @@
 use crate::dispatch::DispatcherHandle;
 use crate::fleet::transport::policy::{Gate, Pass, Shut, once};
 use crate::routing::types::{Micros, RequestClass};
+use crate::shutdown::Shutdown;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -28,6 +29,8 @@
     pub ready: Box<dyn Fn() -> bool>,
     /// Whether new requests may be taken: in a fleet, whether the conductor's right to act stands at this moment.
     pub may_serve: Box<dyn Fn() -> bool>,
+    /// The shutdown of the process.
+    pub shutdown: Shutdown,
     /// Counters.
     pub counters: Rc<Counters>,
     /// How requests of each class ended, for operators.
@@ -49,6 +52,16 @@
         once(&self.classes.borrow()).any(|c| c.name == class)
     }
 
+    /// Logs a request that has come whole while the process stops.
+    pub fn log_late_arrival(&self, id: &str) {
+        if let Some(elapsed) = self.shutdown.elapsed() {
+            log::info!(
+                "request {id}: came whole {} ms after the signal to stop",
+                elapsed.as_millis()
+            );
+        }
+    }
+
     /// Lets a request begin; hold on to the pass until the dispatcher has the request.
     ///
     /// # Errors
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
 pub mod live_settings;
 pub mod net;
 pub mod routing;
+pub mod shutdown;
 pub mod storage;
 pub mod wire;
 
--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -271,7 +271,9 @@
                 }
             }
             () = closing(&mut stage, watch, accepted), if may_close => {
-                match permit_close(CloseCause::Ending, state(socket, watch)) {
+                let state = state(socket, watch);
+                log::debug!("client connection: it is to close for the end: {state:?}");
+                match permit_close(CloseCause::Ending, state) {
                     // With a request in hand: it is closed behind that one's answer.
                     Ok(_) | Err(CloseDenial::InHand) => {
                         stopping = true;
@@ -283,7 +285,10 @@
             () = watch.changed() => {}
             () = async { tokio::time::sleep_until(due.unwrap_or(accepted)).await }, if due.is_some() => {
                 match permit_close(CloseCause::TimeOver, state(socket, watch)) {
-                    Ok(permit) => return Served::Closed(permit),
+                    Ok(permit) => {
+                        log::debug!("client connection: closed, its time is over: {:?}", watch.standing());
+                        return Served::Closed(permit);
+                    }
                     Err(refusal) => {
                         log::debug!("client connection: not closed: {refusal}");
                         tokio::task::yield_now().await;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -138,6 +138,7 @@
             Err(response) => return response,
         };
         request_metrics.begin_progress();
+        shared.log_late_arrival(&intake.id);
         let headers = end_to_end(&head.headers);
         if !held.grow(
             headers
@@ -284,6 +285,28 @@
     }
 }
 
+/// How many client connections stand how.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ConnectionSummary {
+    idle: usize,
+    arriving: usize,
+    in_hand: usize,
+}
+
+impl std::fmt::Display for ConnectionSummary {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let ConnectionSummary {
+            idle,
+            arriving,
+            in_hand,
+        } = self;
+        write!(
+            f,
+            "{idle} idle, {arriving} with a request in part, {in_hand} with a request in hand"
+        )
+    }
+}
+
 /// The client connections that are open.
 #[derive(Default)]
 pub struct Connections {
@@ -309,6 +332,19 @@
         }
     }
 
+    /// How many stand how.
+    pub fn summary(&self) -> ConnectionSummary {
+        let mut summary = ConnectionSummary::default();
+        for watch in self.all.borrow().values() {
+            match watch.standing() {
+                Standing::Idle(_) => summary.idle += 1,
+                Standing::Arriving(_) => summary.arriving += 1,
+                Standing::InHand => summary.in_hand += 1,
+            }
+        }
+        summary
+    }
+
     fn enter(self: &Rc<Self>, watch: Rc<Watch>) -> Place {
         let number = self.next.get();
         self.next.set(number + 1);
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -6,6 +6,7 @@
 use super::*;
 use crate::admin::metrics::Metrics;
 use crate::dispatch::Clock;
+use crate::shutdown::{Shutdown, StopRequest};
 use rstest::rstest;
 use socket2::SockRef;
 use std::io;
@@ -74,8 +75,10 @@
 
 fn shared(budget: usize) -> Rc<Shared> {
     let (dispatcher, _) = crate::dispatch::DispatcherHandle::channel(Clock::start());
+    let shutdown = Shutdown::new(StopRequest::default(), dispatcher.clock);
     Rc::new(Shared {
         dispatcher,
+        shutdown,
         classes: RefCell::default(),
         gate: None,
         ready: Box::new(|| true),
--- a/src/run.rs
+++ b/src/run.rs
@@ -34,6 +34,7 @@
 use whinhaven::net::upgrade::slow_start::SlowStartRight;
 use whinhaven::net::upgrade::{self, Place, Sharing};
 use whinhaven::routing::types::{EndpointUpdate, Role, WorkerId};
+use whinhaven::shutdown::Shutdown;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
@@ -155,6 +156,7 @@
     };
     let counters = Rc::new(Counters::default());
     let clock = Clock::start();
+    let shutdown = Shutdown::new(signals.stop_request.clone(), clock);
     let (dispatcher, queue) = DispatcherHandle::channel(clock);
     let live = LiveSettings::new(dispatcher.clone());
     let settings = config.settings.clone();
@@ -343,6 +345,7 @@
         gate: gate.clone(),
         ready: Box::new(ready),
         may_serve,
+        shutdown: shutdown.clone(),
         counters: counters.clone(),
         metrics: Rc::new(Metrics::default()),
         budget: Cell::new(config.limits.memory_mb * 1024 * 1024 / 3),
@@ -484,6 +487,11 @@
         tokio::join!(early, tokio::time::timeout(ACCEPT_ON, successor))
             .1
             .unwrap_or_default();
+        log::info!(
+            "stopping: {} ms after the signal, connections close: {}",
+            shutdown.elapsed().unwrap_or_default().as_millis(),
+            open.summary()
+        );
         let _ = stage.send(Stage::Closing);
         // What the system has accepted by now is taken.
         let _ = accepting.await;
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -7,12 +7,15 @@
 use nix::sys::signal::{SigSet, Signal};
 use std::sync::Arc;
 use tokio::sync::Notify;
+use whinhaven::shutdown::StopRequest;
 
 /// Signals, each remembered until it is seen; several of a kind count as one.
 #[derive(Clone, Debug, Default)]
 pub struct Signals {
     /// SIGTERM and SIGINT: end in order.
     pub stop: Arc<Notify>,
+    /// When the first of these came.
+    pub stop_request: StopRequest,
     /// SIGHUP: read the configuration again.
     pub reload: Arc<Notify>,
     /// SIGUSR1: log the counters.
@@ -48,7 +51,10 @@
             match set.wait() {
                 Ok(Signal::SIGHUP) => self.reload.notify_one(),
                 Ok(Signal::SIGUSR1) => self.report.notify_one(),
-                Ok(_) => self.stop.notify_one(),
+                Ok(_) => {
+                    self.stop_request.note();
+                    self.stop.notify_one();
+                }
                 Err(Errno::EINTR) => {}
                 Err(error) => return log::error!("signals are not followed any more: {error}"),
             }
