Reject requests that come whole over 0.5 s after the signal to stop

Cause: admission did not know that the process stops.

Ruled out as needed for it: a crowd, a hold-up, signals in series: the red tests have none.

Why this works: the dispatcher takes a request only with an AdmissionPermit, which only src/shutdown.rs makes, from the clock read after the last byte was read and the time that the signal thread noted. Admission ends 0.5 s after the signal: behind the last new connections (0.4 s), and 0.2 s before the bound, where a hold-up is 0.15 s at most. What comes later is rejected before anything of it is forwarded, on both fronts; a late request for the rest of a stream doesn't take the stream away. Connections that rest are closed at the same moment; the listener stays up to 0.7 s.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -66,6 +66,8 @@
         over_bound,
         /// Requests refused since this conductor's right to act in its fleet has ended.
         cut_off,
+        /// Requests rejected since they came late while the process stops.
+        rejected_stopping,
         /// Connections opened to model hosts.
         connections_out,
         /// Connects that failed for want of something on this machine and were tried again.
--- a/src/dispatch/handle.rs
+++ b/src/dispatch/handle.rs
@@ -6,6 +6,7 @@
     AttemptIndex, AttemptOutcome, Endpoint, EndpointUpdate, LoadReport, RequestId, RequestSpec,
     RoutingConfig,
 };
+use crate::shutdown::AdmissionPermit;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
@@ -92,8 +93,8 @@
         let _ = self.events.send(event);
     }
 
-    /// Submits a request; its number is filled in.
-    pub fn submit(&self, mut spec: RequestSpec, call: Call) -> ServerSide {
+    /// Submits a request that was admitted; its number is filled in.
+    pub fn submit(&self, mut spec: RequestSpec, call: Call, _: AdmissionPermit) -> ServerSide {
         let request = RequestId(self.next_request.get());
         self.next_request.set(request.0 + 1);
         spec.request = request;
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -2,6 +2,7 @@
 use super::*;
 use crate::exchange::Call;
 use crate::routing::types::*;
+use crate::shutdown::{AdmissionPermit, Shutdown, StopRequest};
 use bytes::Bytes;
 use std::rc::Rc;
 
@@ -47,7 +48,7 @@
             keeps: None,
             name: None,
         };
-        drop(handle.submit(spec, call));
+        drop(handle.submit(spec, call, permit()));
         while let Ok(input) = queue.try_recv() {
             dispatcher.on_event(input);
         }
@@ -60,6 +61,12 @@
     );
 }
 
+/// Admission by a process that runs.
+fn permit() -> AdmissionPermit {
+    let shutdown = Shutdown::new(StopRequest::default(), Clock::start());
+    shutdown.permit_admission().unwrap()
+}
+
 /// Records the attempts that it is given.
 #[derive(Default)]
 struct Sent(std::cell::RefCell<Vec<Attempt>>);
@@ -134,6 +141,7 @@
                 keeps: None,
                 name: None,
             },
+            permit(),
         )
     };
     let _open = ask();
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -698,7 +698,11 @@
             self.shared.counters.cut_off.up();
             return Err(Fault::refused(Some(CUT_OFF)));
         }
-        self.shared.log_late_arrival(&params.request);
+        // First of all: what is rejected must not take a stream from its client.
+        let permit = self
+            .shared
+            .admit(&params.request)
+            .map_err(|advice| Fault::refused(Some(advice)))?;
         let mut in_hand =
             self.take_in_hand(params.request.as_str().into(), params.resume.is_some())?;
         let deadline = message.arrived + params.deadline_ms * 1000;
@@ -750,7 +754,7 @@
             keeps: None,
             name: claim.as_ref().map(Claim::key),
         };
-        let waiting = self.shared.dispatcher.submit(ask, call).answer();
+        let waiting = self.shared.dispatcher.submit(ask, call, permit).answer();
         drop(pass);
         let (answer, presence) = tokio::select! {
             answered = waiting => answered,
--- a/src/front/shared.rs
+++ b/src/front/shared.rs
@@ -5,7 +5,7 @@
 use crate::dispatch::DispatcherHandle;
 use crate::fleet::transport::policy::{Gate, Pass, Shut, once};
 use crate::routing::types::{Micros, RequestClass};
-use crate::shutdown::Shutdown;
+use crate::shutdown::{AdmissionPermit, Shutdown};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -52,13 +52,26 @@
         once(&self.classes.borrow()).any(|c| c.name == class)
     }
 
-    /// Logs a request that has come whole while the process stops.
-    pub fn log_late_arrival(&self, id: &str) {
-        if let Some(elapsed) = self.shutdown.elapsed() {
-            log::info!(
-                "request {id}: came whole {} ms after the signal to stop",
-                elapsed.as_millis()
-            );
+    /// Admits a request that has just come whole.
+    ///
+    /// # Errors
+    /// The process stops, and the request came late: the advice when to come back. Another router is better tried first.
+    pub fn admit(&self, id: &str) -> Result<AdmissionPermit, Micros> {
+        match self.shutdown.permit_admission() {
+            Ok(permit) => {
+                if let Some(elapsed) = self.shutdown.elapsed() {
+                    log::info!(
+                        "request {id}: came whole {} ms after the signal to stop",
+                        elapsed.as_millis()
+                    );
+                }
+                Ok(permit)
+            }
+            Err(denial) => {
+                self.counters.rejected_stopping.up();
+                log::info!("request {id}: rejected: {denial}");
+                Err(CUT_OFF)
+            }
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -16,6 +16,7 @@
 pub mod release;
 pub mod releases;
 pub mod server;
+pub mod shutdown_stages;
 pub mod stream;
 pub mod upgrade;
 
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -138,7 +138,10 @@
             Err(response) => return response,
         };
         request_metrics.begin_progress();
-        shared.log_late_arrival(&intake.id);
+        let permit = match shared.admit(&intake.id) {
+            Ok(permit) => permit,
+            Err(advice) => return platform::refusal(Some(advice)),
+        };
         let headers = end_to_end(&head.headers);
         if !held.grow(
             headers
@@ -182,7 +185,7 @@
             keeps,
             name: None,
         };
-        let asked = shared.dispatcher.submit(intake.ask, call);
+        let asked = shared.dispatcher.submit(intake.ask, call, permit);
         drop(pass);
         let (answer, presence) = asked.answer().await;
         platform::encode(answer, presence)
@@ -256,6 +259,8 @@
     Draining,
     /// Another process serves the address: nothing more is accepted, and each answer closes its connection.
     Leaving,
+    /// The conductor stops and admits no more requests: as while it drains, but requests that come are rejected.
+    Rejecting,
     /// The conductor ends: as while it drains, but none is accepted any more.
     Closing,
 }
@@ -267,19 +272,19 @@
 
     /// Whether connections that rest are closed.
     pub(super) fn closes_resting(self) -> bool {
-        matches!(self, Stage::Draining | Stage::Closing)
+        matches!(self, Stage::Draining | Stage::Rejecting | Stage::Closing)
     }
 
     /// Whether new connections are accepted.
     fn accepts(self) -> bool {
-        matches!(self, Stage::Open | Stage::Draining)
+        matches!(self, Stage::Open | Stage::Draining | Stage::Rejecting)
     }
 
     /// How long a connection that has just been accepted is left open without a request.
     pub(super) fn first_request_within(self) -> Duration {
         match self {
             Stage::Open | Stage::Leaving => SILENT_CLIENT,
-            Stage::Draining => LATE_CLIENT,
+            Stage::Draining | Stage::Rejecting => LATE_CLIENT,
             Stage::Closing => SETTLED,
         }
     }
--- a/src/run.rs
+++ b/src/run.rs
@@ -29,16 +29,17 @@
 use whinhaven::net::drain::{self, DrainSwitch};
 use whinhaven::net::pool::Pool;
 use whinhaven::net::server::{Connections, Edge, Listener, OVER, Stage};
+use whinhaven::net::shutdown_stages;
 use whinhaven::net::upgrade::seat::Phase;
 use whinhaven::net::upgrade::share::{Shares, Split};
 use whinhaven::net::upgrade::slow_start::SlowStartRight;
 use whinhaven::net::upgrade::{self, Place, Sharing};
 use whinhaven::routing::types::{EndpointUpdate, Role, WorkerId};
-use whinhaven::shutdown::Shutdown;
+use whinhaven::shutdown::{ACCEPT_FOR, ADMIT_FOR, Shutdown};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// After SIGTERM new connections keep coming for up to 0.4 s; they are accepted for longer than that.
-const ACCEPT_ON: Duration = Duration::from_millis(700);
+/// How long the end waits for the fleet to take note of it.
+const LEAVE_WITHIN: Duration = Duration::from_millis(700);
 /// How long the end waits for releases that no model host has taken.
 const RELEASED: Duration = Duration::from_secs(2);
 /// How often idle connections are looked at.
@@ -461,12 +462,16 @@
     if other_serves.get() {
         log::info!("stopping: another process serves {address}; this one leaves it");
     } else {
-        log::info!("stopping: accepting for {} ms more", ACCEPT_ON.as_millis());
+        log::info!(
+            "stopping: requests are admitted up to {} ms after the signal, connections accepted up to {} ms",
+            ADMIT_FOR.as_millis(),
+            ACCEPT_FOR.as_millis()
+        );
     }
     stopping.set(true);
     let leave = async || {
         if let Some(fleet) = &fleet {
-            fleet.leave(ACCEPT_ON).await;
+            fleet.leave(LEAVE_WITHIN).await;
         }
     };
     let ending = async {
@@ -477,24 +482,12 @@
                 leave().await;
             }
         };
-        let successor = async {
-            while !other_serves.get() {
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
-            let _ = stage.send(Stage::Leaving);
-            std::future::pending::<()>().await;
+        let close_clients = async {
+            shutdown_stages::follow(&shutdown, &other_serves, &open, &stage).await;
+            // What the system has accepted by now is taken.
+            let _ = accepting.await;
         };
-        tokio::join!(early, tokio::time::timeout(ACCEPT_ON, successor))
-            .1
-            .unwrap_or_default();
-        log::info!(
-            "stopping: {} ms after the signal, connections close: {}",
-            shutdown.elapsed().unwrap_or_default().as_millis(),
-            open.summary()
-        );
-        let _ = stage.send(Stage::Closing);
-        // What the system has accepted by now is taken.
-        let _ = accepting.await;
+        tokio::join!(early, close_clients);
         pool.clear();
         let hand_over = work
             .as_ref()
--- a/tests/held.rs
+++ b/tests/held.rs
@@ -13,6 +13,7 @@
 };
 use whinhaven::exchange::{Answer, Call, Frame, feed};
 use whinhaven::routing::types::*;
+use whinhaven::shutdown::{Shutdown, StopRequest};
 
 const MS: Micros = 1_000;
 const RELEASE: Micros = 500 * MS;
@@ -228,6 +229,7 @@
         let local = tokio::task::LocalSet::new();
         let clock = Clock::start();
         let (dispatcher, queue) = DispatcherHandle::channel(clock);
+        let shutdown = Shutdown::new(StopRequest::default(), clock);
         let world = Rc::new(World {
             dispatcher: dispatcher.clone(),
             held: RefCell::default(),
@@ -288,6 +290,7 @@
                         keeps: None,
                         name: None,
                     },
+                    shutdown.permit_admission().unwrap(),
                 );
                 // Some clients leave early.
                 let patience = if world.draw(8) == 0 {
