Add a soak of shutdowns: signals in series, an early kill, an oracle outside

Clients that keep using their connections until the kill, requests in pieces across the bounds, streams that outlast SIGKILL at 3.7 s, signals in series, drains, hold-ups, a crowd, a start, a successor, a fleet. The oracle reads the clients' and the hosts' records alone.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod rolling_upgrade;
 pub mod scale;
 pub mod script;
+pub mod shutdown_soak;
 pub mod sim;
 pub mod sim_sites;
 pub mod soak;
--- a/lab/src/process.rs
+++ b/lab/src/process.rs
@@ -395,6 +395,21 @@
         self.signal(Signal::HUP);
     }
 
+    /// Asks for an orderly end as from a keyboard (SIGINT).
+    pub fn interrupt(&self) {
+        self.signal(Signal::INT);
+    }
+
+    /// Has it log its counters (SIGUSR1).
+    pub fn report(&self) {
+        self.signal(Signal::USR1);
+    }
+
+    /// How it has ended; `None` while it runs, and where it was killed by the lab.
+    pub fn exit_status(&self) -> Option<ExitStatus> {
+        self.child().as_mut()?.try_wait().ok().flatten()
+    }
+
     /// Asks for an orderly end (SIGTERM) without waiting for it.
     pub fn begin_to_terminate(&self) {
         self.history
