Split the orderly end of the process out of run()

run() had the wiring of all parts and the sequence of the end in one function of over 300 lines. The end is a struct of its own now, with a function a step. No behaviour changes.

--- a/src/run.rs
+++ b/src/run.rs
@@ -1,7 +1,10 @@
 //! Serving: wiring, signals, reload.
 
+mod orderly_end;
+
 use crate::reload::Reload;
 use crate::signals::Signals;
+use orderly_end::OrderlyEnd;
 use std::cell::{Cell, RefCell};
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
@@ -10,7 +13,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::MissedTickBehavior;
 use whinhaven::admin::metrics::Metrics;
 use whinhaven::admin::server::{ADMIN_SOCKETS, AdminServer};
 use whinhaven::config::{Config, ConfigError};
@@ -29,7 +32,6 @@
 use whinhaven::net::drain::{self, DrainSwitch};
 use whinhaven::net::pool::Pool;
 use whinhaven::net::server::{Connections, Edge, Listener, OVER, Stage};
-use whinhaven::net::shutdown_stages;
 use whinhaven::net::upgrade::seat::Phase;
 use whinhaven::net::upgrade::share::{Shares, Split};
 use whinhaven::net::upgrade::slow_start::SlowStartRight;
@@ -38,10 +40,6 @@
 use whinhaven::shutdown::{ACCEPT_FOR, ADMIT_FOR, Shutdown};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// How long the end waits for the fleet to take note of it.
-const LEAVE_WITHIN: Duration = Duration::from_millis(700);
-/// How long the end waits for releases that no model host has taken.
-const RELEASED: Duration = Duration::from_secs(2);
 /// How often idle connections are looked at.
 const RETIRE: Duration = Duration::from_millis(500);
 /// The list of the configuration is the first that is taken; the next is of discovery.
@@ -469,48 +467,19 @@
         );
     }
     stopping.set(true);
-    let leave = async || {
-        if let Some(fleet) = &fleet {
-            fleet.leave(LEAVE_WITHIN).await;
-        }
-    };
-    let ending = async {
-        // The others need not wait for leases to run out: they are given back at once, or, where what is in hand is
-        // recorded under them, when it is done or handed over.
-        let early = async {
-            if work.is_none() {
-                leave().await;
-            }
-        };
-        let close_clients = async {
-            shutdown_stages::follow(&shutdown, &other_serves, &open, &stage).await;
-            // What the system has accepted by now is taken.
-            let _ = accepting.await;
-        };
-        tokio::join!(early, close_clients);
-        pool.clear();
-        let hand_over = work
-            .as_ref()
-            .map(|w| Duration::from_millis(w.settings().hand_over_after_ms));
-        let begun = Instant::now();
-        // A call that is out has its time: without its outcome on record it is unknown wherever its request goes on.
-        let calls = || hand_over.is_some() && front.as_ref().is_some_and(|f| f.is_calling());
-        while open.count() > 0 || calls() {
-            if hand_over.is_some_and(|after| begun.elapsed() >= after)
-                && let Some(front) = &front
-            {
-                front.hand_over();
-            }
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-        if work.is_some() {
-            leave().await;
-        }
-        // What was just answered may still have a release on its way, or get one as its last attempt ends. The time
-        // that it may be held, and the platform's slack, are over by then: later it helps no longer.
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        let _ = tokio::time::timeout(RELEASED, pending.none()).await;
+    let ending = OrderlyEnd {
+        shutdown,
+        other_serves,
+        connections: open,
+        stage,
+        accepting,
+        pool,
+        pending,
+        fleet: fleet.clone(),
+        work,
+        front,
     };
+    let ending = ending.run();
     tokio::pin!(ending);
     // What was taken may run on for long: the list has to follow discovery meanwhile.
     loop {
--- /dev/null
+++ b/src/run/orderly_end.rs
@@ -0,0 +1,114 @@
+//! The orderly end of the process: what is done between the request to stop and the exit.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use whinhaven::fleet::transport::Fleet;
+use whinhaven::fleet::transport::work::Work;
+use whinhaven::front::jsonrpc::Front;
+use whinhaven::net::client::Pending;
+use whinhaven::net::pool::Pool;
+use whinhaven::net::server::{Connections, Stage};
+use whinhaven::net::shutdown_stages;
+use whinhaven::shutdown::Shutdown;
+
+/// How long the end waits for the fleet to take note of it.
+const LEAVE_WITHIN: Duration = Duration::from_millis(700);
+/// How long the end waits for releases that no model host has taken.
+const RELEASED_WITHIN: Duration = Duration::from_secs(2);
+/// The last attempt of a request may end, and order its release, so long after the request was answered.
+const LAST_RELEASE_WITHIN: Duration = Duration::from_millis(50);
+/// How often requests in hand are looked at.
+const LOOK_AT_REQUESTS: Duration = Duration::from_millis(5);
+
+/// The parts that the orderly end has to do with.
+pub struct OrderlyEnd {
+    /// When the process was asked to stop.
+    pub shutdown: Shutdown,
+    /// Whether another process serves the address.
+    pub other_serves: Rc<Cell<bool>>,
+    /// Client connections.
+    pub connections: Rc<Connections>,
+    /// Moves client connections on.
+    pub stage: watch::Sender<Stage>,
+    /// The listener's task.
+    pub accepting: JoinHandle<()>,
+    /// Connections to model hosts.
+    pub pool: Pool,
+    /// Releases under way.
+    pub pending: Rc<Pending>,
+    /// The fleet, if this router is a member of one.
+    pub fleet: Option<Fleet>,
+    /// Records of requests in flight, if the fleet keeps them.
+    pub work: Option<Rc<Work>>,
+    /// The tool-call front, if configured.
+    pub front: Option<Rc<Front>>,
+}
+
+impl OrderlyEnd {
+    /// Finishes what was taken; resolves when the process may exit.
+    pub async fn run(mut self) {
+        let OrderlyEnd {
+            shutdown,
+            other_serves,
+            connections,
+            stage,
+            ..
+        } = &self;
+        let close_clients = shutdown_stages::follow(shutdown, other_serves, connections, stage);
+        tokio::join!(self.leave_early(), close_clients);
+        // What the system has accepted by now is taken.
+        let _ = (&mut self.accepting).await;
+        self.pool.clear();
+        self.finish_requests().await;
+        if self.work.is_some() {
+            self.leave().await;
+        }
+        // What was just answered may still have a release on its way, or get one as its last attempt ends. The time
+        // that it may be held, and the platform's slack, are over by then: later it helps no longer.
+        tokio::time::sleep(LAST_RELEASE_WITHIN).await;
+        let _ = tokio::time::timeout(RELEASED_WITHIN, self.pending.none()).await;
+    }
+
+    /// The others need not wait for leases to run out: they are given back at once, or, where what is in hand is recorded
+    /// under them, when it is done or handed over.
+    async fn leave_early(&self) {
+        if self.work.is_none() {
+            self.leave().await;
+        }
+    }
+
+    async fn leave(&self) {
+        if let Some(fleet) = &self.fleet {
+            fleet.leave(LEAVE_WITHIN).await;
+        }
+    }
+
+    /// Waits until all requests are answered, or handed over where the fleet keeps records of them.
+    async fn finish_requests(&self) {
+        let begun = Instant::now();
+        while self.connections.count() > 0 || self.is_calling() {
+            if self
+                .hands_over_after()
+                .is_some_and(|after| begun.elapsed() >= after)
+                && let Some(front) = &self.front
+            {
+                front.hand_over();
+            }
+            tokio::time::sleep(LOOK_AT_REQUESTS).await;
+        }
+    }
+
+    fn hands_over_after(&self) -> Option<Duration> {
+        let settings = self.work.as_ref()?.settings();
+        Some(Duration::from_millis(settings.hand_over_after_ms))
+    }
+
+    /// A call that is out has its time: without its outcome on record it is unknown wherever its request goes on.
+    fn is_calling(&self) -> bool {
+        self.work.is_some() && self.front.as_ref().is_some_and(|front| front.is_calling())
+    }
+}
