Count hand_over_after_ms from the signal to stop, as its documentation says

What operators saw: what is in hand was handed over up to 0.7 s later than hand_over_after_ms after SIGTERM, nearer to SIGKILL or behind it. Cause: the span began when connections had been closed. Trial (the hand-over test of lab/tests/processes_takeover.rs with 1000 ms, event times of the history): the client's connection broke 1708 ms after SIGTERM before, 1003 ms after. The decision is Shutdown::has_lasted, tested on a paused clock; there is no red test of the old code, which had no such function.

--- a/src/run/orderly_end.rs
+++ b/src/run/orderly_end.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
 use whinhaven::fleet::transport::Fleet;
 use whinhaven::fleet::transport::work::Work;
 use whinhaven::front::jsonrpc::Front;
@@ -89,11 +88,8 @@
 
     /// Waits until all requests are answered, or handed over where the fleet keeps records of them.
     async fn finish_requests(&self) {
-        let begun = Instant::now();
         while self.connections.count() > 0 || self.is_calling() {
-            if self
-                .hands_over_after()
-                .is_some_and(|after| begun.elapsed() >= after)
+            if self.is_hand_over_due()
                 && let Some(front) = &self.front
             {
                 front.hand_over();
@@ -102,9 +98,11 @@
         }
     }
 
-    fn hands_over_after(&self) -> Option<Duration> {
-        let settings = self.work.as_ref()?.settings();
-        Some(Duration::from_millis(settings.hand_over_after_ms))
+    fn is_hand_over_due(&self) -> bool {
+        self.work.as_ref().is_some_and(|work| {
+            let after = Duration::from_millis(work.settings().hand_over_after_ms);
+            self.shutdown.has_lasted(after)
+        })
     }
 
     /// A call that is out has its time: without its outcome on record it is unknown wherever its request goes on.
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -63,6 +63,11 @@
         Some(Duration::from_micros(elapsed))
     }
 
+    /// Whether the process has been stopping for this span or longer.
+    pub fn has_lasted(&self, span: Duration) -> bool {
+        self.elapsed().is_some_and(|elapsed| elapsed >= span)
+    }
+
     /// Whether a request that has just come whole may be dispatched. Reads the clock itself: a reading from before the
     /// request's last byte was read could be too early.
     ///
--- a/src/shutdown/tests.rs
+++ b/src/shutdown/tests.rs
@@ -52,6 +52,18 @@
     assert_eq!(denial.since_request, Duration::from_secs(2));
 }
 
+/// Guards against a span that begins anew when connections close: what is to be handed over was so up to 0.7 s late.
+#[tokio::test(start_paused = true)]
+async fn a_span_of_the_shutdown_runs_from_the_request_to_stop() {
+    let clock = Clock::start();
+    let shutdown = stopping(tokio::time::Instant::now().into_std(), clock);
+    advance(ACCEPT_FOR).await;
+    assert!(shutdown.has_lasted(ACCEPT_FOR));
+    assert!(!shutdown.has_lasted(ACCEPT_FOR + Duration::from_millis(1)));
+    let running = Shutdown::new(StopRequest::default(), clock);
+    assert!(!running.has_lasted(Duration::ZERO));
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_first_request_to_stop_counts() {
     let request = StopRequest::default();
