Leave a fleet only when no more requests are admitted

What callers saw: a member of a fleet without takeover rejected everything from SIGTERM on, though clients use it for another 0.4 s. Cause: it gave up its leases, and with them its right to act, at the signal, while it went on accepting.

Evidence: the new test in lab/tests/processes_ground.rs failed before (the member left before its connections went to Rejecting) and passes now.

--- a/lab/tests/processes_ground.rs
+++ b/lab/tests/processes_ground.rs
@@ -630,3 +630,18 @@
     ground.settled(&[]);
     folder.ground.end();
 }
+
+/// Guards against requests that a stopping member rejects though it admits requests still, since it has left its fleet.
+#[test]
+fn a_stopping_member_leaves_its_fleet_when_it_admits_no_more_requests() {
+    let ground = Ground::start(3, 3, 1);
+    let before = ground.fleet.history.len();
+    let status = ground.fleet.conductor("c1").terminate().unwrap();
+    assert!(status.is_some_and(|status| status.success()));
+    let records = ground.fleet.history.since(before);
+    let place = |of: &dyn Fn(&Record) -> bool| records.iter().position(of).expect("a record");
+    let rejects = |r: &Record| r.source == "c1" && r.text("line").contains("to Rejecting");
+    let leaves = |r: &Record| r.is("c1", "fleet.stop");
+    assert!(place(&rejects) < place(&leaves));
+    ground.end();
+}
--- a/src/run/orderly_end.rs
+++ b/src/run/orderly_end.rs
@@ -12,7 +12,7 @@
 use whinhaven::net::pool::Pool;
 use whinhaven::net::server::{Connections, Stage};
 use whinhaven::net::shutdown_stages;
-use whinhaven::shutdown::Shutdown;
+use whinhaven::shutdown::{ADMIT_FOR, Shutdown};
 
 /// How long the end waits for the fleet to take note of it.
 const LEAVE_WITHIN: Duration = Duration::from_millis(700);
@@ -72,10 +72,11 @@
         let _ = tokio::time::timeout(RELEASED_WITHIN, self.pending.none()).await;
     }
 
-    /// The others need not wait for leases to run out: they are given back at once, or, where what is in hand is recorded
-    /// under them, when it is done or handed over.
+    /// The others need not wait for leases to run out: they are given back when no more requests are admitted under them,
+    /// or, where what is in hand is recorded under them, when it is done or handed over.
     async fn leave_early(&self) {
         if self.work.is_none() {
+            self.shutdown.reach(ADMIT_FOR).await;
             self.leave().await;
         }
     }
