Log the counters on SIGUSR1 while the process stops, too

What operators saw: SIGUSR1 during a shutdown did nothing, just when its counters are wanted. Cause: the loop behind the signal to stop followed SIGHUP alone. tests/crossings.rs sent SIGUSR1 there and looked for nothing; it waits for the line now, failed before (no line with "] counters: ") and passes.

--- a/src/run.rs
+++ b/src/run.rs
@@ -136,6 +136,14 @@
     }
 }
 
+/// Logs the counters.
+fn report(counters: &Counters, fleet: Option<&Fleet>) {
+    log::info!("counters: {counters}");
+    if let Some(fleet) = fleet {
+        log::info!("fleet counters: {}", fleet.counters());
+    }
+}
+
 /// Binds the admin endpoint.
 async fn listen_for_operators(address: SocketAddr) -> Result<TcpListener, ConfigError> {
     TcpListener::bind(address)
@@ -441,12 +449,7 @@
     loop {
         tokio::select! {
             () = signals.stop.notified() => break,
-            () = signals.report.notified() => {
-                log::info!("counters: {counters}");
-                if let Some(fleet) = &fleet {
-                    log::info!("fleet counters: {}", fleet.counters());
-                }
-            }
+            () = signals.report.notified() => report(&counters, fleet.as_ref()),
             () = signals.reload.notified() => reload.run(),
             _ = retire.tick() => {
                 pool.retire();
@@ -485,6 +488,7 @@
     loop {
         tokio::select! {
             () = &mut ending => break,
+            () = signals.report.notified() => report(&counters, fleet.as_ref()),
             () = signals.reload.notified() => reload.run(),
         }
     }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -105,9 +105,11 @@
     let mut resting = conductor.connect();
     conductor.signal("-TERM");
     conductor.wait_for("stopping");
-    for signal in ["-TERM", "-INT", "-USR1", "-HUP"] {
+    for signal in ["-TERM", "-INT", "-USR1"] {
         conductor.signal(signal);
     }
+    conductor.wait_for("] counters: ");
+    conductor.signal("-HUP");
     conductor.wait_for("reload: discovery stays");
     conductor.reload("listen = ");
     conductor.wait_for("the configuration held stands");
