--- a/lab/src/shutdown_soak/plan.rs
+++ b/lab/src/shutdown_soak/plan.rs
@@ -8,6 +8,8 @@
 const HOLD_UP_MS: i64 = 150;
 /// Idle clients, and the router's descriptors that they fill.
 const CROWD: usize = 190;
+/// System calls that fail now and then: ECONNABORTED, EADDRNOTAVAIL, interrupted and short reads, writes and waits.
+const FAILING_CALLS: &str = "accept4:103:7,connect:99:9,recv:4:11,writev:short:5,epoll_wait:4:13";
 /// Clients of each kind.
 const KEEPERS: usize = 14;
 const DRIPPERS: usize = 26;
@@ -133,6 +135,8 @@
     pub decode_hosts: Vec<HostKind>,
     /// Clients.
     pub clients: Vec<ClientPlan>,
+    /// System calls of the routers that fail, as the fault shim is told.
+    pub failing_calls: Option<&'static str>,
 }
 
 impl Plan {
@@ -154,6 +158,7 @@
             prefill_hosts: draw_hosts(random),
             decode_hosts: draw_hosts(random),
             clients: draw_clients(random, topology),
+            failing_calls: random.random_bool(0.3).then_some(FAILING_CALLS),
         }
     }
 }
@@ -272,6 +277,9 @@
         for step in &self.signals {
             write!(f, ", {:?} {}", step.signal, step.after_ms)?;
         }
+        if self.failing_calls.is_some() {
+            write!(f, ", system calls fail")?;
+        }
         for bad in [self.prefill_hosts.last(), self.decode_hosts.last()] {
             if let Some(kind) = bad.filter(|kind| **kind != HostKind::Well) {
                 write!(f, ", a host {kind:?}")?;
--- a/lab/src/shutdown_soak/router.rs
+++ b/lab/src/shutdown_soak/router.rs
@@ -7,6 +7,7 @@
 use crate::history::{History, Record, STUCK};
 use crate::peer::{Message, Peer};
 use crate::process::{Conductor, Folder};
+use crate::soak::environment;
 use std::fmt::Write as _;
 use std::io::{BufReader, Write as _};
 use std::net::{SocketAddr, TcpStream};
@@ -65,7 +66,8 @@
             std::fs::write(&file, text)?;
             let name = format!("c{number}");
             let mut process = Conductor::new(&name, file, &[], history.clone());
-            process.environment = vec![("TMPDIR", folder.path().into())];
+            process.environment = plan.failing_calls.map_or_else(Vec::new, environment);
+            process.environment.push(("TMPDIR", folder.path().into()));
             routers.push(Router {
                 process,
                 address,
