--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 pub mod client;
 mod client_connection;
+pub mod connections;
 pub mod discovery;
 pub mod drain;
 pub mod events;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,8 +2,9 @@
 
 use super::Local;
 use super::client_connection::{Answerer, Answering, serve};
+use super::connections::Connections;
 use super::fault::pause_after_accept;
-use super::framing::{Standing, Watch};
+use super::framing::Watch;
 use super::upgrade::socket::turn_away_new;
 use crate::admin::metrics::RequestMetrics;
 use crate::counters::Counters;
@@ -18,8 +19,6 @@
 use hyper::body::{Body, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
 use std::any::Any;
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
@@ -37,7 +36,7 @@
 const LATE_CLIENT: Duration = Duration::from_millis(500);
 /// Where places are short, a connection may have to go that has been idle for this long: a client that has just
 /// connected gets to send its request.
-const SETTLED: Duration = Duration::from_millis(50);
+pub(super) const SETTLED: Duration = Duration::from_millis(50);
 /// The same for a request that is still not whole.
 pub(super) const DAWDLES: Duration = Duration::from_millis(400);
 /// Connections over the bound that are still told so; beyond them, new ones wait in the system's queue.
@@ -290,103 +289,6 @@
     }
 }
 
-/// How many client connections stand how.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ConnectionSummary {
-    idle: usize,
-    arriving: usize,
-    in_hand: usize,
-}
-
-impl std::fmt::Display for ConnectionSummary {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let ConnectionSummary {
-            idle,
-            arriving,
-            in_hand,
-        } = self;
-        write!(
-            f,
-            "{idle} idle, {arriving} with a request in part, {in_hand} with a request in hand"
-        )
-    }
-}
-
-/// The client connections that are open.
-#[derive(Default)]
-pub struct Connections {
-    all: RefCell<BTreeMap<u64, Rc<Watch>>>,
-    next: Cell<u64>,
-    /// The most that there may be now, where that is less than the listener's own bound.
-    most: Cell<Option<usize>>,
-}
-
-impl Connections {
-    /// How many there are.
-    pub fn count(&self) -> usize {
-        self.all.borrow().len()
-    }
-
-    /// Moves the bound, never above the listener's own. What is idle goes at once, as far as it is over the bound.
-    pub fn bound_to(&self, most: usize, counters: &Counters) {
-        self.most.set(Some(most));
-        for _ in most..self.count() {
-            if !self.make_room(counters) {
-                return;
-            }
-        }
-    }
-
-    /// How many stand how.
-    pub fn summary(&self) -> ConnectionSummary {
-        let mut summary = ConnectionSummary::default();
-        for watch in self.all.borrow().values() {
-            match watch.standing() {
-                Standing::Idle(_) => summary.idle += 1,
-                Standing::Arriving(_) => summary.arriving += 1,
-                Standing::InHand => summary.in_hand += 1,
-            }
-        }
-        summary
-    }
-
-    fn enter(self: &Rc<Self>, watch: Rc<Watch>) -> Place {
-        let number = self.next.get();
-        self.next.set(number + 1);
-        self.all.borrow_mut().insert(number, watch);
-        Place(self.clone(), number)
-    }
-
-    /// Makes room: the longest idle connection goes, else the one that takes longest to send its request. Guards
-    /// against clients that connect by the hundred and say nothing, or never all.
-    fn make_room(&self, counters: &Counters) -> bool {
-        let all = self.all.borrow();
-        let idle = |w: &Watch| match w.standing() {
-            Standing::Idle(since) => Some((0, since)).filter(|_| since.elapsed() >= SETTLED),
-            Standing::Arriving(since) => Some((1, since)).filter(|_| since.elapsed() >= DAWDLES),
-            Standing::InHand => None,
-        };
-        let found = all.values().filter(|w| !w.is_unwanted() && !w.is_blocked());
-        let found = found
-            .filter_map(|w| idle(w).map(|since| (since, w)))
-            .min_by_key(|(since, _)| *since);
-        let found = found.inspect(|(_, w)| w.evict());
-        if found.is_some() {
-            counters.connections_evicted.up();
-        }
-        found.is_some()
-    }
-}
-
-/// A connection's place among them, given back when dropped.
-struct Place(Rc<Connections>, u64);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.all.borrow_mut().remove(&self.1);
-    }
-}
-
 /// Accepts clients until told to stop, at most `bound` at once.
 pub struct Listener {
     /// The service.
--- a/src/net/shutdown_stages.rs
+++ b/src/net/shutdown_stages.rs
@@ -1,6 +1,7 @@
 //! Moves client connections through the stages of a shutdown.
 
-use super::server::{Connections, Stage};
+use super::connections::Connections;
+use super::server::Stage;
 use crate::shutdown::{ACCEPT_FOR, ADMIT_FOR, Shutdown};
 use std::cell::Cell;
 use std::time::Duration;
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -9,8 +9,9 @@
 pub mod slow_start;
 pub mod socket;
 
+use super::connections::Connections;
 use super::pool::Pool;
-use super::server::{Connections, OVER};
+use super::server::OVER;
 use crate::config::ConfigError;
 use crate::dispatch::DispatcherEvent;
 use crate::front::shared::{Held, Shared};
--- a/src/run/orderly_end.rs
+++ b/src/run/orderly_end.rs
@@ -9,8 +9,9 @@
 use whinhaven::fleet::transport::work::Work;
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::net::client::Pending;
+use whinhaven::net::connections::Connections;
 use whinhaven::net::pool::Pool;
-use whinhaven::net::server::{Connections, Stage};
+use whinhaven::net::server::Stage;
 use whinhaven::net::shutdown_stages;
 use whinhaven::shutdown::{ADMIT_FOR, Shutdown};
 
