Turn new connections away from a listener beside another process, however it closes

A listener that is left to a successor has the system turn new connections away; it decided so by the stage Leaving. Where the signal to stop is seen over 0.5 s late, Leaving and Closing follow in one turn and the listener saw Closing alone: it closed as if it were the last one, and reset what came in that moment. It asks now whether another process serves; the successor is looked at first.

StopRequest::note takes the moment, so that tests on a paused clock don't read the real one.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -19,6 +19,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
 use std::any::Any;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
@@ -301,6 +302,8 @@
     pub stage: watch::Receiver<Stage>,
     /// Connections that are open.
     pub open: Rc<Connections>,
+    /// Whether another process serves the address.
+    pub other_serves: Rc<Cell<bool>>,
 }
 
 impl Listener {
@@ -327,7 +330,8 @@
         let Ok(listener) = listener.into_std() else {
             return;
         };
-        if *stage.borrow() == Stage::Leaving {
+        // Not by the stage: one that was passed at once is not seen.
+        if self.other_serves.get() {
             if let Err(error) = turn_away_new(&listener) {
                 log::warn!("accept: new connections can't be turned away: {error}");
             }
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -383,6 +383,7 @@
             waiting: 64,
             stage: stages,
             open,
+            other_serves: Rc::default(),
         };
         let asking = |_| {
             let mut client = connect(&listener);
@@ -437,6 +438,7 @@
             waiting: 64,
             stage: stages,
             open: open.clone(),
+            other_serves: Rc::default(),
         };
         let accepting = spawn_local(accepting.accept(listener));
         Served {
@@ -590,6 +592,7 @@
             waiting: 64,
             stage: stages,
             open: open.clone(),
+            other_serves: Rc::new(Cell::new(true)),
         };
         // Some of them wait at the other listener, which nobody serves.
         let mut clients: Vec<_> = (0..64).map(|_| connect(&listener)).collect();
@@ -618,9 +621,15 @@
     LocalSet::new().run_until(tell).await;
 }
 
-/// Guards against clients that are reset as the listener closes: from then on the other one gets them.
+/// Guards against clients that are reset as the listener closes: from then on the other one gets them, also where the
+/// signal to stop was seen so late that connections close at once.
+#[rstest]
+#[case::leaving(Stage::Leaving)]
+#[case::closing_at_once(Stage::Closing)]
 #[tokio::test(start_paused = true)]
-async fn as_another_process_takes_over_the_system_hands_nothing_new_to_this_one() {
+async fn as_another_process_takes_over_the_system_hands_nothing_new_to_this_one(
+    #[case] next: Stage,
+) {
     let tell = async {
         let listener =
             crate::net::upgrade::socket::listen("127.0.0.1:0".parse().unwrap(), true).unwrap();
@@ -638,9 +647,10 @@
             waiting: 128,
             stage: stages,
             open: open.clone(),
+            other_serves: Rc::new(Cell::new(true)),
         };
         let accepted = spawn_local(accepting.accept(listener));
-        stage.send(Stage::Leaving).unwrap();
+        stage.send(next).unwrap();
         // It waits for the end of handshakes then: the clock stands for as long as there is something to do.
         for _ in 0..100 {
             tokio::task::yield_now().await;
@@ -789,6 +799,7 @@
                 waiting: 8,
                 stage,
                 open: Rc::default(),
+                other_serves: Rc::default(),
             };
             spawn_local(listening.accept(listener));
             for wanted in ["HTTP/1.1 500 ", "HTTP/1.1 200 "] {
--- a/src/net/shutdown_stages.rs
+++ b/src/net/shutdown_stages.rs
@@ -28,6 +28,11 @@
         stage.send_replace(next);
     };
     tokio::select! {
+        biased;
+        () = successor(other_serves) => {
+            enter(Stage::Leaving);
+            shutdown.reach(ADMIT_FOR).await;
+        }
         () = shutdown.reach(ADMIT_FOR) => {
             enter(Stage::Rejecting);
             tokio::select! {
@@ -35,10 +40,6 @@
                 () = successor(other_serves) => {}
             }
         }
-        () = successor(other_serves) => {
-            enter(Stage::Leaving);
-            shutdown.reach(ADMIT_FOR).await;
-        }
     }
     enter(Stage::Closing);
 }
--- a/src/net/shutdown_stages/tests.rs
+++ b/src/net/shutdown_stages/tests.rs
@@ -8,8 +8,8 @@
 /// Each stage, and when after the request to stop it was entered.
 async fn stages(successor_after: Option<Duration>, seen_after: Duration) -> Vec<(Stage, u128)> {
     let request = StopRequest::default();
-    request.note();
     let began = Instant::now();
+    request.note(began.into_std());
     let shutdown = Shutdown::new(request, Clock::start());
     tokio::time::advance(seen_after).await;
     let (stage, mut stages) = watch::channel(Stage::Open);
--- a/src/run.rs
+++ b/src/run.rs
@@ -429,6 +429,7 @@
         waiting: bound,
         stage: stages,
         open: open.clone(),
+        other_serves: other_serves.clone(),
     };
     let accepting = tokio::task::spawn_local(accepting.accept(listener));
     log::info!(
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -20,9 +20,9 @@
 pub struct StopRequest(Arc<OnceLock<Instant>>);
 
 impl StopRequest {
-    /// Notes a request to stop. The first one counts.
-    pub fn note(&self) {
-        let _ = self.0.set(Instant::now());
+    /// Notes a request to stop that came at this moment. The first one counts.
+    pub fn note(&self, at: Instant) {
+        let _ = self.0.set(at);
     }
 }
 
--- a/src/shutdown/tests.rs
+++ b/src/shutdown/tests.rs
@@ -13,7 +13,7 @@
 
 fn stopping(at: Instant, clock: Clock) -> Shutdown {
     let request = StopRequest::default();
-    request.0.set(at).unwrap();
+    request.note(at);
     Shutdown::new(request, clock)
 }
 
@@ -67,9 +67,9 @@
 #[tokio::test(start_paused = true)]
 async fn the_first_request_to_stop_counts() {
     let request = StopRequest::default();
-    request.note();
-    let first = *request.0.get().unwrap();
-    request.note();
+    let first = Instant::now();
+    request.note(first);
+    request.note(first + Duration::from_secs(1));
     assert_eq!(request.0.get(), Some(&first));
 }
 
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -6,6 +6,7 @@
 use nix::errno::Errno;
 use nix::sys::signal::{SigSet, Signal};
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::sync::Notify;
 use whinhaven::shutdown::StopRequest;
 
@@ -52,7 +53,7 @@
                 Ok(Signal::SIGHUP) => self.reload.notify_one(),
                 Ok(Signal::SIGUSR1) => self.report.notify_one(),
                 Ok(_) => {
-                    self.stop_request.note();
+                    self.stop_request.note(Instant::now());
                     self.stop.notify_one();
                 }
                 Err(Errno::EINTR) => {}
