Review: a burst by the JSON-RPC front takes the router over its memory limit

Found by reading: the budget of bodies counts a body once, and the front holds it five times while its request waits.

--- a/review/standins/src/bin/case1.rs
+++ b/review/standins/src/bin/case1.rs
@@ -169,9 +169,13 @@
     let mut hosts = Vec::new();
     for name in ["reader-1", "reader-2"] {
         let note = record.clone();
-        let dial = reader(states.clone(), Duration::from_millis(20), move |message| {
-            note.line(format!("{name} reads {}", message.header("x-request-id")));
-        });
+        let dial = reader(
+            states.clone(),
+            |_| Duration::from_millis(20),
+            move |message| {
+                note.line(format!("{name} reads {}", message.header("x-request-id")));
+            },
+        );
         hosts.push(host_entry(name, dial, "prompt"));
     }
     for name in ["writer-1", "writer-2"] {
--- a/review/standins/src/bin/case2.rs
+++ b/review/standins/src/bin/case2.rs
@@ -153,9 +153,13 @@
     let record = Record::open();
     let (states, runs) = (Arc::<States>::default(), Runs::default());
     let note = record.clone();
-    let reader = reader(states.clone(), Duration::from_millis(50), move |message| {
-        note.line(format!("reader reads {}", prompt_of(message)));
-    });
+    let reader = reader(
+        states.clone(),
+        |_| Duration::from_millis(50),
+        move |message| {
+            note.line(format!("reader reads {}", prompt_of(message)));
+        },
+    );
     let writer = writer(states, runs.clone(), record.clone());
     let tools = unused_tool_side();
     let listen = free_address();
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -215,10 +215,11 @@
     Some(stream.write_all(answer).map(|()| true))
 }
 
-/// A sound reader that takes `time` for each prompt. `note` is called as the last byte of an attempt has arrived.
+/// A sound reader that takes as long for a prompt as `time` says. `note` is called as the last byte of an attempt has
+/// arrived.
 pub fn reader(
     states: Arc<States>,
-    time: Duration,
+    time: impl Fn(&Message) -> Duration + Send + Sync + 'static,
     note: impl Fn(&Message) + Send + Sync + 'static,
 ) -> SocketAddr {
     serve(move |message, stream| {
@@ -226,7 +227,7 @@
             return done;
         }
         note(message);
-        thread::sleep(time);
+        thread::sleep(time(message));
         states.hold(message.header("x-request-id"));
         let body = "{\"cached_tokens\":0}";
         let head = format!(
@@ -322,6 +323,11 @@
         Router::start(record, address, command)
     }
 
+    /// The id of its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until it says that it is ready; `None` if it does not in time.
     fn start(record: &Record, address: SocketAddr, mut command: Command) -> Option<Router> {
         let log = File::create(temporary_folder().join("router.log")).ok()?;
@@ -417,10 +423,9 @@
 pub fn end_after(limit: Duration) {
     thread::spawn(move || {
         thread::sleep(limit);
-        if let Ok(pid) = std::fs::read_to_string(temporary_folder().join("pid")) {
-            // `kill` of the shell, which every machine has.
-            let kill = format!("kill -9 {}", pid.trim());
-            let _ = Command::new("/bin/sh").args(["-c", &kill]).status();
+        let pid = std::fs::read_to_string(temporary_folder().join("pid"));
+        if let Some(pid) = pid.ok().and_then(|pid| pid.trim().parse().ok()) {
+            kill(pid);
         }
         eprintln!("the case took too long");
         std::process::exit(COULD_NOT_RUN);
@@ -459,3 +464,10 @@
     let content = text.split("\"content\":\"").nth(1).unwrap_or("");
     content.split('"').next().unwrap_or("").to_owned()
 }
+
+/// Sends SIGKILL, by the `kill` of the shell, which every machine has.
+pub fn kill(pid: u32) {
+    let _ = Command::new("/bin/sh")
+        .args(["-c", &format!("kill -9 {pid}")])
+        .status();
+}
