--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -8,7 +8,18 @@
 //! chunk; the client then repeats its request under the same name (`request` in the parameters) and states in `resume`
 //! how much of the answer it has.
 
-use super::ledger::{CallKey, Ledger, Outcome};
+mod active;
+mod events;
+mod messages;
+mod relay;
+mod request;
+mod sink;
+#[cfg(test)]
+mod tests;
+
+pub(super) use messages::deserialize_present;
+
+use super::ledger::Ledger;
 use super::platform::{AnswerBody, refusal};
 use super::record::{Claim, ClaimResult};
 use super::shared::{MAX_BODY_BYTES, RETRY_AFTER_CUT_OFF, RETRY_AFTER_OVERLOAD, Shared};
@@ -19,11 +30,21 @@
 use crate::fleet::transport::work::TakeoverClient;
 use crate::fleet::work::FinalResponse;
 use crate::routing::types::{Micros, RequestId, RequestSpec};
-use bytes::{Bytes, BytesMut};
+use active::{ActiveGuard, ActiveRequest, StopSignal};
+use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
-use serde::{Deserialize, Deserializer, Serialize};
+use messages::{
+    ALREADY_IN_PROGRESS, CANCELLED, ErrorResponse, FAILED, FinalLine, INVALID_PARAMS,
+    INVALID_REQUEST, METHOD_NOT_FOUND, NotificationParams, PARSE_ERROR, PROMPT_TOO_LONG,
+    RetryAfter, STREAM_BROKEN, TEXT_NOT_KEPT, encode, error_line, is_id, notification_line,
+    result_line,
+};
+use relay::StreamingRequest;
+use request::{CancelParams, Message, Params, Prompt};
+use serde::Deserialize;
 use serde_json::value::RawValue;
+use sink::{MAX_QUEUED_LINES, Sink};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -33,299 +54,9 @@
 
 /// The maximum number of messages in a batch.
 const MAX_BATCH_REQUESTS: usize = 16;
-/// The maximum length of an event in a decode worker's stream, and the amount that may be buffered while a tool runs.
-const MAX_EVENT_BYTES: usize = 128 * 1024;
-/// The maximum text of one answer in a batch, which is collected before it is sent.
-const MAX_BATCH_TEXT_BYTES: usize = 256 * 1024;
-/// The number of lines that may be queued for a slow client.
-const MAX_QUEUED_LINES: usize = 16;
-/// A client that reads nothing for this long is treated as disconnected.
-const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// The longest accepted deadline, relative to the request's arrival.
 const MAX_DEADLINE_MS: u64 = 600_000;
 
-/// Deserializes a field so that `null` is `Some` and only a missing field (by `serde(default)`) is `None`.
-pub(super) fn deserialize_present<'de, D: Deserializer<'de>>(
-    deserializer: D,
-) -> Result<Option<Box<RawValue>>, D::Error> {
-    Box::<RawValue>::deserialize(deserializer).map(Some)
-}
-
-/// A JSON-RPC request or notification, from a client or a decode worker.
-#[derive(Debug, Deserialize)]
-struct Message {
-    jsonrpc: String,
-    #[serde(default, deserialize_with = "deserialize_present")]
-    id: Option<Box<RawValue>>,
-    method: String,
-    #[serde(default, deserialize_with = "deserialize_present")]
-    params: Option<Box<RawValue>>,
-    /// The arrival time; the client's deadline is relative to it.
-    #[serde(skip)]
-    arrived: Micros,
-}
-
-impl Message {
-    /// Checks the requirements of the specification that the field types do not express.
-    fn is_valid(&self) -> bool {
-        let id = self.id.as_ref().is_none_or(|id| is_id(id));
-        let params = self
-            .params
-            .as_ref()
-            .is_none_or(|p| p.get().starts_with(['{', '[']));
-        self.jsonrpc == "2.0" && id && params
-    }
-}
-
-fn is_id(id: &RawValue) -> bool {
-    !id.get().starts_with(['{', '[', 't', 'f'])
-}
-
-/// The parameters of a client's request.
-#[derive(Debug, Deserialize)]
-struct Params {
-    request: String,
-    deadline_ms: u64,
-    session: Option<String>,
-    prefix: Option<String>,
-    #[serde(default)]
-    prefix_len: u64,
-    prompt_len: Option<u64>,
-    #[serde(default)]
-    max_out: u64,
-    messages: Box<RawValue>,
-    resume: Option<Resume>,
-}
-
-/// The part of an answer that the client received before the stream broke.
-#[derive(Debug, Deserialize, Serialize)]
-struct Resume {
-    /// The number of `tool` notifications with the state `calling` that the client received before its last `delta`.
-    calls: u32,
-    /// The text received so far.
-    text: String,
-}
-
-#[derive(Deserialize)]
-struct CancelParams {
-    request: String,
-}
-
-/// The request body for model hosts.
-#[derive(Serialize)]
-struct Prompt<'a> {
-    model: &'a str,
-    stream: bool,
-    #[serde(skip_serializing_if = "is_zero")]
-    max_tokens: u64,
-    messages: &'a RawValue,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    resume: Option<&'a Resume>,
-}
-
-fn is_zero(n: &u64) -> bool {
-    *n == 0
-}
-
-/// An event of a decode worker's stream: a piece of the answer or a tool call.
-#[derive(Deserialize)]
-struct DecodeEvent {
-    jsonrpc: Option<String>,
-    #[serde(default, deserialize_with = "deserialize_present")]
-    id: Option<Box<RawValue>>,
-    method: Option<String>,
-    #[serde(default, deserialize_with = "deserialize_present")]
-    params: Option<Box<RawValue>>,
-    #[serde(default)]
-    choices: Vec<Choice>,
-    usage: Option<Box<RawValue>>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    #[serde(default)]
-    delta: Delta,
-    finish_reason: Option<String>,
-}
-
-#[derive(Default, Deserialize)]
-struct Delta {
-    content: Option<String>,
-}
-
-#[derive(Clone, Debug, Serialize)]
-struct ErrorObject {
-    code: i32,
-    message: &'static str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    data: Option<RetryAfter>,
-}
-
-#[derive(Clone, Debug, Serialize)]
-struct RetryAfter {
-    retry_after: f64,
-}
-
-/// A JSON-RPC error, with the HTTP status that tells intermediaries the same.
-#[derive(Clone, Debug)]
-struct ErrorResponse(StatusCode, ErrorObject);
-
-impl ErrorResponse {
-    const fn new(status: StatusCode, code: i32, message: &'static str) -> Self {
-        ErrorResponse(
-            status,
-            ErrorObject {
-                code,
-                message,
-                data: None,
-            },
-        )
-    }
-
-    fn rejected(retry_after: Option<Micros>) -> Self {
-        let data = retry_after.map(|t| RetryAfter {
-            retry_after: t as f64 / 1e6,
-        });
-        let error = ErrorObject {
-            code: -32000,
-            message: "refused; trying again is harmless",
-            data,
-        };
-        ErrorResponse(StatusCode::SERVICE_UNAVAILABLE, error)
-    }
-}
-
-const PARSE_ERROR: ErrorResponse =
-    ErrorResponse::new(StatusCode::BAD_REQUEST, -32700, "parse error");
-const INVALID_REQUEST: ErrorResponse =
-    ErrorResponse::new(StatusCode::BAD_REQUEST, -32600, "invalid request");
-const METHOD_NOT_FOUND: ErrorResponse =
-    ErrorResponse::new(StatusCode::NOT_FOUND, -32601, "method not found");
-const INVALID_PARAMS: ErrorResponse =
-    ErrorResponse::new(StatusCode::BAD_REQUEST, -32602, "invalid params");
-const PROMPT_TOO_LONG: ErrorResponse =
-    ErrorResponse::new(StatusCode::PAYLOAD_TOO_LARGE, -32602, "prompt too long");
-const ALREADY_IN_PROGRESS: ErrorResponse = ErrorResponse::new(
-    StatusCode::CONFLICT,
-    -32003,
-    "a request of this name is in hand",
-);
-const FAILED: ErrorResponse =
-    ErrorResponse::new(StatusCode::BAD_GATEWAY, -32001, "failed; it may have run");
-const CANCELLED: ErrorResponse = ErrorResponse::new(StatusCode::OK, -32002, "cancelled");
-const TEXT_NOT_KEPT: ErrorResponse = ErrorResponse::new(
-    StatusCode::GONE,
-    -32005,
-    "ended; its text is not kept any more",
-);
-const STREAM_BROKEN: ErrorResponse = ErrorResponse::new(
-    StatusCode::BAD_GATEWAY,
-    -32004,
-    "the stream broke; ask for the rest",
-);
-
-/// A JSON-RPC response or notification to the client.
-#[derive(Serialize)]
-struct OutgoingMessage<'a, R: Serialize> {
-    jsonrpc: &'static str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    method: Option<&'static str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    params: Option<NotificationParams<'a>>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    id: Option<&'a RawValue>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    result: Option<R>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    error: Option<&'a ErrorObject>,
-}
-
-#[derive(Serialize)]
-struct NotificationParams<'a> {
-    request: &'a str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    text: Option<&'a str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    ordinal: Option<u32>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    state: Option<&'static str>,
-}
-
-#[derive(Serialize)]
-struct CompletionResult<'a> {
-    request: &'a str,
-    finish: &'a str,
-    calls: u32,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    text: Option<&'a str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    usage: Option<&'a RawValue>,
-}
-
-/// The recorded part of an answer's final line (stored data).
-#[derive(Serialize, Deserialize)]
-struct FinalLine {
-    finish: String,
-    calls: u32,
-    #[serde(default, deserialize_with = "deserialize_present")]
-    usage: Option<Box<RawValue>>,
-}
-
-/// The response to a decode worker's tool call.
-#[derive(Serialize)]
-struct ToolReply<'a> {
-    jsonrpc: &'static str,
-    id: &'a RawValue,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    result: Option<&'a RawValue>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    error: Option<ToolReplyError<'a>>,
-}
-
-#[derive(Serialize)]
-#[serde(untagged)]
-enum ToolReplyError<'a> {
-    Tool(&'a RawValue),
-    Router(&'a super::ledger::CallError),
-}
-
-fn encode<T: Serialize>(message: &T) -> Vec<u8> {
-    // Serialization of these types cannot fail: they have no maps with non-string keys and no non-finite numbers.
-    serde_json::to_vec(message).unwrap_or_default()
-}
-
-fn error_line(id: Option<&RawValue>, error: &ErrorObject) -> Vec<u8> {
-    // The specification requires an id in every response; it is null if none could be read.
-    let id = Some(id.unwrap_or(RawValue::NULL));
-    encode(&OutgoingMessage::<()> {
-        jsonrpc: "2.0",
-        method: None,
-        params: None,
-        id,
-        result: None,
-        error: Some(error),
-    })
-}
-
-/// A named request that this router is processing.
-struct ActiveRequest {
-    stop: watch::Sender<StopSignal>,
-    /// Whether the answer has started to stream; shared with the [`ActiveGuard`].
-    streaming: Rc<Cell<bool>>,
-    /// Tells this request from a later one with the same name.
-    serial: u64,
-}
-
-/// Why a request has to stop.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum StopSignal {
-    None,
-    /// The client cancelled the request.
-    Cancelled,
-    /// The request continues elsewhere: in a newer request of the same name, or at another router.
-    Moved,
-}
-
 /// The JSON-RPC front end.
 pub struct Front {
     shared: Rc<Shared>,
@@ -339,73 +70,6 @@
     pub path: String,
 }
 
-/// Removes a request from [`Front::active`] on drop.
-struct ActiveGuard {
-    front: Rc<Front>,
-    name: Rc<str>,
-    serial: u64,
-    streaming: Rc<Cell<bool>>,
-    stop: watch::Receiver<StopSignal>,
-}
-
-impl Drop for ActiveGuard {
-    fn drop(&mut self) {
-        let mut active = self.front.active.borrow_mut();
-        if active
-            .get(&self.name)
-            .is_some_and(|a| a.serial == self.serial)
-        {
-            active.remove(&self.name);
-        }
-    }
-}
-
-/// The destination of an answer: lines that are sent to the client as they arrive, or (in a batch) one collected text.
-enum Sink {
-    Lines(mpsc::Sender<Frame>),
-    Text(String),
-}
-
-impl Sink {
-    async fn send_line(&mut self, mut line: Vec<u8>) -> Result<(), RelayError> {
-        let Sink::Lines(lines) = self else {
-            return Ok(());
-        };
-        line.push(b'\n');
-        let send = lines.send(Frame::Data(line.into()));
-        match tokio::time::timeout(CLIENT_STALL_TIMEOUT, send).await {
-            Ok(Ok(())) => Ok(()),
-            _ => Err(RelayError::ClientGone),
-        }
-    }
-
-    /// Resolves when the client has disconnected.
-    fn closed(&self) -> impl Future<Output = ()> + use<> {
-        let lines = if let Sink::Lines(lines) = self {
-            Some(lines.clone())
-        } else {
-            None
-        };
-        async move {
-            match lines {
-                Some(lines) => lines.closed().await,
-                None => std::future::pending().await,
-            }
-        }
-    }
-}
-
-/// Why relaying a stream failed or was stopped.
-#[derive(Debug, PartialEq, Eq)]
-enum RelayError {
-    /// The client disconnected or stalled, or the request continues elsewhere.
-    ClientGone,
-    /// The decode worker's stream ended early or is malformed.
-    StreamBroken,
-    /// The client cancelled the request.
-    Cancelled,
-}
-
 /// The result of starting a request.
 enum StartedRequest {
     /// The answer streams.
@@ -420,18 +84,6 @@
     },
 }
 
-/// A request whose answer streams.
-struct StreamingRequest {
-    id: Option<Box<RawValue>>,
-    name: Rc<str>,
-    /// The number of tool calls so far, including those that the client had before it resumed.
-    calls: u32,
-    claim: Option<Claim>,
-    /// The answer's text so far; `None` without a claim, or once it is too long to be recorded.
-    text: Option<String>,
-    guard: ActiveGuard,
-}
-
 impl Front {
     /// Creates the front end. With `work`, requests are recorded in the fleet, so that other routers can take them over.
     pub fn new(
@@ -553,7 +205,7 @@
     fn error_response(
         &self,
         id: Option<&RawValue>,
-        ErrorResponse(status, error): ErrorResponse,
+        ErrorResponse { status, error }: ErrorResponse,
     ) -> Response<AnswerBody> {
         if status.is_client_error() {
             self.shared.counters.bad_requests.up();
@@ -642,7 +294,9 @@
     async fn respond_in_batch(self: Rc<Self>, raw: &RawValue, arrived: Micros) -> Option<Vec<u8>> {
         let message = match self.decode(raw, arrived) {
             Ok(message) => message,
-            Err((id, ErrorResponse(_, error))) => return Some(error_line(id.as_deref(), &error)),
+            Err((id, ErrorResponse { error, .. })) => {
+                return Some(error_line(id.as_deref(), &error));
+            }
         };
         if message.id.is_none() {
             self.handle_notification(&message);
@@ -650,7 +304,7 @@
         }
         let id = message.id.clone();
         let encode_error =
-            |ErrorResponse(_, error): ErrorResponse| Some(error_line(id.as_deref(), &error));
+            |ErrorResponse { error, .. }: ErrorResponse| Some(error_line(id.as_deref(), &error));
         if message.method == "cancel" {
             return self
                 .cancel(&message)
@@ -913,277 +567,6 @@
             stop: stop_receiver,
         })
     }
-
-    /// Relays an answer and its tool calls to `sink`, and returns the final line, which the caller sends.
-    async fn relay(
-        self: &Rc<Self>,
-        mut request: StreamingRequest,
-        mut stream: StreamReceiver,
-        mut notifier: DisconnectNotifier,
-        sink: &mut Sink,
-    ) -> Result<Vec<u8>, RelayError> {
-        let (mut stop, stop_state) = (request.guard.stop.clone(), request.guard.stop.clone());
-        let mut events = EventParser::default();
-        let mut summary = StreamSummary {
-            finish: String::from("stop"),
-            usage: None,
-        };
-        let result = loop {
-            let frame = tokio::select! {
-                biased;
-                _ = stop.wait_for(|s| *s != StopSignal::None) => break Err(stop_error(&stop_state)),
-                () = sink.closed() => break Err(RelayError::ClientGone),
-                frame = stream.next() => frame,
-            };
-            match frame {
-                Some(Frame::Data(data)) => events.push(&data)?,
-                Some(Frame::End) => {
-                    notifier.finished();
-                    break Ok(());
-                }
-                None => {
-                    notifier.finished();
-                    break Err(RelayError::StreamBroken);
-                }
-            }
-            if let Err(error) = self
-                .relay_events(&mut events, &mut request, &mut stream, sink, &mut summary)
-                .await
-            {
-                break Err(error);
-            }
-        };
-        match result {
-            Ok(()) => {
-                let StreamSummary { finish, usage } = summary;
-                let mut last = FinalLine {
-                    finish,
-                    calls: request.calls,
-                    usage,
-                };
-                if let Some(claim) = &request.claim {
-                    // Recorded before it is sent, so that the client gets the same answer from every router.
-                    let answer = FinalResponse::Completed {
-                        text: request.text.take(),
-                        last_line: encode(&last),
-                    };
-                    match claim.complete(answer).await {
-                        Some(FinalResponse::Completed {
-                            last_line: recorded,
-                            ..
-                        }) => {
-                            last = serde_json::from_slice(&recorded)
-                                .map_err(|_| RelayError::StreamBroken)?;
-                        }
-                        Some(FinalResponse::Failed) => {
-                            return Ok(error_line(request.id.as_deref(), &FAILED.1));
-                        }
-                        Some(FinalResponse::Cancelled) => {
-                            return Ok(error_line(request.id.as_deref(), &CANCELLED.1));
-                        }
-                        None => return Err(RelayError::StreamBroken),
-                    }
-                }
-                let text = if let Sink::Text(text) = &*sink {
-                    Some(text.as_str())
-                } else {
-                    None
-                };
-                Ok(last.line(request.id.as_deref(), &request.name, text))
-            }
-            // A cancelled request still gets a response.
-            Err(RelayError::Cancelled) => {
-                request
-                    .claim
-                    .iter()
-                    .for_each(|claim| claim.complete_in_background(FinalResponse::Cancelled));
-                Ok(error_line(request.id.as_deref(), &CANCELLED.1))
-            }
-            Err(error) => Err(error),
-        }
-    }
-
-    /// Relays the events that are complete in `events`.
-    async fn relay_events(
-        self: &Rc<Self>,
-        events: &mut EventParser,
-        request: &mut StreamingRequest,
-        stream: &mut StreamReceiver,
-        sink: &mut Sink,
-        summary: &mut StreamSummary,
-    ) -> Result<(), RelayError> {
-        while let Some(event) = events.next_event()? {
-            if event.is_empty() || event == "[DONE]" {
-                continue;
-            }
-            let event: DecodeEvent =
-                serde_json::from_str(&event).map_err(|_| RelayError::StreamBroken)?;
-            if let Some(method) = event.method {
-                let message = Message {
-                    jsonrpc: event.jsonrpc.unwrap_or_default(),
-                    id: event.id,
-                    method,
-                    params: event.params,
-                    arrived: self.shared.dispatcher.clock.now(),
-                };
-                if !message.is_valid() {
-                    return Err(RelayError::StreamBroken);
-                }
-                self.tool_call(message, events, request, stream, sink)
-                    .await?;
-                continue;
-            }
-            summary.usage = event.usage.or(summary.usage.take());
-            for choice in event.choices {
-                if let Some(text) = choice.delta.content.filter(|t| !t.is_empty()) {
-                    request.append_text(&text);
-                    if let Sink::Text(collected) = sink {
-                        if collected.len() + text.len() > MAX_BATCH_TEXT_BYTES {
-                            return Err(RelayError::StreamBroken);
-                        }
-                        collected.push_str(&text);
-                    }
-                    sink.send_line(notification_line(
-                        "delta",
-                        NotificationParams {
-                            request: &request.name,
-                            text: Some(&text),
-                            ordinal: None,
-                            state: None,
-                        },
-                    ))
-                    .await?;
-                }
-                if let Some(reason) = choice.finish_reason {
-                    summary.finish = reason;
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// Relays one tool call and its outcome. If the decode worker fails, or the client disconnects, this returns early, but
-    /// the call continues and its outcome is kept in the ledger. (A cancellation by the client cancels the call, too.)
-    async fn tool_call(
-        self: &Rc<Self>,
-        call: Message,
-        events: &mut EventParser,
-        request: &mut StreamingRequest,
-        stream: &mut StreamReceiver,
-        sink: &mut Sink,
-    ) -> Result<(), RelayError> {
-        let ordinal = request.calls;
-        request.calls += 1;
-        let tool_notice = |state| NotificationParams {
-            request: &request.name,
-            text: None,
-            ordinal: Some(ordinal),
-            state: Some(state),
-        };
-        let key = CallKey {
-            request: request.name.clone(),
-            ordinal,
-        };
-        let (mut stop, stop_state) = (request.guard.stop.clone(), request.guard.stop.clone());
-        let client_gone = sink.closed();
-        tokio::pin!(client_gone);
-        // The call is started before the client is notified, so that a stalled client does not delay the tool.
-        let pending_outcome = self.ledger.call(
-            key,
-            request.claim.clone(),
-            &call.method,
-            call.params.as_deref(),
-        );
-        tokio::pin!(pending_outcome);
-        stream.set_paused(true);
-        let mut unsent_notice = Some(notification_line("tool", tool_notice("calling")));
-        let mut stream_ended = false;
-        let outcome = loop {
-            tokio::select! {
-                biased;
-                outcome = &mut pending_outcome => break outcome,
-                sent = async { sink.send_line(unsent_notice.clone().unwrap_or_default()).await }, if unsent_notice.is_some() => {
-                    sent?;
-                    unsent_notice = None;
-                }
-                _ = stop.wait_for(|s| *s != StopSignal::None) => return Err(stop_error(&stop_state)),
-                () = &mut client_gone => return Err(RelayError::ClientGone),
-                // Buffer what the decode worker sends in the meantime; at the limit, stop reading, so that it has to wait.
-                frame = stream.next(), if !stream_ended && events.len() < MAX_EVENT_BYTES => match frame {
-                    Some(Frame::Data(data)) => events.push(&data)?,
-                    Some(Frame::End) => stream_ended = true,
-                    None => return Err(RelayError::StreamBroken),
-                },
-            }
-        };
-        if let Some(line) = unsent_notice {
-            sink.send_line(line).await?;
-        }
-        if let Some(id) = &call.id {
-            let (result, error) = match &outcome {
-                Outcome::Result(raw) => (Some(&**raw), None),
-                Outcome::ToolError(raw) => (None, Some(ToolReplyError::Tool(raw))),
-                Outcome::Error(error) => (None, Some(ToolReplyError::Router(error))),
-            };
-            let reply = encode(&ToolReply {
-                jsonrpc: "2.0",
-                id,
-                result,
-                error,
-            });
-            if !stream.reply(reply.into()).await {
-                return Err(RelayError::StreamBroken);
-            }
-        }
-        stream.set_paused(false);
-        let state = if matches!(outcome, Outcome::Result(_)) {
-            "done"
-        } else {
-            "error"
-        };
-        sink.send_line(notification_line("tool", tool_notice(state)))
-            .await?;
-        // The stream ended before its tool call was answered, so the answer cannot be complete.
-        if stream_ended {
-            Err(RelayError::StreamBroken)
-        } else {
-            Ok(())
-        }
-    }
-}
-
-impl StreamingRequest {
-    /// Adds to the text that is recorded with the final response; drops all of it once it is too long to be recorded.
-    fn append_text(&mut self, piece: &str) {
-        let max_bytes = self.claim.as_ref().map_or(0, Claim::max_text_bytes);
-        if let Some(text) = &mut self.text {
-            if text.len() + piece.len() <= max_bytes {
-                text.push_str(piece);
-            } else {
-                self.text = None;
-            }
-        }
-    }
-}
-
-impl FinalLine {
-    fn line(&self, id: Option<&RawValue>, request: &str, text: Option<&str>) -> Vec<u8> {
-        let FinalLine {
-            finish,
-            calls,
-            usage,
-        } = self;
-        result_line(
-            id,
-            CompletionResult {
-                request,
-                finish,
-                calls: *calls,
-                text,
-                usage: usage.as_deref(),
-            },
-        )
-    }
 }
 
 /// Answers a request whose final response is already recorded: with the part of the text that the client does not have.
@@ -1216,93 +599,6 @@
     })
 }
 
-fn stop_error(stop: &watch::Receiver<StopSignal>) -> RelayError {
-    if *stop.borrow() == StopSignal::Cancelled {
-        RelayError::Cancelled
-    } else {
-        RelayError::ClientGone
-    }
-}
-
-/// What the final line needs from the events of a stream.
-struct StreamSummary {
-    finish: String,
-    usage: Option<Box<RawValue>>,
-}
-
-/// An incremental parser of server-sent events.
-#[derive(Default)]
-struct EventParser {
-    bytes: BytesMut,
-}
-
-impl EventParser {
-    fn len(&self) -> usize {
-        self.bytes.len()
-    }
-
-    fn push(&mut self, data: &[u8]) -> Result<(), RelayError> {
-        self.bytes.extend_from_slice(data);
-        if self.bytes.len() > 2 * MAX_EVENT_BYTES {
-            Err(RelayError::StreamBroken)
-        } else {
-            Ok(())
-        }
-    }
-
-    /// Returns the data of the next complete event, or `None` if more bytes are needed. Comments and other fields are
-    /// ignored.
-    fn next_event(&mut self) -> Result<Option<String>, RelayError> {
-        let mut data = String::new();
-        let mut consumed = 0;
-        while let Some(end) = self.bytes[consumed..].iter().position(|b| *b == b'\n') {
-            let line = std::str::from_utf8(&self.bytes[consumed..consumed + end])
-                .map_err(|_| RelayError::StreamBroken)?;
-            let line = line.strip_suffix('\r').unwrap_or(line);
-            consumed += end + 1;
-            if line.is_empty() {
-                let _ = self.bytes.split_to(consumed);
-                return Ok(Some(data));
-            }
-            if let Some(value) = line.strip_prefix("data:") {
-                if !data.is_empty() {
-                    data.push('\n');
-                }
-                data.push_str(value.strip_prefix(' ').unwrap_or(value));
-            }
-        }
-        if self.bytes.len() > MAX_EVENT_BYTES {
-            Err(RelayError::StreamBroken)
-        } else {
-            Ok(None)
-        }
-    }
-}
-
-fn notification_line(method: &'static str, params: NotificationParams<'_>) -> Vec<u8> {
-    let (method, params) = (Some(method), Some(params));
-    encode(&OutgoingMessage::<()> {
-        jsonrpc: "2.0",
-        method,
-        params,
-        id: None,
-        result: None,
-        error: None,
-    })
-}
-
-fn result_line(id: Option<&RawValue>, result: impl Serialize) -> Vec<u8> {
-    let id = Some(id.unwrap_or(RawValue::NULL));
-    encode(&OutgoingMessage {
-        jsonrpc: "2.0",
-        method: None,
-        params: None,
-        id,
-        result: Some(result),
-        error: None,
-    })
-}
-
 fn json_response(status: StatusCode, mut body: Vec<u8>) -> Response<AnswerBody> {
     body.push(b'\n');
     let mut response = Response::new(AnswerBody::Fixed(Some(body.into())));
@@ -1318,6 +614,3 @@
     *response.status_mut() = StatusCode::NO_CONTENT;
     response
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/front/jsonrpc/tests.rs
+++ b/src/front/jsonrpc/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::events::EventParser;
 
 #[test]
 fn events_are_parsed_regardless_of_chunk_boundaries() {
