Count what JSON-RPC requests hold in memory, and hold each prompt once

Cause: the budget of bodies counted a body once, as it came. Until the first event the front then held the body, a copy of the message, one of `params`, one of `messages` and the encoded prompt; after the first event nothing counted, though the attempt still held the prompt. A heap profile of the case (a scratch copy, no kill) at its peak of 436 MB: 193 MB in 1,360 copies of JSON text, 129 MB in prompts (twice their length, by growth), 85 MB in bodies (250 KB for 190 KB, by growth), 22 MB in the connections' read buffers, 7 MB else. The budget counted 65 MB of it. Excluded: the dispatcher, the pool and the sends (under 1 MB), and memory that is kept: nothing was live after the burst, the rest of 341 MB resident was the allocator's.

Fix: messages borrow from the body; what a request keeps is copied once, takes over the body's reservation, and the body is dropped before the request waits. A buffer reserves its capacity, which ends at the announced length, not its length. Bytes carry their reservation (`memory::Buffer::freeze`), so they count until the last clone is dropped, in an attempt or a queue, after the first event too. Also counted now: answers collected for a batch (reserved in advance by `max_out`), texts of resumes and of records, tool calls in flight and their outcomes on the way to the decode worker, which no longer hold a second copy of the arguments.

The limits are what they were: a third of `limits.memory_mb`.

--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -9,6 +9,7 @@
 //! how much of the answer it has.
 
 mod active;
+mod batch;
 mod events;
 mod messages;
 mod relay;
@@ -22,27 +23,23 @@
 use super::ledger::Ledger;
 use super::platform::{AnswerBody, refusal};
 use super::record::{Claim, ClaimResult};
-use super::shared::{MAX_BODY_BYTES, RETRY_AFTER_CUT_OFF, RETRY_AFTER_OVERLOAD, Shared};
+use super::shared::{RETRY_AFTER_CUT_OFF, RETRY_AFTER_OVERLOAD, Shared};
 use crate::config::ToolSettings;
-use crate::exchange::{
-    Answer, DisconnectNotifier, Frame, StreamReceiver, UpstreamRequest, is_plain_id,
-};
+use crate::exchange::{Answer, DisconnectNotifier, Frame, StreamReceiver, UpstreamRequest};
 use crate::fleet::transport::work::TakeoverClient;
 use crate::fleet::work::FinalResponse;
+use crate::memory::Buffer;
 use crate::routing::types::{Micros, RequestId, RequestSpec};
 use active::{ActiveGuard, ActiveRequest, StopSignal};
-use bytes::Bytes;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
 use messages::{
     ALREADY_IN_PROGRESS, CANCELLED, ErrorResponse, FAILED, FinalLine, INVALID_PARAMS,
-    INVALID_REQUEST, METHOD_NOT_FOUND, NotificationParams, PARSE_ERROR, PROMPT_TOO_LONG,
-    RetryAfter, STREAM_BROKEN, TEXT_NOT_KEPT, encode, error_line, is_id, notification_line,
-    result_line,
+    METHOD_NOT_FOUND, NotificationParams, RetryAfter, STREAM_BROKEN, TEXT_NOT_KEPT, error_line,
+    notification_line, result_line,
 };
 use relay::StreamingRequest;
-use request::{CancelParams, Message, Params, Prompt};
-use serde::Deserialize;
+use request::{ClientBody, ClientMessage, CompletionRequest, InvalidMessage};
 use serde_json::value::RawValue;
 use sink::{MAX_QUEUED_LINES, Sink};
 use std::cell::{Cell, RefCell};
@@ -52,11 +49,6 @@
 use tokio::sync::{mpsc, watch};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The maximum number of messages in a batch.
-const MAX_BATCH_REQUESTS: usize = 16;
-/// The longest accepted deadline, relative to the request's arrival.
-const MAX_DEADLINE_MS: u64 = 600_000;
-
 /// The JSON-RPC front end.
 pub struct Front {
     shared: Rc<Shared>,
@@ -76,7 +68,7 @@
     Streaming(StreamingRequest, StreamReceiver, DisconnectNotifier),
     /// The final response was already recorded.
     Recorded {
-        id: Option<Box<RawValue>>,
+        id: Rc<RawValue>,
         name: Rc<str>,
         /// The text that the client does not have yet.
         remaining_text: String,
@@ -94,7 +86,12 @@
         work: Option<Rc<TakeoverClient>>,
     ) -> Rc<Self> {
         let path = settings.listen_path.clone();
-        let ledger = Ledger::new(settings, connect_timeout, shared.counters.clone());
+        let ledger = Ledger::new(
+            settings,
+            connect_timeout,
+            shared.counters.clone(),
+            shared.body_budget.clone(),
+        );
         let (active, next_serial) = (RefCell::default(), Cell::new(1));
         let front = Rc::new(Front {
             shared,
@@ -142,63 +139,14 @@
 
     /// Responds to the body of one HTTP request: a JSON-RPC request, notification or batch. Deadlines are relative to
     /// `arrived`.
-    pub async fn respond(self: Rc<Self>, body: Bytes, arrived: Micros) -> Response<AnswerBody> {
-        if !body.trim_ascii_start().starts_with(b"[") {
-            return match serde_json::from_slice::<Box<RawValue>>(&body) {
-                Err(_) => self.error_response(None, PARSE_ERROR),
-                Ok(raw) => match self.decode(&raw, arrived) {
-                    Err((id, error)) => self.error_response(id.as_deref(), error),
-                    Ok(message) => self.respond_to_message(message).await,
-                },
-            };
-        }
-        let items = match serde_json::from_slice::<Vec<Box<RawValue>>>(&body) {
-            Err(_) => return self.error_response(None, PARSE_ERROR),
-            Ok(items) if items.is_empty() || items.len() > MAX_BATCH_REQUESTS => {
-                return self.error_response(None, INVALID_REQUEST);
-            }
-            Ok(items) => items,
-        };
-        let mut tasks = Vec::new();
-        for raw in items {
-            let front = self.clone();
-            tasks.push(tokio::task::spawn_local(async move {
-                front.respond_in_batch(&raw, arrived).await
-            }));
-        }
-        let mut answers = Vec::new();
-        for task in tasks {
-            if let Ok(Some(answer)) = task.await {
-                answers.push(answer);
+    pub async fn respond(self: Rc<Self>, body: Buffer, arrived: Micros) -> Response<AnswerBody> {
+        match ClientBody::decode(body, arrived, &self.shared) {
+            Ok(ClientBody::Single(Ok(message))) => self.respond_to_message(message).await,
+            Ok(ClientBody::Single(Err(InvalidMessage { id, error }))) => {
+                self.error_response(id.as_deref(), error)
             }
-        }
-        if answers.is_empty() {
-            return no_content();
-        }
-        let mut body = vec![b'['];
-        body.extend(answers.join(&b','));
-        body.push(b']');
-        json_response(StatusCode::OK, body)
-    }
-
-    fn decode(
-        &self,
-        raw: &RawValue,
-        arrived: Micros,
-    ) -> Result<Message, (Option<Box<RawValue>>, ErrorResponse)> {
-        #[derive(Deserialize)]
-        struct IdOnly {
-            id: Option<Box<RawValue>>,
-        }
-        let id = || {
-            serde_json::from_str::<IdOnly>(raw.get())
-                .ok()
-                .and_then(|m| m.id)
-                .filter(|id| is_id(id))
-        };
-        match serde_json::from_str::<Message>(raw.get()) {
-            Ok(message) if message.is_valid() => Ok(Message { arrived, ..message }),
-            _ => Err((id(), INVALID_REQUEST)),
+            Ok(ClientBody::Batch(messages)) => self.respond_to_batch(messages).await,
+            Err(error) => self.error_response(None, error),
         }
     }
 
@@ -210,7 +158,7 @@
         if status.is_client_error() {
             self.shared.counters.bad_requests.up();
         }
-        let mut response = json_response(status, error_line(id, &error));
+        let mut response = self.json_response(status, error_line(id, &error));
         if let Some(RetryAfter { retry_after }) = error.data {
             let micros = (retry_after * 1e6) as u64;
             if let Some(value) = refusal(Some(micros)).headers_mut().remove("retry-after") {
@@ -220,24 +168,38 @@
         response
     }
 
-    async fn respond_to_message(self: Rc<Self>, message: Message) -> Response<AnswerBody> {
-        // By the specification, a notification gets no response, not even an error.
-        if message.id.is_none() {
-            self.handle_notification(&message);
-            return no_content();
-        }
-        let id = message.id.clone();
-        if message.method == "cancel" {
-            let cancelled = self.cancel(&message);
-            return match cancelled {
-                Ok(was_active) => {
-                    json_response(StatusCode::OK, result_line(id.as_deref(), was_active))
-                }
-                Err(error) => self.error_response(id.as_deref(), error),
-            };
-        }
-        match self.start_request(message).await {
-            Err(error) => self.error_response(id.as_deref(), error),
+    /// A response with a JSON body, which counts against the memory budget until it is written to the client.
+    fn json_response(&self, status: StatusCode, mut body: Vec<u8>) -> Response<AnswerBody> {
+        body.push(b'\n');
+        let body = Buffer::overdrawn(body, &self.shared.body_budget).freeze();
+        let mut response = Response::new(AnswerBody::Fixed(Some(body)));
+        *response.status_mut() = status;
+        response
+            .headers_mut()
+            .insert("content-type", HeaderValue::from_static("application/json"));
+        response
+    }
+
+    async fn respond_to_message(self: Rc<Self>, message: ClientMessage) -> Response<AnswerBody> {
+        let request = match message {
+            // By the specification, a notification gets no response, not even an error.
+            ClientMessage::Notification { cancels } => {
+                self.handle_notification(cancels.as_deref());
+                return no_content();
+            }
+            ClientMessage::Cancel { id, request } => {
+                return match self.cancel(request.as_deref()) {
+                    Ok(was_active) => {
+                        self.json_response(StatusCode::OK, result_line(&id, was_active))
+                    }
+                    Err(error) => self.error_response(Some(&id), error),
+                };
+            }
+            ClientMessage::Completion(request) => *request,
+        };
+        let id = request.id.clone();
+        match self.start_request(request).await {
+            Err(error) => self.error_response(Some(&id), error),
             Ok(StartedRequest::Recorded {
                 id,
                 name,
@@ -258,8 +220,8 @@
                     );
                     body.push(b'\n');
                 }
-                body.extend(last.line(id.as_deref(), &name, None));
-                let mut response = json_response(StatusCode::OK, body);
+                body.extend(last.line(&id, &name, None));
+                let mut response = self.json_response(StatusCode::OK, body);
                 let content_type = HeaderValue::from_static("application/x-ndjson");
                 response.headers_mut().insert("content-type", content_type);
                 response
@@ -291,101 +253,29 @@
         }
     }
 
-    async fn respond_in_batch(self: Rc<Self>, raw: &RawValue, arrived: Micros) -> Option<Vec<u8>> {
-        let message = match self.decode(raw, arrived) {
-            Ok(message) => message,
-            Err((id, ErrorResponse { error, .. })) => {
-                return Some(error_line(id.as_deref(), &error));
-            }
-        };
-        if message.id.is_none() {
-            self.handle_notification(&message);
-            return None;
-        }
-        let id = message.id.clone();
-        let encode_error =
-            |ErrorResponse { error, .. }: ErrorResponse| Some(error_line(id.as_deref(), &error));
-        if message.method == "cancel" {
-            return self
-                .cancel(&message)
-                .map_or_else(encode_error, |was_active| {
-                    Some(result_line(id.as_deref(), was_active))
-                });
-        }
-        match self.clone().start_request(message).await {
-            Err(error) => encode_error(error),
-            Ok(StartedRequest::Recorded {
-                id,
-                name,
-                remaining_text,
-                last,
-            }) => Some(last.line(id.as_deref(), &name, Some(&remaining_text))),
-            Ok(StartedRequest::Streaming(request, stream, notifier)) => {
-                let mut sink = Sink::Text(String::new());
-                self.relay(request, stream, notifier, &mut sink)
-                    .await
-                    .map_or_else(|_| encode_error(STREAM_BROKEN), Some)
-            }
-        }
-    }
-
-    fn handle_notification(&self, message: &Message) {
-        if message.method != "cancel" || self.cancel(message).is_err() {
+    fn handle_notification(&self, cancels: Option<&str>) {
+        if self.cancel(cancels).is_err() {
             self.shared.counters.bad_requests.up();
-            log::debug!(
-                "json-rpc: ignoring notification {:?}: unknown method or invalid params",
-                message.method
-            );
+            log::debug!("json-rpc: ignoring a notification: unknown method or invalid params");
         }
     }
 
     /// Cancels a request, its attempts and its tool calls in flight. Returns whether the request was active.
-    fn cancel(&self, message: &Message) -> Result<bool, ErrorResponse> {
-        let params = message
-            .params
-            .as_ref()
-            .and_then(|p| serde_json::from_str::<CancelParams>(p.get()).ok());
-        let request = params.ok_or(INVALID_PARAMS)?.request;
+    fn cancel(&self, request: Option<&str>) -> Result<bool, ErrorResponse> {
+        let request = request.ok_or(INVALID_PARAMS)?;
         let active = self.active.borrow();
         let previous_signal = active
-            .get(request.as_str())
+            .get(request)
             .map(|a| a.stop.send_replace(StopSignal::Cancelled));
-        self.ledger.cancel(&request);
+        self.ledger.cancel(request);
         Ok(previous_signal.is_some())
     }
 
-    /// Validates a request, claims it, submits it and waits until its answer starts or fails.
+    /// Claims a request, submits it and waits until its answer starts or fails.
     async fn start_request(
         self: &Rc<Self>,
-        message: Message,
+        request: CompletionRequest,
     ) -> Result<StartedRequest, ErrorResponse> {
-        // Without a fleet policy, an unknown class fails at once. With one, the class is checked only after the request has
-        // passed the gate, under the policy epoch that is then in force.
-        if self.shared.gate.is_none() && !self.shared.has_class(&message.method) {
-            return Err(METHOD_NOT_FOUND);
-        }
-        let params = message.params.as_ref().ok_or(INVALID_PARAMS)?;
-        let params: Params = serde_json::from_str(params.get()).map_err(|_| INVALID_PARAMS)?;
-        let is_short = |v: &Option<String>| v.as_ref().is_none_or(|v| v.len() <= 256);
-        let is_valid = is_plain_id(&params.request)
-            && (1..=MAX_DEADLINE_MS).contains(&params.deadline_ms)
-            && params.messages.get().starts_with('[')
-            && is_short(&params.session)
-            && is_short(&params.prefix);
-        if !is_valid {
-            return Err(INVALID_PARAMS);
-        }
-        let prompt = Prompt {
-            model: &message.method,
-            stream: true,
-            max_tokens: params.max_out,
-            messages: &params.messages,
-            resume: params.resume.as_ref(),
-        };
-        let body = Bytes::from(encode(&prompt));
-        if body.len() > MAX_BODY_BYTES {
-            return Err(PROMPT_TOO_LONG);
-        }
         if !(self.shared.may_serve)() {
             self.shared.counters.cut_off.up();
             return Err(ErrorResponse::rejected(Some(RETRY_AFTER_CUT_OFF)));
@@ -393,45 +283,43 @@
         // Before the request is registered: a rejected request must not end a running stream of the same name.
         let permit = self
             .shared
-            .admit(&params.request)
+            .admit(&request.name)
             .map_err(|advice| ErrorResponse::rejected(Some(advice)))?;
-        let mut guard = self.register(params.request.as_str().into(), params.resume.is_some())?;
-        let deadline = message.arrived + params.deadline_ms * 1000;
+        let mut guard = self.register(request.name.clone(), request.resume.is_some())?;
         let pass = tokio::select! {
-            pass = self.shared.begin(deadline) => pass.map_err(|advice| ErrorResponse::rejected(Some(advice)))?,
+            pass = self.shared.begin(request.deadline) => pass.map_err(|advice| ErrorResponse::rejected(Some(advice)))?,
             _ = guard.stop.wait_for(|s| *s != StopSignal::None) => return Err(CANCELLED),
         };
-        if !self.shared.has_class(&message.method) {
+        if !self.shared.has_class(&request.class) {
             return Err(METHOD_NOT_FOUND);
         }
-        let at_most_once = self.shared.is_at_most_once(&message.method);
-        let claim = match self
-            .claim(at_most_once, &params, deadline, &mut guard)
-            .await?
-        {
+        let at_most_once = self.shared.is_at_most_once(&request.class);
+        let claim = match self.claim(at_most_once, &request, &mut guard).await? {
             Ok(claim) => claim,
-            Err(answer) => return recorded_answer(message.id, guard.name.clone(), &params, answer),
+            Err(answer) => return recorded_answer(&request, answer),
         };
         // A reload (SIGHUP) may have changed the class in the meantime; the claim and the
         // dispatcher would then disagree on whether the request may run more than once.
-        if !self.shared.has_class(&message.method)
-            || self.shared.is_at_most_once(&message.method) != at_most_once
+        if !self.shared.has_class(&request.class)
+            || self.shared.is_at_most_once(&request.class) != at_most_once
         {
             claim.iter().for_each(Claim::mark_not_executed);
             return Err(ErrorResponse::rejected(Some(RETRY_AFTER_OVERLOAD)));
         }
         // Estimate: four bytes per token.
-        let prompt_tokens = params.prompt_len.unwrap_or(body.len() as u64 / 4);
+        let prompt_tokens = request
+            .prompt_tokens
+            .unwrap_or(request.prompt.len() as u64 / 4);
         let spec = RequestSpec {
             request: RequestId(0),
-            deadline,
-            session: params.session.map(Into::into),
-            prefix: params.prefix.map(Into::into),
-            prefix_tokens: params.prefix_len.min(prompt_tokens),
+            deadline: request.deadline,
+            session: request.session.map(Into::into),
+            prefix: request.prefix.map(Into::into),
+            prefix_tokens: request.prefix_tokens.min(prompt_tokens),
             prompt_tokens,
-            max_tokens: params.max_out,
+            max_tokens: request.max_tokens,
             duration_hint: None,
-            class: message.method,
+            class: request.class,
             tenant: None,
         };
         // A new id for each client request, as in the platform's protocol; across resumes, the request is identified by
@@ -448,7 +336,7 @@
                 CONTENT_TYPE,
                 HeaderValue::from_static("application/json"),
             )]),
-            body,
+            body: request.prompt,
             lifetime_guards: None,
             claim_key: claim.as_ref().map(Claim::key),
         };
@@ -463,7 +351,7 @@
                 return Err(CANCELLED);
             }
         };
-        let (calls, text) = params
+        let (calls, text) = request
             .resume
             .map_or((0, String::new()), |r| (r.calls, r.text));
         match answer {
@@ -480,18 +368,14 @@
             Answer::Stream(stream) => {
                 guard.streaming.set(true);
                 claim.iter().for_each(Claim::response_started);
-                let (id, name, text) = (
-                    message.id,
-                    guard.name.clone(),
-                    claim.is_some().then_some(text),
-                );
                 Ok(StartedRequest::Streaming(
                     StreamingRequest {
-                        id,
-                        name,
+                        id: request.id,
+                        name: guard.name.clone(),
                         calls,
+                        text: claim.is_some().then_some(text),
                         claim,
-                        text,
+                        memory: request.memory,
                         guard,
                     },
                     stream,
@@ -506,14 +390,14 @@
     async fn claim(
         &self,
         at_most_once: bool,
-        params: &Params,
-        deadline: Micros,
+        request: &CompletionRequest,
         guard: &mut ActiveGuard,
     ) -> Result<Result<Option<Claim>, FinalResponse>, ErrorResponse> {
         let Some(work) = self.work.clone() else {
             return Ok(Ok(None));
         };
-        let (name, is_resume) = (params.request.clone(), params.resume.is_some());
+        let (name, is_resume) = (request.name.clone(), request.resume.is_some());
+        let deadline = request.deadline;
         // In a separate task: a claim that is granted after this future was dropped must still be released.
         let acquire = tokio::task::spawn_local(async move {
             Claim::acquire(&work, &name, at_most_once, is_resume, deadline).await
@@ -571,9 +455,7 @@
 
 /// Answers a request whose final response is already recorded: with the part of the text that the client does not have.
 fn recorded_answer(
-    id: Option<Box<RawValue>>,
-    name: Rc<str>,
-    params: &Params,
+    request: &CompletionRequest,
     answer: FinalResponse,
 ) -> Result<StartedRequest, ErrorResponse> {
     let (text, last) = match answer {
@@ -584,31 +466,20 @@
             last_line: last,
         } => (text, last),
     };
-    let received = params.resume.as_ref().map_or("", |r| r.text.as_str());
     let remaining_text = text
         .as_deref()
-        .and_then(|text| text.strip_prefix(received))
+        .and_then(|text| text.strip_prefix(request.received_text()))
         .ok_or(TEXT_NOT_KEPT)?
         .to_owned();
     let last = serde_json::from_slice(&last).map_err(|_| TEXT_NOT_KEPT)?;
     Ok(StartedRequest::Recorded {
-        id,
-        name,
+        id: request.id.clone(),
+        name: request.name.clone(),
         remaining_text,
         last,
     })
 }
 
-fn json_response(status: StatusCode, mut body: Vec<u8>) -> Response<AnswerBody> {
-    body.push(b'\n');
-    let mut response = Response::new(AnswerBody::Fixed(Some(body.into())));
-    *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert("content-type", HeaderValue::from_static("application/json"));
-    response
-}
-
 fn no_content() -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::Fixed(None));
     *response.status_mut() = StatusCode::NO_CONTENT;
--- a/src/front/jsonrpc/events.rs
+++ b/src/front/jsonrpc/events.rs
@@ -1,28 +1,63 @@
 //! The events of a decode worker's stream.
 
-use super::messages::deserialize_present;
+use super::messages::{deserialize_borrowed, deserialize_present};
 use super::relay::RelayError;
+use super::request::is_valid_message;
 use bytes::BytesMut;
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use std::borrow::Cow;
 
 /// The maximum length of an event in a decode worker's stream, and the amount that may be buffered while a tool runs.
 pub(super) const MAX_EVENT_BYTES: usize = 128 * 1024;
 
 /// An event of a decode worker's stream: a piece of the answer or a tool call.
 #[derive(Deserialize)]
-pub(super) struct DecodeEvent {
-    pub(super) jsonrpc: Option<String>,
+pub(super) struct DecodeEvent<'a> {
+    #[serde(borrow)]
+    jsonrpc: Option<Cow<'a, str>>,
     #[serde(default, deserialize_with = "deserialize_present")]
-    pub(super) id: Option<Box<RawValue>>,
-    pub(super) method: Option<String>,
-    #[serde(default, deserialize_with = "deserialize_present")]
-    pub(super) params: Option<Box<RawValue>>,
+    id: Option<Box<RawValue>>,
+    #[serde(borrow)]
+    method: Option<Cow<'a, str>>,
+    #[serde(borrow, default, deserialize_with = "deserialize_borrowed")]
+    params: Option<&'a RawValue>,
     #[serde(default)]
     pub(super) choices: Vec<Choice>,
     pub(super) usage: Option<Box<RawValue>>,
 }
 
+/// A decode worker's call of a tool.
+pub(super) struct ToolCall<'a> {
+    /// The id that the response must have; a call without one expects no response.
+    pub(super) id: Option<Box<RawValue>>,
+    pub(super) method: Cow<'a, str>,
+    pub(super) params: Option<&'a RawValue>,
+}
+
+impl<'a> DecodeEvent<'a> {
+    /// Parses the data of an event.
+    pub(super) fn parse(data: &'a str) -> Result<Self, RelayError> {
+        serde_json::from_str(data).map_err(|_| RelayError::StreamBroken)
+    }
+
+    /// Takes the tool call out of the event, if it is one.
+    pub(super) fn take_tool_call(&mut self) -> Result<Option<ToolCall<'a>>, RelayError> {
+        let Some(method) = self.method.take() else {
+            return Ok(None);
+        };
+        let version = self.jsonrpc.as_deref().unwrap_or_default();
+        if !is_valid_message(version, self.id.as_deref(), self.params) {
+            return Err(RelayError::StreamBroken);
+        }
+        Ok(Some(ToolCall {
+            id: self.id.take(),
+            method,
+            params: self.params,
+        }))
+    }
+}
+
 #[derive(Deserialize)]
 pub(super) struct Choice {
     #[serde(default)]
@@ -38,7 +73,7 @@
 /// An incremental parser of server-sent events.
 #[derive(Default)]
 pub(super) struct EventParser {
-    pub(super) bytes: BytesMut,
+    bytes: BytesMut,
 }
 
 impl EventParser {
@@ -67,6 +102,10 @@
             consumed += end + 1;
             if line.is_empty() {
                 let _ = self.bytes.split_to(consumed);
+                if self.bytes.is_empty() {
+                    // A long event must not keep its memory for as long as the stream lasts.
+                    self.bytes = BytesMut::new();
+                }
                 return Ok(Some(data));
             }
             if let Some(value) = line.strip_prefix("data:") {
--- a/src/front/jsonrpc/messages.rs
+++ b/src/front/jsonrpc/messages.rs
@@ -14,6 +14,13 @@
     Box::<RawValue>::deserialize(deserializer).map(Some)
 }
 
+/// [`deserialize_present`] for a field that borrows from the input.
+pub(super) fn deserialize_borrowed<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<&'de RawValue>, D::Error> {
+    <&RawValue>::deserialize(deserializer).map(Some)
+}
+
 pub(super) fn is_id(id: &RawValue) -> bool {
     !id.get().starts_with(['{', '[', 't', 'f'])
 }
@@ -150,7 +157,7 @@
 }
 
 impl FinalLine {
-    pub(super) fn line(&self, id: Option<&RawValue>, request: &str, text: Option<&str>) -> Vec<u8> {
+    pub(super) fn line(&self, id: &RawValue, request: &str, text: Option<&str>) -> Vec<u8> {
         let FinalLine {
             finish,
             calls,
@@ -217,13 +224,12 @@
     })
 }
 
-pub(super) fn result_line(id: Option<&RawValue>, result: impl Serialize) -> Vec<u8> {
-    let id = Some(id.unwrap_or(RawValue::NULL));
+pub(super) fn result_line(id: &RawValue, result: impl Serialize) -> Vec<u8> {
     encode(&OutgoingMessage {
         jsonrpc: "2.0",
         method: None,
         params: None,
-        id,
+        id: Some(id),
         result: Some(result),
         error: None,
     })
--- a/src/front/jsonrpc/relay.rs
+++ b/src/front/jsonrpc/relay.rs
@@ -2,24 +2,21 @@
 
 use super::Front;
 use super::active::{ActiveGuard, StopSignal};
-use super::events::{DecodeEvent, EventParser, MAX_EVENT_BYTES};
+use super::events::{DecodeEvent, EventParser, MAX_EVENT_BYTES, ToolCall};
 use super::messages::{
     CANCELLED, FAILED, FinalLine, NotificationParams, ToolReply, ToolReplyError, encode,
     error_line, notification_line,
 };
-use super::request::Message;
-use super::sink::Sink;
+use super::sink::{CollectError, Sink};
 use crate::exchange::{DisconnectNotifier, Frame, StreamReceiver};
 use crate::fleet::work::FinalResponse;
-use crate::front::ledger::{CallKey, Outcome};
+use crate::front::ledger::{CallKey, Outcome, StartedCall};
 use crate::front::record::Claim;
+use crate::memory::{Buffer, Reservation};
 use serde_json::value::RawValue;
 use std::rc::Rc;
 use tokio::sync::watch;
 
-/// The maximum text of one answer in a batch, which is collected before it is sent.
-pub(super) const MAX_BATCH_TEXT_BYTES: usize = 256 * 1024;
-
 /// Why relaying a stream failed or was stopped.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum RelayError {
@@ -33,22 +30,26 @@
 
 /// A request whose answer streams.
 pub(super) struct StreamingRequest {
-    pub(super) id: Option<Box<RawValue>>,
+    pub(super) id: Rc<RawValue>,
     pub(super) name: Rc<str>,
     /// The number of tool calls so far, including those that the client had before it resumed.
     pub(super) calls: u32,
     pub(super) claim: Option<Claim>,
     /// The answer's text so far; `None` without a claim, or once it is too long to be recorded.
     pub(super) text: Option<String>,
+    /// The reservation for the id and the text.
+    pub(super) memory: Reservation,
     pub(super) guard: ActiveGuard,
 }
 
 impl StreamingRequest {
-    /// Adds to the text that is recorded with the final response; drops all of it once it is too long to be recorded.
+    /// Adds to the text that is recorded with the final response; drops all of it once it is too long to be recorded, or
+    /// the memory budget has no room for it.
     pub(super) fn append_text(&mut self, piece: &str) {
         let max_bytes = self.claim.as_ref().map_or(0, Claim::max_text_bytes);
         if let Some(text) = &mut self.text {
-            if text.len() + piece.len() <= max_bytes {
+            let is_recordable = text.len() + piece.len() <= max_bytes;
+            if is_recordable && self.memory.grow(piece.len()).is_ok() {
                 text.push_str(piece);
             } else {
                 self.text = None;
@@ -71,6 +72,15 @@
     }
 }
 
+/// A tool call whose outcome the decode worker waits for.
+struct PendingToolCall {
+    /// The number of calls before this one in the request's answer.
+    ordinal: u32,
+    started: StartedCall,
+    /// The id that the response to the decode worker must have; `None` if it expects no response.
+    reply_id: Option<Box<RawValue>>,
+}
+
 impl Front {
     /// Relays an answer and its tool calls to `sink`, and returns the final line, which the caller sends.
     pub(super) async fn relay(
@@ -134,20 +144,15 @@
                                 .map_err(|_| RelayError::StreamBroken)?;
                         }
                         Some(FinalResponse::Failed) => {
-                            return Ok(error_line(request.id.as_deref(), &FAILED.error));
+                            return Ok(error_line(Some(&request.id), &FAILED.error));
                         }
                         Some(FinalResponse::Cancelled) => {
-                            return Ok(error_line(request.id.as_deref(), &CANCELLED.error));
+                            return Ok(error_line(Some(&request.id), &CANCELLED.error));
                         }
                         None => return Err(RelayError::StreamBroken),
                     }
                 }
-                let text = if let Sink::Text(text) = &*sink {
-                    Some(text.as_str())
-                } else {
-                    None
-                };
-                Ok(last.line(request.id.as_deref(), &request.name, text))
+                Ok(last.line(&request.id, &request.name, sink.text()))
             }
             // A cancelled request still gets a response.
             Err(RelayError::Cancelled) => {
@@ -155,12 +160,21 @@
                     .claim
                     .iter()
                     .for_each(|claim| claim.complete_in_background(FinalResponse::Cancelled));
-                Ok(error_line(request.id.as_deref(), &CANCELLED.error))
+                Ok(error_line(Some(&request.id), &CANCELLED.error))
             }
             Err(error) => Err(error),
         }
     }
 
+    /// Counts and logs why an answer in a batch ends early.
+    fn cannot_collect(&self, error: &CollectError) -> RelayError {
+        if let CollectError::Memory(_) = error {
+            self.shared.counters.over_bound.up();
+        }
+        log::info!("json-rpc: {error}; it ends as a broken stream");
+        RelayError::StreamBroken
+    }
+
     /// Relays the events that are complete in `events`.
     async fn relay_events(
         self: &Rc<Self>,
@@ -170,24 +184,17 @@
         sink: &mut Sink,
         summary: &mut StreamSummary,
     ) -> Result<(), RelayError> {
-        while let Some(event) = events.next_event()? {
-            if event.is_empty() || event == "[DONE]" {
+        while let Some(data) = events.next_event()? {
+            if data.is_empty() || data == "[DONE]" {
                 continue;
             }
-            let event: DecodeEvent =
-                serde_json::from_str(&event).map_err(|_| RelayError::StreamBroken)?;
-            if let Some(method) = event.method {
-                let message = Message {
-                    jsonrpc: event.jsonrpc.unwrap_or_default(),
-                    id: event.id,
-                    method,
-                    params: event.params,
-                    arrived: self.shared.dispatcher.clock.now(),
-                };
-                if !message.is_valid() {
-                    return Err(RelayError::StreamBroken);
-                }
-                self.tool_call(message, events, request, stream, sink)
+            let mut event = DecodeEvent::parse(&data)?;
+            if let Some(call) = event.take_tool_call()? {
+                let call = self.start_tool_call(call, request);
+                // The call may take long; its arguments are not needed here any more.
+                drop(event);
+                drop(data);
+                self.finish_tool_call(call, events, request, stream, sink)
                     .await?;
                 continue;
             }
@@ -195,12 +202,8 @@
             for choice in event.choices {
                 if let Some(text) = choice.delta.content.filter(|t| !t.is_empty()) {
                     request.append_text(&text);
-                    if let Sink::Text(collected) = sink {
-                        if collected.len() + text.len() > MAX_BATCH_TEXT_BYTES {
-                            return Err(RelayError::StreamBroken);
-                        }
-                        collected.push_str(&text);
-                    }
+                    sink.collect(&text)
+                        .map_err(|error| self.cannot_collect(&error))?;
                     sink.send_line(notification_line(
                         "delta",
                         NotificationParams {
@@ -220,38 +223,44 @@
         Ok(())
     }
 
-    /// Relays one tool call and its outcome. If the decode worker fails, or the client disconnects, this returns early, but
+    /// Starts a tool call before the client is notified, so that a stalled client does not delay the tool.
+    fn start_tool_call(&self, call: ToolCall, request: &mut StreamingRequest) -> PendingToolCall {
+        let ordinal = request.calls;
+        request.calls += 1;
+        let key = CallKey {
+            request: request.name.clone(),
+            ordinal,
+        };
+        let started = self
+            .ledger
+            .start(key, request.claim.clone(), &call.method, call.params);
+        PendingToolCall {
+            ordinal,
+            started,
+            reply_id: call.id,
+        }
+    }
+
+    /// Relays the outcome of a tool call. If the decode worker fails, or the client disconnects, this returns early, but
     /// the call continues and its outcome is kept in the ledger. (A cancellation by the client cancels the call, too.)
-    async fn tool_call(
+    async fn finish_tool_call(
         self: &Rc<Self>,
-        call: Message,
+        call: PendingToolCall,
         events: &mut EventParser,
         request: &mut StreamingRequest,
         stream: &mut StreamReceiver,
         sink: &mut Sink,
     ) -> Result<(), RelayError> {
-        let ordinal = request.calls;
-        request.calls += 1;
         let tool_notice = |state| NotificationParams {
             request: &request.name,
             text: None,
-            ordinal: Some(ordinal),
+            ordinal: Some(call.ordinal),
             state: Some(state),
         };
-        let key = CallKey {
-            request: request.name.clone(),
-            ordinal,
-        };
         let (mut stop, stop_state) = (request.guard.stop.clone(), request.guard.stop.clone());
         let client_gone = sink.closed();
         tokio::pin!(client_gone);
-        // The call is started before the client is notified, so that a stalled client does not delay the tool.
-        let pending_outcome = self.ledger.call(
-            key,
-            request.claim.clone(),
-            &call.method,
-            call.params.as_deref(),
-        );
+        let pending_outcome = self.ledger.outcome(call.started);
         tokio::pin!(pending_outcome);
         stream.set_paused(true);
         let mut unsent_notice = Some(notification_line("tool", tool_notice("calling")));
@@ -277,7 +286,7 @@
         if let Some(line) = unsent_notice {
             sink.send_line(line).await?;
         }
-        if let Some(id) = &call.id {
+        if let Some(id) = &call.reply_id {
             let (result, error) = match &outcome {
                 Outcome::Result(raw) => (Some(&**raw), None),
                 Outcome::ToolError(raw) => (None, Some(ToolReplyError::Tool(raw))),
@@ -289,7 +298,8 @@
                 result,
                 error,
             });
-            if !stream.reply(reply.into()).await {
+            let reply = Buffer::overdrawn(reply, &self.shared.body_budget).freeze();
+            if !stream.reply(reply).await {
                 return Err(RelayError::StreamBroken);
             }
         }
--- a/src/front/ledger.rs
+++ b/src/front/ledger.rs
@@ -8,6 +8,7 @@
 use super::record::Claim;
 use crate::config::ToolSettings;
 use crate::counters::Counters;
+use crate::memory::{Budget, Buffer};
 use crate::net::pool::{Pool, Target};
 use crate::routing::types::{CallState, WorkerId, permit_call};
 use bytes::Bytes;
@@ -147,6 +148,9 @@
     error: Option<Box<RawValue>>,
 }
 
+/// A call whose outcome [`Ledger::outcome`] returns; it does not refer to the call's arguments.
+pub struct StartedCall(Result<watch::Receiver<State>, CallError>);
+
 /// The ledger of tool calls, with the client that sends them to the tool server.
 pub struct Ledger {
     entries: RefCell<HashMap<CallKey, Entry>>,
@@ -156,14 +160,18 @@
     settings: ToolSettings,
     pool: Pool,
     counters: Rc<Counters>,
+    /// Counts the calls in flight. The outcomes that are kept count against `max_ledger_bytes`.
+    memory: Budget,
 }
 
 impl Ledger {
-    /// An empty ledger. `connect_timeout` applies to connections to the tool server.
+    /// An empty ledger. `connect_timeout` applies to connections to the tool server; calls in flight count against
+    /// `memory`.
     pub fn new(
         settings: ToolSettings,
         connect_timeout: Duration,
         counters: Rc<Counters>,
+        memory: Budget,
     ) -> Rc<Self> {
         let idle_timeout = Duration::from_secs(5);
         let pool = Pool::new(
@@ -180,21 +188,27 @@
             settings,
             pool,
             counters,
+            memory,
         })
     }
 
-    /// Returns the outcome of a call: the recorded one, that of the same call in flight, or that of a new run of the tool.
-    /// The tool runs at most once for a key. Dropping the future leaves the call running, since its outcome is needed when
-    /// the stream is resumed. With a claim, the fleet's record takes precedence over this ledger.
-    pub async fn call(
+    /// Starts a call, unless its outcome is recorded or the same call is in flight. The tool runs at most once for a key.
+    /// With a claim, the fleet's record takes precedence over this ledger.
+    pub fn start(
         self: &Rc<Self>,
         key: CallKey,
         claim: Option<Claim>,
         method: &str,
         params: Option<&RawValue>,
-    ) -> Outcome {
+    ) -> StartedCall {
         self.counters.tool_calls.up();
-        let outcome = match self.find_or_start(key, claim, method, params) {
+        StartedCall(self.find_or_start(key, claim, method, params))
+    }
+
+    /// Returns the outcome of a call. Dropping the future leaves the call running, since its outcome is needed when the
+    /// stream is resumed.
+    pub async fn outcome(&self, call: StartedCall) -> Outcome {
+        let outcome = match call.0 {
             Ok(mut state) => loop {
                 if let State::Completed(outcome) = &*state.borrow_and_update() {
                     break outcome.clone();
@@ -283,6 +297,8 @@
         self.entries.borrow_mut().insert(key.clone(), entry);
         self.bytes.set(self.bytes.get() + ENTRY_OVERHEAD_BYTES);
         let ledger = self.clone();
+        // The decode worker waits for the outcome, so the call is made even if the budget has too little left.
+        let body = Buffer::overdrawn(body, &self.memory).freeze();
         tokio::task::spawn_local(async move {
             let recorded = match &claim {
                 Some(claim) => {
@@ -300,7 +316,7 @@
                 // The call was made before, by this or another router, or must not be made.
                 Some(outcome) => outcome,
                 None => {
-                    let outcome = ledger.run(id, Bytes::from(body), cancelled).await;
+                    let outcome = ledger.run(id, body, cancelled).await;
                     if let Some(claim) = &claim {
                         claim.record_call_outcome(key.ordinal, &outcome).await;
                     }
--- a/src/front/shared.rs
+++ b/src/front/shared.rs
@@ -6,9 +6,10 @@
 use crate::fleet::transport::policy::{
     AdmissionError, PolicyGate, PolicyPermit, non_repeatable_classes,
 };
+use crate::memory::Budget;
 use crate::routing::types::{Micros, RequestClass};
 use crate::shutdown::{AdmissionPermit, Shutdown};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
 
@@ -38,8 +39,8 @@
     pub counters: Rc<Counters>,
     /// Request metrics per class, for operators.
     pub metrics: Rc<Metrics>,
-    /// Bytes left of the memory budget for request bodies. Reserve from it with [`BudgetReservation`].
-    pub body_budget: Cell<usize>,
+    /// The memory that requests and their answers may hold, over all connections.
+    pub body_budget: Budget,
     /// The ids of requests in progress. [`ActiveRequestId`] removes an id when it is dropped.
     pub active_ids: RefCell<HashSet<String>>,
 }
@@ -102,40 +103,6 @@
     }
 }
 
-/// Bytes reserved from [`Shared::body_budget`], returned on drop.
-pub struct BudgetReservation(Rc<Shared>, usize);
-
-impl BudgetReservation {
-    /// An empty reservation.
-    pub fn new(shared: Rc<Shared>) -> Self {
-        BudgetReservation(shared, 0)
-    }
-
-    /// Reserves `bytes` more; returns `false` and reserves nothing if the budget has too little left. Call it as bytes
-    /// arrive, so that a request that only announces a long body takes no budget from others.
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        let left = self.0.body_budget.get().checked_sub(bytes);
-        if let Some(left) = left {
-            self.0.body_budget.set(left);
-            self.1 += bytes;
-        }
-        left.is_some()
-    }
-
-    /// Returns everything beyond `bytes` to the budget.
-    pub fn shrink_to(&mut self, bytes: usize) {
-        let excess = self.1.saturating_sub(bytes);
-        self.0.body_budget.set(self.0.body_budget.get() + excess);
-        self.1 -= excess;
-    }
-}
-
-impl Drop for BudgetReservation {
-    fn drop(&mut self) {
-        self.0.body_budget.set(self.0.body_budget.get() + self.1);
-    }
-}
-
 /// Removes an id from [`Shared::active_ids`] on drop.
 pub struct ActiveRequestId(Rc<Shared>, String);
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod front;
 pub mod haproxy;
 pub mod live_settings;
+pub mod memory;
 pub mod net;
 pub mod routing;
 pub mod shutdown;
--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -8,7 +8,8 @@
 use crate::admin::metrics::{RequestMetrics, RequestOutcome};
 use crate::counters::Counters;
 use crate::front::platform::{self, AnswerBody};
-use crate::front::shared::{BudgetReservation, MAX_BODY_BYTES};
+use crate::front::shared::MAX_BODY_BYTES;
+use crate::memory::Reservation;
 use crate::routing::policy::close_permit::{
     CloseCause, CloseDenial, ClosePermit, ConnectionState, permit_close,
 };
@@ -212,7 +213,7 @@
     service: S,
     stage: watch::Receiver<Stage>,
     tracker: &Rc<ConnectionTracker>,
-    read_ahead_budget: BudgetReservation,
+    read_ahead_budget: Reservation,
     counters: &Counters,
 ) where
     S: RequestService,
@@ -261,7 +262,7 @@
     service: S,
     mut stage: watch::Receiver<Stage>,
     tracker: &Rc<ConnectionTracker>,
-    mut read_ahead_budget: BudgetReservation,
+    mut read_ahead_budget: Reservation,
 ) -> ServeOutcome
 where
     S: RequestService,
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -5,7 +5,7 @@
 //! here.
 
 use super::stream::{self, retry_interrupted};
-use crate::front::shared::BudgetReservation;
+use crate::memory::Reservation;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
@@ -172,7 +172,7 @@
     pub async fn read_ahead(
         &self,
         socket: &TcpStream,
-        read_ahead_budget: &mut BudgetReservation,
+        read_ahead_budget: &mut Reservation,
     ) -> bool {
         let mut buffer = [0; 4096];
         match socket
@@ -218,10 +218,10 @@
 }
 
 impl ReadAhead {
-    fn push(&mut self, bytes: &[u8], read_ahead_budget: &mut BudgetReservation) {
+    fn push(&mut self, bytes: &[u8], read_ahead_budget: &mut Reservation) {
         self.overflowed = self.overflowed
             || self.bytes.len() + bytes.len() > MAX_READ_AHEAD_BYTES
-            || !read_ahead_budget.grow(bytes.len());
+            || read_ahead_budget.grow(bytes.len()).is_err();
         if self.overflowed {
             self.bytes = VecDeque::new();
             self.pieces = VecDeque::new();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -12,15 +12,14 @@
 use crate::front::jsonrpc;
 use crate::front::platform::{self, AnswerBody, end_to_end_headers, plain};
 use crate::front::shared::{
-    ActiveRequestId, BudgetReservation, MAX_BODY_BYTES, RETRY_AFTER_CUT_OFF, RETRY_AFTER_OVERLOAD,
-    Shared,
+    ActiveRequestId, MAX_BODY_BYTES, RETRY_AFTER_CUT_OFF, RETRY_AFTER_OVERLOAD, Shared,
 };
+use crate::memory::{BudgetExhausted, Buffer, Reservation};
 use crate::routing::types::Micros;
-use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use std::any::Any;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -66,6 +65,12 @@
         plain(status, text)
     }
 
+    fn over_budget(&self, error: BudgetExhausted) -> Response<AnswerBody> {
+        self.shared.counters.over_bound.up();
+        log::debug!("request rejected: {error}");
+        platform::refusal(Some(RETRY_AFTER_OVERLOAD))
+    }
+
     /// Starts the metrics of a request whose head has been received. Called before anything that may refuse the
     /// request.
     fn request_metrics(&self, request: &Request<Incoming>) -> Rc<RequestMetrics> {
@@ -104,7 +109,7 @@
                 return self.bad_request(StatusCode::METHOD_NOT_ALLOWED, "wrong method\n");
             }
             return match self.read_body(request.into_body(), &tracker).await {
-                Ok((body, _memory)) => front.respond(body, arrived).await,
+                Ok(body) => front.respond(body, arrived).await,
                 Err(response) => response,
             };
         }
@@ -140,8 +145,8 @@
         if shared.gate.is_none() && !shared.has_class(&intake.spec.class) {
             return self.bad_request(StatusCode::BAD_REQUEST, "unknown class\n");
         }
-        let (body, mut held) = match self.read_body(body, tracker).await {
-            Ok(body) => body,
+        let body = match self.read_body(body, tracker).await {
+            Ok(body) => body.freeze(),
             Err(response) => return response,
         };
         request_metrics.begin_progress();
@@ -150,14 +155,9 @@
             Err(retry_after) => return platform::refusal(Some(retry_after)),
         };
         let headers = end_to_end_headers(&head.headers);
-        if !held.grow(
-            headers
-                .iter()
-                .map(|(name, value)| name.as_str().len() + value.len())
-                .sum(),
-        ) {
-            shared.counters.over_bound.up();
-            return platform::refusal(Some(RETRY_AFTER_OVERLOAD));
+        let mut header_memory = Reservation::new(&shared.body_budget);
+        if let Err(error) = header_memory.grow(size_of_headers(&headers)) {
+            return self.over_budget(error);
         }
         if !intake.has_prompt_length {
             // Estimate: one token is four characters.
@@ -183,7 +183,7 @@
             .path_and_query()
             .map_or(platform::COMPLETIONS_PATH, |path| path.as_str())
             .to_owned();
-        let lifetime_guards: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, held)));
+        let lifetime_guards: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, header_memory)));
         let call = UpstreamRequest {
             id: intake.id,
             target,
@@ -204,13 +204,16 @@
         &self,
         mut body: Incoming,
         tracker: &ConnectionTracker,
-    ) -> Result<(Bytes, BudgetReservation), Response<AnswerBody>> {
+    ) -> Result<Buffer, Response<AnswerBody>> {
         let too_long = || self.bad_request(StatusCode::PAYLOAD_TOO_LARGE, "body too long\n");
         if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
             return Err(too_long());
         }
-        let (mut received, mut held) =
-            (BytesMut::new(), BudgetReservation::new(self.shared.clone()));
+        let expected_len = body
+            .size_hint()
+            .exact()
+            .map_or(MAX_BODY_BYTES, |n| n as usize);
+        let mut received = Buffer::new(&self.shared.body_budget);
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else {
                 return Err(self.bad_request(StatusCode::BAD_REQUEST, "body broken\n"));
@@ -221,11 +224,9 @@
             if received.len() + data.len() > MAX_BODY_BYTES {
                 return Err(too_long());
             }
-            if !held.grow(data.len()) {
-                self.shared.counters.over_bound.up();
-                return Err(platform::refusal(Some(RETRY_AFTER_OVERLOAD)));
-            }
-            received.extend_from_slice(&data);
+            received
+                .extend(&data, expected_len)
+                .map_err(|error| self.over_budget(error))?;
         }
         if tracker.has_excess_bytes() {
             return Err(
@@ -233,10 +234,17 @@
             );
         }
         tracker.request_received();
-        Ok((received.freeze(), held))
+        Ok(received)
     }
 }
 
+fn size_of_headers(headers: &HeaderMap) -> usize {
+    let sizes = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    sizes.sum()
+}
+
 /// A request whose head has been received, with the state of its connection.
 pub struct IncomingRequest {
     request: Request<Incoming>,
@@ -443,7 +451,7 @@
         }
         let (stage, read_ahead_budget) = (
             self.stage.clone(),
-            BudgetReservation::new(self.service.shared.clone()),
+            Reservation::new(&self.service.shared.body_budget),
         );
         let client_service = self.service.clone();
         tokio::task::spawn_local(async move {
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -7,8 +7,10 @@
 use super::*;
 use crate::admin::metrics::Metrics;
 use crate::dispatch::Clock;
+use crate::memory::Budget;
 use crate::net::framing::RequestPhase;
 use crate::shutdown::{Shutdown, StopRequest};
+use bytes::Bytes;
 use rstest::rstest;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -93,7 +95,7 @@
         may_serve: Box::new(|| true),
         metrics: Rc::default(),
         counters: Rc::default(),
-        body_budget: Cell::new(budget),
+        body_budget: Budget::new(budget),
         active_ids: RefCell::default(),
     })
 }
@@ -149,8 +151,10 @@
             self.counters.clone(),
             self.stage.subscribe(),
         );
-        let (answer, read_ahead_budget) =
-            (Rc::new(answer), BudgetReservation::new(shared(64 * 1024)));
+        let (answer, read_ahead_budget) = (
+            Rc::new(answer),
+            Reservation::new(&shared(64 * 1024).body_budget),
+        );
         spawn_local(async move {
             let request_tracker = tracker.clone();
             let service = move |request: Request<Incoming>| -> ResponseFuture {
@@ -745,18 +749,18 @@
     let mut client = connect(&listener);
     let (stream, _) = listener.accept().await.unwrap();
     let (tracker, shared) = (ConnectionTracker::new(), shared(budget));
-    let mut read_ahead_budget = BudgetReservation::new(shared.clone());
+    let mut read_ahead_budget = Reservation::new(&shared.body_budget);
     client.write_all(&[b'a'; 5_000]).unwrap();
     client.shutdown(std::net::Shutdown::Write).unwrap();
     while !tracker.read_ahead(&stream, &mut read_ahead_budget).await {}
     assert_eq!(
-        (tracker.buffered_bytes(), shared.body_budget.get()),
+        (tracker.buffered_bytes(), shared.body_budget.left()),
         (buffered, budget - buffered)
     );
     read_ahead_budget.shrink_to(2_000);
-    assert_eq!(shared.body_budget.get(), budget - buffered.min(2_000));
+    assert_eq!(shared.body_budget.left(), budget - buffered.min(2_000));
     drop(read_ahead_budget);
-    assert_eq!(shared.body_budget.get(), budget);
+    assert_eq!(shared.body_budget.left(), budget);
 }
 
 /// Guards against a deadline that starts late for a pipelined request: hyper does not read it while the previous
@@ -767,7 +771,7 @@
     let mut client = connect(&listener);
     let (stream, _) = listener.accept().await.unwrap();
     let (stream, tracker) = (Rc::new(stream), ConnectionTracker::new());
-    let mut read_ahead_budget = BudgetReservation::new(shared(64 * 1024));
+    let mut read_ahead_budget = Reservation::new(&shared(64 * 1024).body_budget);
     client.write_all(REQUEST).unwrap();
     while tracker.buffered_bytes() < REQUEST.len() {
         assert!(!tracker.read_ahead(&stream, &mut read_ahead_budget).await);
--- a/src/net/upgrade.rs
+++ b/src/net/upgrade.rs
@@ -14,7 +14,8 @@
 use super::server::MAX_REFUSED_CONNECTIONS;
 use crate::config::ConfigError;
 use crate::dispatch::DispatcherEvent;
-use crate::front::shared::{BudgetReservation, Shared};
+use crate::front::shared::Shared;
+use crate::memory::Reservation;
 use lock_file::{LockFile, LockFileError, ProcessPhase, ProcessStatus};
 use share::{DescriptorLimit, SocketSplit};
 use slow_start::SlowStartPermission;
@@ -158,7 +159,7 @@
 impl LimitSharing {
     /// Applies the shared limits until the process exits.
     pub async fn run(self: Rc<Self>) {
-        let mut budget: Option<BudgetReservation> = None;
+        let mut budget: Option<Reservation> = None;
         let mut had_other = false;
         loop {
             let has_other = self.update();
@@ -168,8 +169,8 @@
             if !has_other {
                 budget = None;
             } else if budget.is_none() {
-                let mut part = BudgetReservation::new(self.shared.clone());
-                budget = part.grow(self.body_bytes_for_other).then_some(part);
+                let mut part = Reservation::new(&self.shared.body_budget);
+                budget = part.grow(self.body_bytes_for_other).is_ok().then_some(part);
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
--- a/src/run.rs
+++ b/src/run.rs
@@ -27,6 +27,7 @@
 use whinhaven::front::jsonrpc::Front;
 use whinhaven::front::shared::Shared;
 use whinhaven::live_settings::LiveSettings;
+use whinhaven::memory::Budget;
 use whinhaven::net::client::{HostClient, PendingReleases};
 use whinhaven::net::connections::Connections;
 use whinhaven::net::discovery::{AdjustEndpoints, Directory, DiscoveryWatcher};
@@ -407,7 +408,7 @@
         shutdown: shutdown.clone(),
         counters: counters.clone(),
         metrics: Rc::new(Metrics::default()),
-        body_budget: Cell::new(config.limits.memory_mb * 1024 * 1024 / 3),
+        body_budget: Budget::new(config.limits.memory_mb * 1024 * 1024 / 3),
         active_ids: RefCell::default(),
     });
     live_settings.on_change({
@@ -466,7 +467,7 @@
         reserved,
         pool: pool.clone(),
         connections: connections.clone(),
-        body_bytes_for_other: shared.body_budget.get() / 2,
+        body_bytes_for_other: shared.body_budget.left() / 2,
         shared: shared.clone(),
         phase: Cell::new(ProcessPhase::Starting),
         other_process_serves: other_process_serves.clone(),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -134,6 +134,15 @@
         );
     }
 
+    /// The most memory that the process had resident so far, in KiB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+            .expect("the system tells the peak")
+    }
+
     /// Sets how many descriptors the system lets it have.
     pub fn limit_descriptors(&self, most: u32) {
         let (pid, most) = (
