Bound the buffers of streams by bytes, and those of connections by shorter reads

A stream's frames, and the lines of the JSON-RPC front, were bounded by their number (16) alone, and each connection to a client or a host kept a read buffer of up to 64 KB that no budget counts.

Fix: one channel type for frames, bounded by 16 frames and 32 KB; a longer frame is sent when the channel is empty, and a waiting sender learns that its receiver is gone. A read takes 16 KB at most, so that hyper enlarges a buffer to 32 KB only. The limit of a head stays 64 KB.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -5,6 +5,10 @@
 //! that answers it. Answering consumes the handle, so a request can't have more than one final answer. Dropping the
 //! handle without an answer fails the request, so that it always gets one.
 
+mod frames;
+
+pub use frames::{Frame, FrameReceiver, FrameSender, WeakFrameSender, frame_channel};
+
 use crate::routing::types::Micros;
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -13,9 +17,6 @@
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 
-/// Number of frames of a stream that are buffered for a slow client before the model host's stream is blocked.
-const STREAM_BUFFER_FRAMES: usize = 16;
-
 /// Whether an id can be used in a path and in a header without escaping: 1 to 64 ASCII letters, digits, `-`, `_` or
 /// `.`.
 pub fn is_plain_id(id: &str) -> bool {
@@ -59,15 +60,6 @@
     Stream(StreamReceiver),
 }
 
-/// A part of a response stream.
-#[derive(Debug)]
-pub enum Frame {
-    /// Bytes of the stream, unchanged.
-    Data(Bytes),
-    /// The stream is complete. A stream that closes without this frame is broken.
-    End,
-}
-
 /// A message about the request that the server side sends back to the model host that streams the response.
 #[derive(Debug)]
 pub struct Reply {
@@ -82,7 +74,7 @@
 pub struct StreamReceiver {
     /// Content type that the model host stated, if any.
     pub content_type: Option<String>,
-    frames: mpsc::Receiver<Frame>,
+    frames: FrameReceiver,
     replies: mpsc::Sender<Reply>,
     is_paused: Rc<Cell<bool>>,
 }
@@ -115,7 +107,7 @@
 #[derive(Debug)]
 pub struct StreamSender {
     /// Sends frames to the server side.
-    pub frames: mpsc::Sender<Frame>,
+    pub frames: FrameSender,
     /// Receives messages that are to be sent to the model host.
     pub replies: mpsc::Receiver<Reply>,
     /// Whether the model host waits for a reply, so that a silent stream is no failure.
@@ -124,7 +116,7 @@
 
 /// Creates the two ends of a response stream.
 pub fn stream_channel(content_type: Option<String>) -> (StreamSender, StreamReceiver) {
-    let (frame_sender, frames) = mpsc::channel(STREAM_BUFFER_FRAMES);
+    let (frame_sender, frames) = frame_channel();
     let (replies, reply_receiver) = mpsc::channel(1);
     let is_paused = Rc::new(Cell::new(false));
     let source = StreamSender {
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -25,7 +25,9 @@
 use super::record::{Claim, ClaimResult};
 use super::shared::{RETRY_AFTER_CUT_OFF, RETRY_AFTER_OVERLOAD, Shared};
 use crate::config::ToolSettings;
-use crate::exchange::{Answer, DisconnectNotifier, Frame, StreamReceiver, UpstreamRequest};
+use crate::exchange::{
+    Answer, DisconnectNotifier, Frame, StreamReceiver, UpstreamRequest, frame_channel,
+};
 use crate::fleet::transport::work::TakeoverClient;
 use crate::fleet::work::FinalResponse;
 use crate::memory::Buffer;
@@ -41,12 +43,12 @@
 use relay::StreamingRequest;
 use request::{ClientBody, ClientMessage, CompletionRequest, InvalidMessage};
 use serde_json::value::RawValue;
-use sink::{MAX_QUEUED_LINES, Sink};
+use sink::Sink;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The JSON-RPC front end.
@@ -227,7 +229,7 @@
                 response
             }
             Ok(StartedRequest::Streaming(request, stream, notifier)) => {
-                let (lines, body) = mpsc::channel(MAX_QUEUED_LINES);
+                let (lines, body) = frame_channel();
                 tokio::task::spawn_local(async move {
                     let mut sink = Sink::Lines(lines.clone());
                     match self.relay(request, stream, notifier, &mut sink).await {
--- a/src/front/jsonrpc/sink.rs
+++ b/src/front/jsonrpc/sink.rs
@@ -1,16 +1,12 @@
 //! Where an answer goes: to the client line by line, or into one element of a batch's response.
 
 use super::relay::RelayError;
-use crate::exchange::Frame;
+use crate::exchange::{Frame, FrameSender};
 use crate::memory::{Budget, BudgetExhausted, Buffer};
 use std::time::Duration;
-use tokio::sync::mpsc;
-
-/// The number of lines that may be queued for a slow client.
-pub(super) const MAX_QUEUED_LINES: usize = 16;
 
 /// A client that reads nothing for this long is treated as disconnected.
-pub(super) const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(30);
+const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// The maximum text of one answer in a batch, which is collected before it is sent.
 const MAX_BATCH_TEXT_BYTES: usize = 256 * 1024;
@@ -23,7 +19,7 @@
 
 /// The destination of an answer: lines that are sent to the client as they arrive, or (in a batch) one collected text.
 pub(super) enum Sink {
-    Lines(mpsc::Sender<Frame>),
+    Lines(FrameSender),
     Text(Buffer),
 }
 
--- a/src/front/jsonrpc/tests.rs
+++ b/src/front/jsonrpc/tests.rs
@@ -1,4 +1,6 @@
 use super::events::EventParser;
+use super::sink::{CollectError, Sink};
+use crate::memory::{Budget, BudgetExhausted};
 
 #[test]
 fn events_are_parsed_regardless_of_chunk_boundaries() {
@@ -15,3 +17,32 @@
         assert_eq!(parsed, ["{\"a\":1}", "one\ntwo"], "cut at {cut}");
     }
 }
+
+/// Guards against answers of batches that are collected in memory and that no budget counts.
+#[test]
+fn an_answer_in_a_batch_is_reserved_in_advance_and_counts_as_it_grows() {
+    let budget = Budget::new(10_000);
+    let mut sink = Sink::collecting(1_024, &budget).unwrap();
+    assert_eq!(budget.left(), 5_904);
+    sink.collect(&"a".repeat(3_000)).unwrap();
+    assert_eq!(budget.left(), 5_904);
+    sink.collect(&"a".repeat(4_000)).unwrap();
+    assert!(budget.left() <= 3_000);
+    let error = sink.collect(&"a".repeat(9_000)).unwrap_err();
+    assert!(matches!(error, CollectError::Memory(BudgetExhausted)));
+    assert_eq!(sink.text().map(str::len), Some(7_000));
+    drop(sink);
+    assert_eq!(budget.left(), 10_000);
+}
+
+/// Guards against a batch that is started although its answers have no room: it is rejected before anything runs.
+#[test]
+fn an_answer_in_a_batch_without_room_is_not_begun() {
+    let budget = Budget::new(10_000);
+    assert!(matches!(
+        Sink::collecting(3_000, &budget),
+        Err(BudgetExhausted)
+    ));
+    assert!(matches!(Sink::collecting(0, &budget), Err(BudgetExhausted)));
+    assert_eq!(budget.left(), 10_000);
+}
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -1,7 +1,9 @@
 //! The platform's HTTP protocol: decodes request headers into a [`RequestSpec`] for the routing policy and encodes
 //! [`Answer`]s as HTTP responses.
 
-use crate::exchange::{Answer, DisconnectNotifier, Frame, StreamReceiver, is_plain_id};
+use crate::exchange::{
+    Answer, DisconnectNotifier, Frame, FrameReceiver, StreamReceiver, is_plain_id,
+};
 use crate::routing::types::{Micros, RequestId, RequestSpec};
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -24,7 +26,7 @@
     /// A model host's stream. If it is dropped before its end, the notifier reports that the client disconnected.
     Stream(StreamReceiver, DisconnectNotifier),
     /// A stream that a front end has re-encoded.
-    Lines(tokio::sync::mpsc::Receiver<Frame>),
+    Lines(FrameReceiver),
     /// A stream that broke; the next poll returns [`StreamBroken`].
     Breaking,
 }
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -8,7 +8,9 @@
 use crate::dispatch::{
     Attempt, Clock, DispatcherEvent, DispatcherHandle, Outbound, ReleaseProgress,
 };
-use crate::exchange::{Frame, Reply, StreamSender, UpstreamRequest, stream_channel};
+use crate::exchange::{
+    Frame, Reply, StreamSender, UpstreamRequest, WeakFrameSender, stream_channel,
+};
 use crate::routing::types::{
     AttemptIndex, AttemptOutcome, CallDenial, CallState, Micros, ReleasePermit, RequestId,
     SendDenial, WorkerId, WritePermit, WriteState, permit_call,
@@ -20,7 +22,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::sync::mpsc::WeakSender;
 use tokio::time::Instant;
 use tower::{Service, ServiceExt};
 
@@ -460,7 +461,7 @@
     }
 
     /// Posts a tool result to the decode worker while its stream is open.
-    fn post_tool_result(&self, attempt: &Attempt, reply: Reply, stream: WeakSender<Frame>) {
+    fn post_tool_result(&self, attempt: &Attempt, reply: Reply, stream: WeakFrameSender) {
         let target = format!("/internal/tool-results/{}", attempt.upstream_request.id);
         let request = Request::post(target)
             .header("host", "model-host")
@@ -471,9 +472,8 @@
         };
         let (client, target) = (self.clone(), self.target(&attempt.worker));
         tokio::task::spawn_local(async move {
-            let is_streaming = || stream.upgrade().is_some_and(|frames| !frames.is_closed());
             let state = || CallState::ToolResult {
-                is_streaming: is_streaming(),
+                is_streaming: stream.is_open(),
             };
             let pending_call = client.unary_call(target.as_ref(), request, body_len, state);
             let result = tokio::time::timeout(STREAM_IDLE_TIMEOUT, pending_call).await;
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -570,7 +570,7 @@
     let scenario = async {
         let server = TestServer::new().await;
         let (mut client, stream) = connect_with_small_buffers(&server.listener, 4096).await;
-        let (frames, lines) = tokio::sync::mpsc::channel(1);
+        let (frames, lines) = crate::exchange::frame_channel();
         let lines = RefCell::new(Some(lines));
         let served = server.serve_with(stream, move || {
             Response::new(AnswerBody::Lines(lines.take().unwrap()))
@@ -705,7 +705,7 @@
     let scenario = async {
         let server = TestServer::new().await;
         let (mut client, stream) = connect_with_small_buffers(&server.listener, 4096).await;
-        let (frames, lines) = tokio::sync::mpsc::channel(1);
+        let (frames, lines) = crate::exchange::frame_channel();
         let lines = RefCell::new(Some(lines));
         let served = server.serve_with(stream, move || {
             Response::new(AnswerBody::Lines(lines.take().unwrap()))
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -4,6 +4,7 @@
 //! Tokio's streams return EINTR as an error, and after a read that did not fill the buffer they assume that the socket
 //! is drained and wait for more, although bytes may be pending. The functions here repeat a call until it would block.
 
+use std::cell::RefCell;
 use std::io::{self, IoSlice};
 use std::net::Shutdown;
 use std::pin::Pin;
@@ -21,6 +22,28 @@
     }
 }
 
+/// The maximum number of bytes of one read. hyper enlarges a connection's buffer while reads fill it, and keeps it while the
+/// connection is open, so this bounds the memory of hundreds of connections.
+const MAX_READ_BYTES: usize = 16 * 1024;
+
+thread_local! {
+    /// Receives reads that could fill more than [`MAX_READ_BYTES`] of their buffer.
+    static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(Vec::with_capacity(MAX_READ_BYTES));
+}
+
+/// Reads available bytes into `buf`, at most [`MAX_READ_BYTES`]; returns their number.
+fn try_read(stream: &TcpStream, buf: &mut ReadBuf<'_>) -> io::Result<usize> {
+    if buf.remaining() <= MAX_READ_BYTES {
+        return stream.try_read_buf(buf);
+    }
+    READ_BUFFER.with_borrow_mut(|part| {
+        part.clear();
+        let length = stream.try_read_buf(part)?;
+        buf.put_slice(part);
+        Ok(length)
+    })
+}
+
 /// Reads available bytes into `buf`; pending while there are none.
 pub fn poll_read(
     stream: &TcpStream,
@@ -29,7 +52,7 @@
 ) -> Poll<io::Result<()>> {
     loop {
         ready!(stream.poll_read_ready(cx))?;
-        match retry_interrupted(|| stream.try_read_buf(buf)) {
+        match retry_interrupted(|| try_read(stream, buf)) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             result => return Poll::Ready(result.map(drop)),
         }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -134,6 +134,12 @@
         );
     }
 
+    /// Its counters now.
+    pub fn counters(&self) -> Counters {
+        self.signal("-USR1");
+        Counters(self.wait_for("counters:"))
+    }
+
     /// The most memory that the process had resident so far, in KiB.
     pub fn peak_memory_kb(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
