--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use std::io::{BufReader, Write};
 use std::net::SocketAddr;
-use std::sync::{Mutex, mpsc};
+use std::sync::{Mutex, PoisonError, mpsc};
 use std::thread;
 use support::*;
 
@@ -23,6 +23,9 @@
 /// How often the counters are read at most until the router has taken all requests.
 const MAX_COUNTER_READS: usize = 3_000;
 
+/// Held by each test while it runs: a burst has hundreds of threads.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
 /// What became of the requests of a burst.
 #[derive(Debug, Default, PartialEq, Eq)]
 struct Outcomes {
@@ -186,6 +189,7 @@
     #[case] request: fn(&str) -> String,
     #[case] messages: u64,
 ) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let (all_taken, is_open) = mpsc::channel();
     let (reader, writer) = (holding_reader(is_open), writer());
     let router = router(reader.address, writer.address);
@@ -227,6 +231,7 @@
 #[case::single(single)]
 #[case::platform_protocol(platform)]
 fn open_streams_stay_within_the_memory_limit(#[case] request: fn(&str) -> String) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let (end, may_end) = mpsc::channel();
     let (reader, writer) = (reader(), holding_writer(may_end));
     let router = router(reader.address, writer.address);
