Let an answer in a batch that has begun exceed the memory budget by half

Found by reading my own change: an answer in a batch that outgrew its reservation (4 bytes a token of `max_out`, or 16 KB where the client states none) while other requests held the rest of the budget ended as a broken stream (-32004), though its request had run: lost, for a class that may run once. Ruled out: a reservation of the longest text (256 KB) for each message, which would refuse batches of short answers; waiting for room, in which answers can wait for each other.

What has begun may now take the budget over its size by half of it (a sixth of `limits.memory_mb`), and nothing new is admitted until that is paid back; beyond, it ends as before. A buffer that has no room to double grows by what it needs.

Test: src/memory/tests.rs, a_request_in_progress_may_exceed_the_budget_by_half; the test of collected answers took 15,000 bytes with a budget of 10,000 (before: refused at 7,000). By unit tests alone; no process was played in this state.

--- a/src/front/jsonrpc/sink.rs
+++ b/src/front/jsonrpc/sink.rs
@@ -55,7 +55,7 @@
         if collected.len() + text.len() > MAX_BATCH_TEXT_BYTES {
             return Err(CollectError::TooLong);
         }
-        collected.extend(text.as_bytes(), MAX_BATCH_TEXT_BYTES)?;
+        collected.extend_in_progress(text.as_bytes(), MAX_BATCH_TEXT_BYTES)?;
         Ok(())
     }
 
--- a/src/front/jsonrpc/tests.rs
+++ b/src/front/jsonrpc/tests.rs
@@ -28,9 +28,14 @@
     assert_eq!(budget.left(), 5_904);
     sink.collect(&"a".repeat(4_000)).unwrap();
     assert!(budget.left() <= 3_000);
+    sink.collect(&"a".repeat(8_000)).unwrap();
+    assert_eq!(
+        (sink.text().map(str::len), budget.left()),
+        (Some(15_000), 0)
+    );
     let error = sink.collect(&"a".repeat(9_000)).unwrap_err();
     assert!(matches!(error, CollectError::Memory(BudgetExhausted)));
-    assert_eq!(sink.text().map(str::len), Some(7_000));
+    assert_eq!(sink.text().map(str::len), Some(15_000));
     drop(sink);
     assert_eq!(budget.left(), 10_000);
 }
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -19,8 +19,10 @@
 /// Bytes that may be held in memory. Clones share one budget.
 #[derive(Clone, Debug)]
 pub struct Budget {
-    /// Negative while [`Reservation::overdraw`] has taken more than there was.
+    /// Negative while requests in progress hold more than the budget.
     left: Arc<AtomicIsize>,
+    /// How far [`Reservation::grow_in_progress`] may exceed the budget.
+    overdraft_limit: usize,
 }
 
 impl Budget {
@@ -28,6 +30,7 @@
     pub fn new(bytes: usize) -> Self {
         Budget {
             left: Arc::new(AtomicIsize::new(bytes.cast_signed())),
+            overdraft_limit: bytes / 2,
         }
     }
 
@@ -44,6 +47,15 @@
         Ok(())
     }
 
+    fn take_in_progress(&self, bytes: usize) -> Result<(), BudgetExhausted> {
+        let lowest = -self.overdraft_limit.cast_signed();
+        if self.left.load(Ordering::Relaxed) - bytes.cast_signed() < lowest {
+            return Err(BudgetExhausted);
+        }
+        self.take_unchecked(bytes);
+        Ok(())
+    }
+
     fn take_unchecked(&self, bytes: usize) {
         self.left.fetch_sub(bytes.cast_signed(), Ordering::Relaxed);
     }
@@ -84,8 +96,18 @@
         Ok(())
     }
 
-    /// Reserves `bytes` more even if the budget has fewer left, for memory that a request in progress cannot do without.
-    /// The budget admits nothing new until that much was returned to it.
+    /// Reserves `bytes` more for a request in progress, which may exceed the budget by half of it: what has begun goes on,
+    /// and the budget admits nothing new until that much was returned to it.
+    ///
+    /// # Errors
+    /// The budget is exceeded by too much already; nothing was reserved.
+    pub fn grow_in_progress(&mut self, bytes: usize) -> Result<(), BudgetExhausted> {
+        self.budget.take_in_progress(bytes)?;
+        self.bytes += bytes;
+        Ok(())
+    }
+
+    /// Reserves `bytes` that are in memory already, however few the budget has left.
     pub fn overdraw(&mut self, bytes: usize) {
         self.budget.take_unchecked(bytes);
         self.bytes += bytes;
@@ -153,18 +175,43 @@
         Buffer { bytes, reservation }
     }
 
-    /// Appends `data`. The capacity doubles as the buffer fills, but never exceeds `expected_len` unless the buffer is longer.
+    /// Appends `data`. The capacity doubles as the buffer fills while the budget has room for that, but never exceeds
+    /// `expected_len` unless the buffer is longer.
     ///
     /// # Errors
     /// The budget has too few bytes left for the larger capacity; nothing was appended.
     pub fn extend(&mut self, data: &[u8], expected_len: usize) -> Result<(), BudgetExhausted> {
+        self.extend_by(data, expected_len, Reservation::grow)
+    }
+
+    /// Like [`extend`](Self::extend), by [`Reservation::grow_in_progress`].
+    ///
+    /// # Errors
+    /// The budget is exceeded by too much already; nothing was appended.
+    pub fn extend_in_progress(
+        &mut self,
+        data: &[u8],
+        expected_len: usize,
+    ) -> Result<(), BudgetExhausted> {
+        self.extend_by(data, expected_len, Reservation::grow_in_progress)
+    }
+
+    fn extend_by(
+        &mut self,
+        data: &[u8],
+        expected_len: usize,
+        grow: fn(&mut Reservation, usize) -> Result<(), BudgetExhausted>,
+    ) -> Result<(), BudgetExhausted> {
         let needed = self.bytes.len() + data.len();
         let capacity = self.bytes.capacity();
         if needed > capacity {
             let doubled = (2 * capacity).max(MIN_CAPACITY_BYTES);
-            let new_capacity = doubled.min(expected_len).max(needed);
-            let missing = new_capacity.saturating_sub(self.reservation.bytes());
-            self.reservation.grow(missing)?;
+            let mut reserve = |new_capacity: usize| {
+                let missing = new_capacity.saturating_sub(self.reservation.bytes());
+                grow(&mut self.reservation, missing).map(|()| new_capacity)
+            };
+            let new_capacity =
+                reserve(doubled.min(expected_len).max(needed)).or_else(|_| reserve(needed))?;
             self.bytes.reserve_exact(new_capacity - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
--- a/src/memory/tests.rs
+++ b/src/memory/tests.rs
@@ -73,6 +73,20 @@
     assert_eq!(budget.left(), 200);
 }
 
+/// Guards against an answer that is cut after its request has run, because others took the last of the budget.
+#[test]
+fn a_request_in_progress_may_exceed_the_budget_by_half() {
+    let budget = Budget::new(1_000);
+    let mut body = Reservation::new(&budget);
+    body.grow(1_000).unwrap();
+    let mut answer = Reservation::new(&budget);
+    assert_eq!(answer.grow(1), Err(BudgetExhausted));
+    assert_eq!(answer.grow_in_progress(500), Ok(()));
+    assert_eq!(answer.grow_in_progress(1), Err(BudgetExhausted));
+    drop(body);
+    assert_eq!((answer.bytes(), budget.left()), (500, 500));
+}
+
 /// Guards against requests that are admitted while those in progress hold more than the budget.
 #[test]
 fn an_overdrawn_budget_admits_nothing_until_it_is_paid_back() {
