--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,11 +2,13 @@
 //! run. `TROUBLE=0` leaves the disruption out.
 
 mod batch;
+mod handover;
 mod http;
 mod late_answer;
 mod reconnect;
 mod reread;
 mod rpc;
+mod upgrade;
 mod window;
 mod world;
 
@@ -27,6 +29,8 @@
         "batch" => batch::run(&folder, trouble),
         "window" => window::run(&folder, trouble),
         "reread" => reread::run(&folder, trouble),
+        "handover" => handover::run(&folder, trouble),
+        "upgrade" => upgrade::run(&folder, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     match result {
--- a/review/standins-2/src/rpc.rs
+++ b/review/standins-2/src/rpc.rs
@@ -42,8 +42,13 @@
 }
 
 /// The parts of an operator's file that are the same for a router alone and for one of a fleet: as in `deploy/`.
-fn common(member: &Member, routers: usize, classes: &[Class], hosts: &[Placed]) -> String {
-    let tools = free_address().map_or_else(|_| String::new(), |a| a.to_string());
+fn common(
+    member: &Member,
+    routers: usize,
+    classes: &[Class],
+    hosts: &[Placed],
+    tools: SocketAddr,
+) -> String {
     let mut text = format!(
         "[limits]\nmemory_mb = 192\nsockets = 1024\n\n[tools]\ndial = \"{tools}\"\n\n\
          [settings]\nmy_zone = \"{}\"\nregistry_mode = \"pushed\"\nreplicas_of_me = {routers}\nskus = [\"prompt\", \"answer\"]\n\
@@ -73,12 +78,23 @@
 
 /// Writes the operator's file of a router that runs alone.
 pub fn write_alone(folder: &Path, member: &Member, hosts: &[Placed]) -> io::Result<PathBuf> {
+    write_alone_with_tools(folder, member, hosts, None)
+}
+
+/// The same with a tool side; without one, nobody listens at its address.
+pub fn write_alone_with_tools(
+    folder: &Path,
+    member: &Member,
+    hosts: &[Placed],
+    tools: Option<SocketAddr>,
+) -> io::Result<PathBuf> {
+    let tools = tools.map_or_else(free_address, Ok)?;
     let head = format!(
         "name = \"{}\"\nlisten = \"{}\"\n\n",
         member.name, member.listen
     );
     let file = folder.join(format!("{}.toml", member.name));
-    fs::write(&file, head + &common(member, 1, CLASSES, hosts))?;
+    fs::write(&file, head + &common(member, 1, CLASSES, hosts, tools))?;
     Ok(file)
 }
 
@@ -117,7 +133,9 @@
             peers.join(", ")
         );
         let file = folder.join(format!("{}.toml", member.name));
-        fs::write(&file, head + &common(member, members.len(), classes, hosts))?;
+        let tools = free_address()?;
+        let rest = common(member, members.len(), classes, hosts, tools);
+        fs::write(&file, head + &rest)?;
         files.push(file);
     }
     Ok(files)
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -277,7 +277,6 @@
         let output = File::options().create(true).append(true).open(&log)?;
         let child = command
             .env("TMPDIR", &temp)
-            .env("RUST_LOG", std::env::var("RUST_LOG").unwrap_or_default())
             .stdin(Stdio::null())
             .stdout(output.try_clone()?)
             .stderr(output)
@@ -324,11 +323,6 @@
             .status()
             .map(drop)
     }
-
-    /// Whether the process still runs.
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 impl Drop for Router {
