--- a/review/standins-2/src/handover.rs
+++ b/review/standins-2/src/handover.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 const ORDERS: usize = 4;
+/// How long a writer works before its first event: the class's clients wait for up to 10 s.
 const FIRST_EVENT_MS: u64 = 7500;
+/// When the router gets SIGTERM, from the sends of the requests.
 const TERM_MS: u64 = 800;
 
 pub fn run(folder: &Path, trouble: bool) -> io::Result<bool> {
@@ -73,27 +75,57 @@
         record.line("c1: SIGTERM");
         routers[0].signal("TERM")?;
     }
+    let (mut answered, mut cancelled, mut changed) = (0, 0, 0);
     for client in clients {
-        let _ = client.join();
+        let told = client.join().unwrap_or_default();
+        answered += usize::from(!told.is_empty());
+        cancelled += usize::from(told.contains(&"cancelled"));
+        changed += usize::from(told.windows(2).any(|pair| pair[0] != pair[1]));
     }
-    Ok(true)
+    record.say(&format!(
+        "{answered} of {ORDERS} requests of the class send got an answer; {cancelled} were told to be cancelled, which nobody \
+         asked for; {changed} were told something else when asked for again"
+    ));
+    if answered != ORDERS {
+        return Err(io::Error::other("not all requests were answered"));
+    }
+    Ok(cancelled == 0 && changed == 0)
+}
+
+/// What the last line of an answer says.
+fn kind(response: &http::Response) -> &'static str {
+    let line = rpc::last_line(response);
+    let kinds = [
+        ("\"result\"", "served"),
+        ("-32000", "refused"),
+        ("-32001", "failed"),
+        ("-32002", "cancelled"),
+    ];
+    let known = kinds.iter().find(|(mark, _)| line.contains(mark));
+    known.map_or("other", |(_, kind)| kind)
 }
 
-fn client(i: usize, addresses: &[SocketAddr], record: &Record) {
+/// Asks c1, and once it has an answer, c2 for the same request. Returns the final answers it was told, in order.
+fn client(i: usize, addresses: &[SocketAddr], record: &Record) -> Vec<&'static str> {
     let order = format!("order-{i}");
-    let class = if i % 2 == 0 { "send" } else { "explain" };
-    let body = rpc::completion(class, &order, 9900);
-    for turn in 0..3 {
-        let answer = rpc::post(addresses[turn % 3], &body, Duration::from_secs(15))
+    let body = rpc::completion("send", &order, 9900);
+    let mut told = Vec::new();
+    for (member, address) in addresses.iter().enumerate().take(2) {
+        record.line(&format!("client {i}: asks c{} for {order}", member + 1));
+        let answer = rpc::post(*address, &body, Duration::from_secs(15))
             .and_then(|mut connection| http::read_response(&mut connection));
         match answer {
-            Ok(response) => record.line(&format!(
-                "client {i}: {class} {order}: {} {}",
-                response.status,
-                rpc::last_line(&response)
-            )),
+            Ok(response) => {
+                record.line(&format!(
+                    "client {i}: {order}: {} {}",
+                    response.status,
+                    rpc::last_line(&response)
+                ));
+                told.push(kind(&response));
+            }
             Err(error) => record.line(&format!("client {i}: {order}: {error}")),
         }
-        sleep_ms(200);
+        sleep_ms(300);
     }
+    told
 }
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -23,8 +23,11 @@
     found.map_or("", |(_, value)| value)
 }
 
-/// Reads a head: its first line and its headers with names in lower case. `None` at the end of the connection.
-fn read_head(reader: &mut impl BufRead) -> io::Result<Option<(String, Vec<(String, String)>)>> {
+/// The first line of a message, and its headers with names in lower case.
+type Head = (String, Vec<(String, String)>);
+
+/// Reads a head; `None` at the end of the connection.
+fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
     let mut first = String::new();
     while first.trim_end().is_empty() {
         first.clear();
@@ -103,19 +106,11 @@
 /// An answer as a client has received it.
 pub struct Response {
     pub status: u16,
-    pub headers: Vec<(String, String)>,
     pub body: String,
     /// Whether it came to its end: its length, or its last chunk.
     pub is_whole: bool,
 }
 
-impl Response {
-    /// The value of a header; the empty string if it is missing.
-    pub fn header(&self, name: &str) -> &str {
-        find(&self.headers, name)
-    }
-}
-
 /// Reads an answer to its end. An error if the connection ends before the end of a head.
 pub fn read_response(reader: &mut BufReader<TcpStream>) -> io::Result<Response> {
     let Some((first, headers)) = read_head(reader)? else {
@@ -136,7 +131,6 @@
     };
     Ok(Response {
         status,
-        headers,
         body: String::from_utf8_lossy(&body).into_owned(),
         is_whole,
     })
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,8 +4,6 @@
 mod batch;
 mod handover;
 mod http;
-mod late_answer;
-mod reconnect;
 mod reread;
 mod rpc;
 mod upgrade;
@@ -24,8 +22,6 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let folder = PathBuf::from(folder);
     let result = match case.as_str() {
-        "late-answer" => late_answer::run(&folder, trouble),
-        "reconnect" => reconnect::run(&folder, trouble),
         "batch" => batch::run(&folder, trouble),
         "window" => window::run(&folder, trouble),
         "reread" => reread::run(&folder, trouble),
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -90,51 +90,11 @@
     pub kind: &'static str,
 }
 
-/// The list of model hosts in discovery's form.
-pub fn list_json(hosts: &[Listed]) -> String {
-    let entry = |host: &Listed| {
-        format!(
-            "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"here\",\"class\":\"{}\",\"block\":0,\"health\":\"ready\",\"share\":1.0,\"born_ms\":0}}",
-            host.name, host.address, host.kind
-        )
-    };
-    let entries: Vec<String> = hosts.iter().map(entry).collect();
-    format!(
-        "{{\"seq\":1,\"whole\":true,\"hosts\":[{}]}}",
-        entries.join(",")
-    )
-}
-
-/// Discovery's agent: the list never changes.
-pub fn discovery(hosts: &[Listed]) -> io::Result<SocketAddr> {
-    let (listener, address) = listener()?;
-    let list = list_json(hosts);
-    serve(listener, move |request, stream| {
-        if !request.path.contains("watch=1") {
-            return http::send(stream, &http::answer("200 OK", "", &list));
-        }
-        http::send(
-            stream,
-            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
-        )?;
-        if !request.path.contains("after=1") {
-            http::send(stream, http::chunk(&format!("{list}\n")).as_bytes())?;
-        }
-        loop {
-            sleep_ms(2000);
-            http::send(stream, http::chunk("\n").as_bytes())?;
-        }
-    });
-    Ok(address)
-}
-
-/// The read states that are held, and which request ran at which writer.
+/// The read states that are held.
 #[derive(Default)]
 pub struct Fleet {
     /// By request id: the readers that hold a state.
     pub held: Mutex<HashMap<String, Vec<String>>>,
-    /// Request id and writer of each run, in order.
-    pub runs: Mutex<Vec<(String, String)>>,
 }
 
 impl Fleet {
@@ -159,10 +119,6 @@
     pub fn fetch(&self, id: &str) -> bool {
         lock(&self.held).remove(id).is_some()
     }
-
-    pub fn note_run(&self, id: &str, writer: &str) {
-        lock(&self.runs).push((id.to_owned(), writer.to_owned()));
-    }
 }
 
 /// Answers of writers and readers that are the same in all cases.
@@ -199,24 +155,6 @@
     }
 }
 
-/// The settings of a small deployment, as JSON: the classes `explain`, safe to repeat, and `send`, never to run twice.
-pub const SETTINGS: &str = r#"{
- "my_zone":"here","zones":["here"],"registry_mode":"pushed","replicas_of_me":1,"self_index":0,"skus":["prompt","answer"],
- "family":"twostage","weights":"nominal","worth_by":"work","over_share_worth":0.1,"tick_us":4000,
- "load_report":{"how":"none","fields":[]},
- "family_info":{"role_by_kind":["read","write"],"kv_tokens":[252339,151538],"release_us":500000,"resume":true,
-  "self_prefill":false,"may_reserve":true,"token_aim_us":[60000.0,80000.0],"aim_us_per_1000_prompt_tokens":[40000.0,40000.0]},
- "permissions":{"max_attempts":6,"may_cancel":true,"probes":true,"second_copies":true,"retry_after":true,
-  "max_retry_after_us":2000000,"connect_timeout_us":250000,"idle_close_us":30000000},
- "rules":{"drain_grace_us":1000000,"answer_slack_us":16000,"cold_from":0.27,"cold_us":14000000,"fall_multiple":2.5,
-  "fall_us":3000000},
- "classes":[
-  {"name":"explain","effect":"read_like","dedup_scope":"all","repeat_window_us":5000000,"objective_us":1500000,
-   "give_up_us":6000000,"late_share":0.3,"stream":true,"value":3.0},
-  {"name":"send","effect":"non_idempotent","dedup_scope":"all","repeat_window_us":5000000,"objective_us":2500000,
-   "give_up_us":10000000,"late_share":0.3,"stream":true,"value":2.0}]
-}"#;
-
 /// A router's process.
 pub struct Router {
     child: Child,
@@ -225,31 +163,6 @@
 }
 
 impl Router {
-    /// Starts `run` of the deploy file with the platform's configuration, and waits until it is ready.
-    pub fn start(
-        folder: &Path,
-        name: &str,
-        discovery: SocketAddr,
-        hosts: &[Listed],
-    ) -> io::Result<Router> {
-        let listen = free_address()?;
-        let known = list_json(hosts);
-        let config = format!(
-            "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f30d27a5be964\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"known\":{known},\"settings\":{SETTINGS}}}"
-        );
-        let file = folder.join(format!("{name}.json"));
-        fs::write(&file, config)?;
-        let mut command = Command::new("/bin/sh");
-        command
-            .args(["-c", "exec target/release/whinhaven"])
-            .env("NODE_CONFIG", &file)
-            .env("NODE_NAME", name)
-            .env("NODE_LISTEN", listen.to_string())
-            .env("NODE_DISCOVERY", discovery.to_string());
-        Router::spawn(command, folder, name, listen)
-    }
-
     /// Starts the deploy file's program by an operator's file, and waits until it is ready.
     pub fn serve_file(
         folder: &Path,
@@ -331,22 +244,3 @@
         let _ = self.child.wait();
     }
 }
-
-/// The body of a chat request.
-pub fn chat(class: &str, text: &str) -> String {
-    format!(
-        "{{\"model\":\"{class}\",\"stream\":true,\"max_tokens\":200,\"messages\":[{{\"role\":\"user\",\"content\":\"{text}\"}}]}}"
-    )
-}
-
-/// A whole platform request.
-pub fn platform_request(id: &str, class: &str, deadline_ms: u64, key: &str) -> Vec<u8> {
-    let body = chat(class, id);
-    format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nhost: api.internal\r\nx-request-id: {id}\r\nx-class: {class}\r\n\
-         x-key: {key}\r\nx-deadline: {deadline_ms}m\r\nx-extras: prompt_len=500,max_out=200\r\n\
-         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    )
-    .into_bytes()
-}
