--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 for program in target/release/whinhaven target/review-2/release/review2-case; do
     [ -x "$program" ] || { echo "$program is missing: run the build of the deploy file and review/build-2.sh" >&2; exit 2; }
 done
-exec target/review-2/release/review2-case handover review/10
+exec target/review-2/release/review2-case batch review/10
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,7 +2,7 @@
 //! run. `TROUBLE=0` leaves the disruption out.
 
 mod batch;
-mod handover;
+mod endless;
 mod http;
 mod reread;
 mod rpc;
@@ -25,7 +25,7 @@
         "batch" => batch::run(&folder, trouble),
         "window" => window::run(&folder, trouble),
         "reread" => reread::run(&folder, trouble),
-        "handover" => handover::run(&folder, trouble),
+        "endless" => endless::run(&folder, trouble),
         "upgrade" => upgrade::run(&folder, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -90,6 +90,44 @@
     pub kind: &'static str,
 }
 
+/// The list of model hosts in discovery's form.
+pub fn list_json(hosts: &[Listed]) -> String {
+    let entry = |host: &Listed| {
+        format!(
+            "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"here\",\"class\":\"{}\",\"block\":0,\"health\":\"ready\",\"share\":1.0,\"born_ms\":0}}",
+            host.name, host.address, host.kind
+        )
+    };
+    let entries: Vec<String> = hosts.iter().map(entry).collect();
+    format!(
+        "{{\"seq\":1,\"whole\":true,\"hosts\":[{}]}}",
+        entries.join(",")
+    )
+}
+
+/// Discovery's agent: the list never changes.
+pub fn discovery(hosts: &[Listed]) -> io::Result<SocketAddr> {
+    let (listener, address) = listener()?;
+    let list = list_json(hosts);
+    serve(listener, move |request, stream| {
+        if !request.path.contains("watch=1") {
+            return http::send(stream, &http::answer("200 OK", "", &list));
+        }
+        http::send(
+            stream,
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        )?;
+        if !request.path.contains("after=1") {
+            http::send(stream, http::chunk(&format!("{list}\n")).as_bytes())?;
+        }
+        loop {
+            sleep_ms(2000);
+            http::send(stream, http::chunk("\n").as_bytes())?;
+        }
+    });
+    Ok(address)
+}
+
 /// The read states that are held.
 #[derive(Default)]
 pub struct Fleet {
@@ -155,6 +193,24 @@
     }
 }
 
+/// The settings of a small deployment, as JSON: the classes `explain`, safe to repeat, and `send`, never to run twice.
+pub const SETTINGS: &str = r#"{
+ "my_zone":"here","zones":["here"],"registry_mode":"pushed","replicas_of_me":1,"self_index":0,"skus":["prompt","answer"],
+ "family":"twostage","weights":"nominal","worth_by":"work","over_share_worth":0.1,"tick_us":4000,
+ "load_report":{"how":"none","fields":[]},
+ "family_info":{"role_by_kind":["read","write"],"kv_tokens":[252339,151538],"release_us":500000,"resume":true,
+  "self_prefill":false,"may_reserve":true,"token_aim_us":[60000.0,80000.0],"aim_us_per_1000_prompt_tokens":[40000.0,40000.0]},
+ "permissions":{"max_attempts":6,"may_cancel":true,"probes":true,"second_copies":true,"retry_after":true,
+  "max_retry_after_us":2000000,"connect_timeout_us":250000,"idle_close_us":30000000},
+ "rules":{"drain_grace_us":1000000,"answer_slack_us":16000,"cold_from":0.27,"cold_us":14000000,"fall_multiple":2.5,
+  "fall_us":3000000},
+ "classes":[
+  {"name":"explain","effect":"read_like","dedup_scope":"all","repeat_window_us":5000000,"objective_us":1500000,
+   "give_up_us":6000000,"late_share":0.3,"stream":true,"value":3.0},
+  {"name":"send","effect":"non_idempotent","dedup_scope":"all","repeat_window_us":5000000,"objective_us":2500000,
+   "give_up_us":10000000,"late_share":0.3,"stream":true,"value":2.0}]
+}"#;
+
 /// A router's process.
 pub struct Router {
     child: Child,
@@ -163,6 +219,32 @@
 }
 
 impl Router {
+    /// Starts `run` of the deploy file with the platform's configuration (`limits` as JSON), and waits until it is ready.
+    pub fn start(
+        folder: &Path,
+        name: &str,
+        discovery: SocketAddr,
+        hosts: &[Listed],
+        limits: &str,
+    ) -> io::Result<Router> {
+        let listen = free_address()?;
+        let known = list_json(hosts);
+        let config = format!(
+            "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f30d27a5be964\",\
+             \"limits\":{limits},\"known\":{known},\"settings\":{SETTINGS}}}"
+        );
+        let file = folder.join(format!("{name}.json"));
+        fs::write(&file, config)?;
+        let mut command = Command::new("/bin/sh");
+        command
+            .args(["-c", "exec target/release/whinhaven"])
+            .env("NODE_CONFIG", &file)
+            .env("NODE_NAME", name)
+            .env("NODE_LISTEN", listen.to_string())
+            .env("NODE_DISCOVERY", discovery.to_string());
+        Router::spawn(command, folder, name, listen)
+    }
+
     /// Starts the deploy file's program by an operator's file, and waits until it is ready.
     pub fn serve_file(
         folder: &Path,
@@ -223,6 +305,20 @@
         ask().is_ok_and(|status| status == 200)
     }
 
+    /// The memory that the process holds by itself, in bytes: the least that the platform can count.
+    pub fn memory(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with("RssAnon:"))?;
+        let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kilobytes * 1024)
+    }
+
+    /// Kills the process, as the platform does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// The log so far.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
