--- a/review/standins-2/src/window.rs
+++ b/review/standins-2/src/window.rs
@@ -13,9 +13,9 @@
 
 const ORDERS: usize = 4;
 /// How long a writer works before its first event.
-const FIRST_EVENT_MS: u64 = 2000;
+const FIRST_EVENT_MS: u64 = 3000;
 /// When the router is killed, from the sends of the requests.
-const KILL_MS: u64 = 1500;
+const KILL_MS: u64 = 2200;
 /// `repeat_window_us` of the class, with the 50 ms by which the protocol page lengthens every time limit.
 const WINDOW_MS: u64 = 5000 + 50;
 
