Release a request's body at its first event

Callers saw 503 at admission, though little was in progress: with a budget of 32 MB, 27 of 213 requests of 180 KB were rejected while the others' answers streamed (tests/memory.rs, both fronts).

Cause: the dispatcher's UpstreamRequest kept the prompt, and its reservation, up to the end of the stream. Nothing is sent again after the first event, so nobody needed it. Ruled out: attempts that still write (they hold a clone of the bytes until they are done).

Change: the body is a RequestBody, which the dispatcher releases when a stream starts. An attempt that finds none is not sent.

open_streams_keep_no_prompts failed before (served 186, rejected 27, on both fronts) and passes now; the other cases of tests/memory.rs pass as they were.

--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -201,6 +201,8 @@
             return;
         };
         state.is_streaming = true;
+        // Nothing is sent again after the first event, and an answer may stream for long.
+        open.upstream_request.body.release();
         let elapsed = self.clock.now().saturating_sub(state.sent_at);
         log::debug!(
             "request {}: attempt {} started to stream after {elapsed} us",
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -44,7 +44,7 @@
             id: String::new(),
             target,
             headers: hyper::HeaderMap::new(),
-            body: Bytes::new(),
+            body: Bytes::new().into(),
             lifetime_guards: None,
             claim_key: None,
         };
@@ -138,7 +138,7 @@
                 id,
                 target,
                 headers: hyper::HeaderMap::new(),
-                body,
+                body: body.into(),
                 lifetime_guards: None,
                 claim_key: None,
             },
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use std::any::Any;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 
@@ -37,7 +37,7 @@
     /// The client's end-to-end headers (see [`crate::front::platform::end_to_end_headers`]).
     pub headers: HeaderMap,
     /// Body that is sent to the model host with each attempt.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// Resources that are held until nothing of the request is in progress any more, which may be after its answer: the
     /// reservation of its id and the memory that its body counts against.
     pub lifetime_guards: Option<Rc<dyn Any>>,
@@ -46,6 +46,28 @@
     pub claim_key: Option<(String, u64)>,
 }
 
+/// The body of a request, which is released when no further attempt is sent.
+#[derive(Clone, Debug)]
+pub struct RequestBody(RefCell<Option<Bytes>>);
+
+impl RequestBody {
+    /// The body; `None` once it was released.
+    pub fn get(&self) -> Option<Bytes> {
+        self.0.borrow().clone()
+    }
+
+    /// Releases the body. Attempts that are being written keep it until they are done.
+    pub fn release(&self) {
+        self.0.take();
+    }
+}
+
+impl From<Bytes> for RequestBody {
+    fn from(bytes: Bytes) -> Self {
+        RequestBody(RefCell::new(Some(bytes)))
+    }
+}
+
 /// The final answer of a request, or the start of a streamed one.
 #[derive(Debug)]
 pub enum Answer {
--- a/src/fleet/transport/work.rs
+++ b/src/fleet/transport/work.rs
@@ -391,7 +391,7 @@
             id: id.into(),
             target,
             headers: hyper::HeaderMap::new(),
-            body,
+            body: body.into(),
             lifetime_guards: None,
             claim_key: None,
         };
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -338,7 +338,7 @@
                 CONTENT_TYPE,
                 HeaderValue::from_static("application/json"),
             )]),
-            body: request.prompt,
+            body: request.prompt.into(),
             lifetime_guards: None,
             claim_key: claim.as_ref().map(Claim::key),
         };
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -251,15 +251,15 @@
     ) -> AttemptEnd {
         let clock: Clock = self.dispatcher.clock;
         let time_left = give_up_at.saturating_sub(clock.now());
-        let Some(request) = host_request(&attempt.upstream_request, time_left) else {
+        let Some(body) = attempt.upstream_request.body.get() else {
+            return AttemptOutcome::NotSent.into();
+        };
+        let body_len = body.len();
+        let Some(request) = host_request(&attempt.upstream_request, body, time_left) else {
             return AttemptOutcome::NotSent.into();
         };
         self.counters.sent.up();
-        let (body_len, counters, meter) = (
-            attempt.upstream_request.body.len(),
-            self.counters.clone(),
-            connection.meter(),
-        );
+        let (counters, meter) = (self.counters.clone(), connection.meter());
         // A request that was not completely written cannot have run.
         let if_fully_written = |outcome: AttemptOutcome| {
             if meter.is_written() {
@@ -516,7 +516,11 @@
 
 /// Builds the request to a model host. `time_left` is the time until the deadline, in microseconds. `None` if the
 /// call's target is not a valid URI.
-fn host_request(call: &UpstreamRequest, time_left: u64) -> Option<Request<Full<Bytes>>> {
+fn host_request(
+    call: &UpstreamRequest,
+    body: Bytes,
+    time_left: u64,
+) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::post(&call.target)
         .header("host", "model-host")
         .header("x-request-id", &call.id)
@@ -524,7 +528,7 @@
     if let Some(headers) = request.headers_mut() {
         headers.extend(call.headers.clone());
     }
-    request.body(Full::new(call.body.clone())).ok()
+    request.body(Full::new(body)).ok()
 }
 
 impl Outbound for HostClient {
--- a/src/net/client/tests.rs
+++ b/src/net/client/tests.rs
@@ -84,7 +84,7 @@
             id: "id-1".into(),
             target: "/v1/chat/completions".into(),
             headers: Default::default(),
-            body,
+            body: body.into(),
             lifetime_guards: None,
             claim_key: None,
         };
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -188,7 +188,7 @@
             id: intake.id,
             target,
             headers,
-            body,
+            body: body.into(),
             lifetime_guards,
             claim_key: None,
         };
--- a/tests/held.rs
+++ b/tests/held.rs
@@ -286,7 +286,7 @@
                         id,
                         target,
                         headers: hyper::HeaderMap::new(),
-                        body,
+                        body: body.into(),
                         lifetime_guards: None,
                         claim_key: None,
                     },
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -39,7 +39,7 @@
     fn count(&mut self, answer: &Message) {
         let is_rejection = answer.status() == 503 && answer.header("retry-after").is_some();
         let counter = match answer.status() {
-            200 if answer.whole => &mut self.served,
+            200 if answer.whole && !has_failed_message(answer) => &mut self.served,
             _ if is_rejection && answer.whole => &mut self.rejected,
             _ => &mut self.lost,
         };
@@ -47,6 +47,13 @@
     }
 }
 
+/// Whether a message in a JSON-RPC answer has another error than a rejection, which promises that a retry is harmless.
+fn has_failed_message(answer: &Message) -> bool {
+    let text = answer.text();
+    let mut codes = text.split("\"error\":{\"code\":").skip(1);
+    codes.any(|rest| !rest.starts_with("-32000,"))
+}
+
 /// A text with characters that are escaped in JSON, of `bytes` bytes in their escaped form.
 fn escaped(bytes: usize) -> String {
     "\\u0436".repeat(bytes / 6)
@@ -226,11 +233,12 @@
     (open, outcomes)
 }
 
-/// Guards against prompts that no longer count once their answers have begun, though the attempts still hold them.
+/// Guards against prompts that are kept in memory, counted or not, while their answers stream: clients with long answers
+/// took the budget from others.
 #[rstest]
 #[case::single(single)]
 #[case::platform_protocol(platform)]
-fn open_streams_stay_within_the_memory_limit(#[case] request: fn(&str) -> String) {
+fn open_streams_keep_no_prompts(#[case] request: fn(&str) -> String) {
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let (end, may_end) = mpsc::channel();
     let (reader, writer) = (reader(), holding_writer(may_end));
@@ -239,11 +247,7 @@
     drop(end);
     let peak_kb = router.peak_memory_kb();
     println!("peak {} MB, {outcomes:?}", peak_kb / 1024);
-    assert_eq!(
-        (outcomes.lost, outcomes.served + outcomes.rejected),
-        (0, CLIENTS)
-    );
-    assert!(outcomes.served > 0, "{outcomes:?}");
+    assert_eq!(outcomes.served, CLIENTS, "{outcomes:?}");
     assert!(peak_kb <= MEMORY_MB * 1024, "{} MB", peak_kb / 1024);
     drop(open);
 }
--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -193,7 +193,7 @@
                 id,
                 target,
                 headers: hyper::HeaderMap::new(),
-                body,
+                body: body.into(),
                 lifetime_guards: None,
                 claim_key: None,
             }),
