Count model hosts' events against the memory budget, and let streams wait for it

Each stream was bounded (128 KB), not all of them together. Whole long events of sound hosts did the same; clients that do not read kept what waited for them for as long as they stayed.

Change: net/event_memory.rs. A stream with an incomplete event over 8 KB holds the memory for the longest event, or waits for it in turn; new requests are rejected meanwhile, and the first waiter ends an event that stays incomplete for 1 s, or else the response of a client that reads nothing for 2 s. Events count until they are written, on both fronts. Reads stay below hyper's first buffer. A client that reads nothing gets no more into hyper's queue and is disconnected after 30 s.

tests/memory.rs: open_streams returns its readers, so that the rest of a response can be read; no check changed.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -116,6 +116,10 @@
         clients_left,
         /// Streams that broke after their first event.
         streams_broken,
+        /// Incomplete events of model hosts that were ended because memory was short.
+        events_revoked,
+        /// Clients disconnected because they did not read their response and memory was short.
+        stalled_clients_closed,
         /// Calls that release KV state on a model host.
         releases,
         /// Release calls made because a send had not been answered in time.
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -234,7 +234,7 @@
                     let mut sink = Sink::Lines(lines.clone());
                     match self.relay(request, stream, notifier, &mut sink).await {
                         Ok(last) => {
-                            if sink.send_line(last).await.is_ok() {
+                            if sink.send_line(last, &self.shared.body_budget).await.is_ok() {
                                 let _ = lines.send(Frame::End).await;
                             }
                         }
--- a/src/front/jsonrpc/events.rs
+++ b/src/front/jsonrpc/events.rs
@@ -3,6 +3,7 @@
 use super::messages::{deserialize_borrowed, deserialize_present};
 use super::relay::RelayError;
 use super::request::is_valid_message;
+use crate::memory::{Budget, Reservation};
 use bytes::BytesMut;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -70,19 +71,28 @@
     pub(super) content: Option<String>,
 }
 
-/// An incremental parser of server-sent events.
-#[derive(Default)]
+/// An incremental parser of server-sent events. The bytes that it keeps count against the memory budget.
 pub(super) struct EventParser {
     bytes: BytesMut,
+    memory: Reservation,
 }
 
 impl EventParser {
+    pub(super) fn new(budget: &Budget) -> Self {
+        EventParser {
+            bytes: BytesMut::new(),
+            memory: Reservation::new(budget),
+        }
+    }
+
     pub(super) fn len(&self) -> usize {
         self.bytes.len()
     }
 
     pub(super) fn push(&mut self, data: &[u8]) -> Result<(), RelayError> {
         self.bytes.extend_from_slice(data);
+        let uncounted = self.bytes.capacity().saturating_sub(self.memory.bytes());
+        self.memory.overdraw(uncounted);
         if self.bytes.len() > 2 * MAX_EVENT_BYTES {
             Err(RelayError::StreamBroken)
         } else {
@@ -105,6 +115,7 @@
                 if self.bytes.is_empty() {
                     // A long event must not keep its memory for as long as the stream lasts.
                     self.bytes = BytesMut::new();
+                    self.memory.shrink_to(0);
                 }
                 return Ok(Some(data));
             }
--- a/src/front/jsonrpc/relay.rs
+++ b/src/front/jsonrpc/relay.rs
@@ -93,7 +93,7 @@
         sink: &mut Sink,
     ) -> Result<Vec<u8>, RelayError> {
         let (mut stop, stop_state) = (request.guard.stop.clone(), request.guard.stop.clone());
-        let mut events = EventParser::default();
+        let mut events = EventParser::new(&self.shared.body_budget);
         let mut summary = StreamSummary {
             finish: String::from("stop"),
             usage: None,
@@ -201,21 +201,12 @@
                 continue;
             }
             summary.usage = event.usage.or(summary.usage.take());
-            for choice in event.choices {
+            let choices = event.choices;
+            // A client may be slow to take the texts; the event is not needed until then.
+            drop(data);
+            for choice in choices {
                 if let Some(text) = choice.delta.content.filter(|t| !t.is_empty()) {
-                    request.append_text(&text);
-                    sink.collect(&text)
-                        .map_err(|error| self.cannot_collect(&error))?;
-                    sink.send_line(notification_line(
-                        "delta",
-                        NotificationParams {
-                            request: &request.name,
-                            text: Some(&text),
-                            ordinal: None,
-                            state: None,
-                        },
-                    ))
-                    .await?;
+                    self.relay_text(text, request, sink).await?;
                 }
                 if let Some(reason) = choice.finish_reason {
                     summary.finish = reason;
@@ -225,6 +216,29 @@
         Ok(())
     }
 
+    /// Relays a part of the answer's text.
+    async fn relay_text(
+        &self,
+        text: String,
+        request: &mut StreamingRequest,
+        sink: &mut Sink,
+    ) -> Result<(), RelayError> {
+        request.append_text(&text);
+        sink.collect(&text)
+            .map_err(|error| self.cannot_collect(&error))?;
+        let line = notification_line(
+            "delta",
+            NotificationParams {
+                request: &request.name,
+                text: Some(&text),
+                ordinal: None,
+                state: None,
+            },
+        );
+        drop(text);
+        sink.send_line(line, &self.shared.body_budget).await
+    }
+
     /// Starts a tool call before the client is notified, so that a stalled client does not delay the tool.
     fn start_tool_call(&self, call: ToolCall, request: &mut StreamingRequest) -> PendingToolCall {
         let ordinal = request.calls;
@@ -271,7 +285,7 @@
             tokio::select! {
                 biased;
                 outcome = &mut pending_outcome => break outcome,
-                sent = async { sink.send_line(unsent_notice.clone().unwrap_or_default()).await }, if unsent_notice.is_some() => {
+                sent = async { sink.send_line(unsent_notice.clone().unwrap_or_default(), &self.shared.body_budget).await }, if unsent_notice.is_some() => {
                     sent?;
                     unsent_notice = None;
                 }
@@ -286,7 +300,7 @@
             }
         };
         if let Some(line) = unsent_notice {
-            sink.send_line(line).await?;
+            sink.send_line(line, &self.shared.body_budget).await?;
         }
         if let Some(id) = &call.reply_id {
             let (result, error) = match &outcome {
@@ -311,8 +325,8 @@
         } else {
             "error"
         };
-        sink.send_line(notification_line("tool", tool_notice(state)))
-            .await?;
+        let line = notification_line("tool", tool_notice(state));
+        sink.send_line(line, &self.shared.body_budget).await?;
         // The stream ended before its tool call was answered, so the answer cannot be complete.
         if stream_ended {
             Err(RelayError::StreamBroken)
--- a/src/front/jsonrpc/sink.rs
+++ b/src/front/jsonrpc/sink.rs
@@ -68,12 +68,18 @@
         }
     }
 
-    pub(super) async fn send_line(&mut self, mut line: Vec<u8>) -> Result<(), RelayError> {
+    /// Sends a line, which counts against `budget` until it is written to the client.
+    pub(super) async fn send_line(
+        &mut self,
+        mut line: Vec<u8>,
+        budget: &Budget,
+    ) -> Result<(), RelayError> {
         let Sink::Lines(lines) = self else {
             return Ok(());
         };
         line.push(b'\n');
-        let send = lines.send(Frame::Data(line.into()));
+        let line = Buffer::overdrawn(line, budget).freeze();
+        let send = lines.send(Frame::Data(line));
         match tokio::time::timeout(CLIENT_STALL_TIMEOUT, send).await {
             Ok(Ok(())) => Ok(()),
             _ => Err(RelayError::ClientGone),
--- a/src/front/jsonrpc/tests.rs
+++ b/src/front/jsonrpc/tests.rs
@@ -6,7 +6,7 @@
 fn events_are_parsed_regardless_of_chunk_boundaries() {
     let wire = b": hello\r\ndata: {\"a\":1}\r\n\r\nevent: x\ndata: one\ndata: two\n\ndata: rest";
     for cut in 0..wire.len() {
-        let mut parser = EventParser::default();
+        let mut parser = EventParser::new(&Budget::new(1_000_000));
         let mut parsed = Vec::new();
         for part in [&wire[..cut], &wire[cut..]] {
             parser.push(part).unwrap();
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicIsize, Ordering};
+use tokio::sync::Notify;
 
 /// A buffer's capacity after its first bytes, unless fewer are expected.
 const MIN_CAPACITY_BYTES: usize = 4 * 1024;
@@ -21,6 +22,8 @@
 pub struct Budget {
     /// Negative while requests in progress hold more than the budget.
     left: Arc<AtomicIsize>,
+    /// Notified when bytes are returned.
+    returned: Arc<Notify>,
     /// How far [`Reservation::grow_in_progress`] may exceed the budget.
     overdraft_limit: usize,
 }
@@ -30,6 +33,7 @@
     pub fn new(bytes: usize) -> Self {
         Budget {
             left: Arc::new(AtomicIsize::new(bytes.cast_signed())),
+            returned: Arc::default(),
             overdraft_limit: bytes / 2,
         }
     }
@@ -39,6 +43,16 @@
         self.left.load(Ordering::Relaxed).max(0).cast_unsigned()
     }
 
+    /// Whether more is held than the budget allows.
+    pub fn is_overdrawn(&self) -> bool {
+        self.left.load(Ordering::Relaxed) < 0
+    }
+
+    /// Resolves when bytes were returned since the last call. For one waiting task at a time.
+    pub async fn returned(&self) {
+        self.returned.notified().await;
+    }
+
     fn take(&self, bytes: usize) -> Result<(), BudgetExhausted> {
         if bytes > self.left() {
             return Err(BudgetExhausted);
@@ -62,6 +76,7 @@
 
     fn give_back(&self, bytes: usize) {
         self.left.fetch_add(bytes.cast_signed(), Ordering::Relaxed);
+        self.returned.notify_one();
     }
 }
 
@@ -196,6 +211,44 @@
         self.extend_by(data, expected_len, Reservation::grow_in_progress)
     }
 
+    /// Like [`extend`](Self::extend), by [`Reservation::overdraw`].
+    pub fn extend_overdrawn(&mut self, data: &[u8], expected_len: usize) {
+        let overdraw = |reservation: &mut Reservation, bytes| {
+            reservation.overdraw(bytes);
+            Ok(())
+        };
+        // Overdrawing does not fail.
+        let _ = self.extend_by(data, expected_len, overdraw);
+    }
+
+    /// The number of bytes that are reserved, which is at least the capacity.
+    pub fn reserved_bytes(&self) -> usize {
+        self.reservation.bytes()
+    }
+
+    /// Reserves `bytes` altogether, even if the budget has fewer left (see [`Reservation::overdraw`]).
+    pub fn overdraw_to(&mut self, bytes: usize) {
+        let missing = bytes.saturating_sub(self.reservation.bytes());
+        self.reservation.overdraw(missing);
+    }
+
+    /// Returns what is reserved beyond `bytes` and beyond the capacity.
+    pub fn shrink_reservation_to(&mut self, bytes: usize) {
+        self.reservation.shrink_to(bytes.max(self.bytes.capacity()));
+    }
+
+    /// Takes the first `length` bytes out. The rest is moved to a buffer of its own.
+    ///
+    /// # Panics
+    /// The buffer is shorter than that.
+    pub fn split_to(&mut self, length: usize) -> Buffer {
+        let mut rest = Buffer::new(&self.reservation.budget);
+        rest.extend_overdrawn(&self.bytes[length..], usize::MAX);
+        let mut first = std::mem::replace(self, rest);
+        first.bytes.truncate(length);
+        first
+    }
+
     fn extend_by(
         &mut self,
         data: &[u8],
--- a/src/net/answer.rs
+++ b/src/net/answer.rs
@@ -1,5 +1,6 @@
 //! Interprets a model host's response to an attempt.
 
+use super::event_memory::EventMemory;
 use super::events::EventStream;
 use crate::routing::types::{AttemptOutcome, LoadReport};
 use crate::wire::read_report;
@@ -8,6 +9,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::{HeaderMap, Response, StatusCode};
 use serde::Deserialize;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Maximum body length of a response that is not a stream.
@@ -62,10 +64,13 @@
     ///
     /// # Errors
     /// The body is not a valid event stream, or the connection broke.
-    pub async fn read(response: Response<Incoming>) -> Result<Self, Box<dyn std::error::Error>> {
+    pub async fn read(
+        response: Response<Incoming>,
+        memory: Rc<EventMemory>,
+    ) -> Result<Self, Box<dyn std::error::Error>> {
         let (head, body) = response.into_parts();
         if head.status == StatusCode::OK {
-            return Self::read_stream(&head.headers, body).await;
+            return Self::read_stream(&head.headers, body, memory).await;
         }
         // The status determines the outcome. A missing or incomplete body only makes the connection unusable.
         let collected = tokio::time::timeout(
@@ -102,6 +107,7 @@
     async fn read_stream(
         headers: &HeaderMap,
         body: Incoming,
+        memory: Rc<EventMemory>,
     ) -> Result<Self, Box<dyn std::error::Error>> {
         let chunked = headers.get("transfer-encoding").is_some();
         let is_framed = chunked || body.size_hint().exact().is_some();
@@ -112,7 +118,7 @@
         let is_event_stream = content_type
             .as_ref()
             .is_some_and(|content_type| content_type.starts_with("text/event-stream"));
-        let mut events = EventStream::new(body, is_event_stream);
+        let mut events = EventStream::new(body, is_event_stream, memory);
         // Until the first event, nothing was sent to the client, and the router can still retry the request.
         match events.next().await? {
             Some(first_events) => Ok(HostResponse::Stream(StartedStream {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -2,6 +2,7 @@
 
 use super::answer::{AttemptEnd, HostResponse, MAX_RESPONSE_BYTES, StartedStream, StreamTail};
 use super::discovery::Directory;
+use super::event_memory::EventMemory;
 use super::pool::{ConnectError, Connection, Pool, Target};
 use super::release_calls::LateArrivalTracker;
 use crate::counters::Counters;
@@ -57,6 +58,8 @@
     pub pending_releases: Rc<PendingReleases>,
     /// Abandoned attempts whose request may still reach its model host.
     pub late_arrivals: Rc<LateArrivalTracker>,
+    /// Gives memory to long events of streams.
+    pub event_memory: Rc<EventMemory>,
 }
 
 /// Counts releases in progress, so that shutdown can wait for them.
@@ -277,7 +280,7 @@
                     return Err("the response head did not end in time".into());
                 }
             };
-            HostResponse::read(response).await
+            HostResponse::read(response, self.event_memory.clone()).await
         };
         let send_by = attempt.permit.send_by();
         // A repeat that a stalled host has not read completely by `send_by` must not be written any further, since it
--- a/src/net/client/tests.rs
+++ b/src/net/client/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::memory::Budget;
 use crate::net::discovery::Listing;
 use crate::routing::types::{Endpoint, SendPermit, Status};
 use rstest::rstest;
@@ -38,6 +39,8 @@
         });
         let counters = Rc::new(Counters::default());
         let (dispatcher, dispatcher_events) = DispatcherHandle::channel(Clock::start());
+        let event_memory =
+            EventMemory::new(Budget::new(1024 * 1024), Rc::default(), counters.clone());
         let client = HostClient {
             directory,
             pool: Pool::new(
@@ -51,6 +54,7 @@
             resubscribe: Rc::default(),
             pending_releases: Rc::default(),
             late_arrivals: Rc::default(),
+            event_memory,
         };
         Fixture {
             client,
--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -38,7 +38,7 @@
 /// here, and this router knows which worker holds the session's KV state. The connection is closed earlier if its
 /// capacity is needed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// A client that reads nothing of its response for this long is considered gone.
+/// A client that reads nothing of its response for this long is considered gone. It is earlier where memory is short.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// After the router has shut down the sending side, the client has this long to read its last response and close. A
 /// socket that is closed with unread input is reset, and response bytes that the client has not read yet are lost.
@@ -111,9 +111,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<hyper::body::Frame<Bytes>, platform::StreamBroken>>> {
-        // When a body fails, hyper discards data that a slow client has not read yet. So the error is withheld until
-        // that data is written; hyper polls again then.
-        if matches!(self.body, AnswerBody::Breaking) && self.tracker.is_write_blocked() {
+        // While the client does not read, nothing more is handed to hyper, which would keep it; and when a body fails,
+        // hyper discards data that the client has not read yet. hyper polls again when it has written that data.
+        if self.tracker.is_write_blocked() {
             return Poll::Pending;
         }
         let next = Pin::new(&mut self.body).poll_frame(cx);
@@ -180,6 +180,14 @@
     }
 }
 
+/// When the connection is to be closed because its client does not read the response in progress.
+fn unread_deadline(tracker: &ConnectionTracker) -> Option<Instant> {
+    if tracker.is_aborted() {
+        return Some(Instant::now());
+    }
+    Some(tracker.write_blocked_since()? + WRITE_STALL_TIMEOUT)
+}
+
 /// Determines the connection's current state. On an idle connection, a request may be in the socket's receive buffer
 /// although the runtime has not seen the readiness event yet.
 fn connection_state(socket: &TcpStream, tracker: &ConnectionTracker) -> ConnectionState {
@@ -280,6 +288,7 @@
     loop {
         read_ahead_budget.shrink_to(tracker.buffered_bytes());
         let deadline = close_deadline(tracker, accepted);
+        let unread_deadline = unread_deadline(tracker);
         // hyper treats a keep-alive connection as idle until a head is complete. A request that has begun to arrive
         // is answered first.
         let may_close = !is_closing && !matches!(tracker.phase(), RequestPhase::Arriving(_));
@@ -305,6 +314,11 @@
                 }
             }
             () = tracker.changed() => {}
+            () = async { tokio::time::sleep_until(unread_deadline.unwrap_or(accepted)).await }, if unread_deadline.is_some() => {
+                if let Ok(permit) = permit_close(CloseCause::ResponseUnread, connection_state(socket, tracker)) {
+                    return ServeOutcome::Closed(permit);
+                }
+            }
             () = async { tokio::time::sleep_until(deadline.unwrap_or(accepted)).await }, if deadline.is_some() => {
                 match permit_close(CloseCause::TimedOut, connection_state(socket, tracker)) {
                     Ok(permit) => {
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use tokio::time::Instant;
 
 /// Number of client connections per request phase.
 #[derive(Clone, Copy, Debug, Default)]
@@ -103,6 +104,29 @@
     }
 }
 
+impl Connections {
+    /// Since when the client that has not read its response for longest has stalled.
+    pub(super) fn longest_stalled_since(&self) -> Option<Instant> {
+        self.longest_stalled().map(|(since, _)| since)
+    }
+
+    /// Closes the connection of the client that has not read its response for longest, if it stalled at `limit` or earlier;
+    /// returns whether there was one.
+    pub(super) fn abort_stalled(&self, limit: Instant) -> bool {
+        let stalled = self.longest_stalled().filter(|(since, _)| *since <= limit);
+        stalled.inspect(|(_, tracker)| tracker.abort()).is_some()
+    }
+
+    fn longest_stalled(&self) -> Option<(Instant, Rc<ConnectionTracker>)> {
+        let trackers = self.by_id.borrow();
+        let stalled = trackers
+            .values()
+            .filter(|tracker| !tracker.is_aborted())
+            .filter_map(|tracker| Some((tracker.write_blocked_since()?, tracker.clone())));
+        stalled.min_by_key(|(since, _)| *since)
+    }
+}
+
 /// A connection's entry in the table, removed on drop.
 pub(super) struct ConnectionEntry(Rc<Connections>, u64);
 
--- a/src/net/events/tests.rs
+++ b/src/net/events/tests.rs
@@ -16,11 +16,11 @@
     #[case] is_corrupt: bool,
 ) {
     for cut in 0..body.len() {
-        let mut filter = EventFilter::default();
+        let mut filter = EventFilter::new(&Budget::new(1024 * 1024));
         let mut events = Vec::new();
         let mut failed = false;
         for chunk in [&body[..cut], &body[cut..]] {
-            match filter.push(Bytes::copy_from_slice(chunk.as_bytes())) {
+            match filter.push(chunk.as_bytes()) {
                 Ok(bytes) => events.extend_from_slice(&bytes),
                 Err(_) => failed = true,
             }
@@ -40,8 +40,8 @@
 
 #[test]
 fn an_event_that_exceeds_the_limit_is_an_error() {
-    let mut filter = EventFilter::default();
+    let mut filter = EventFilter::new(&Budget::new(1024 * 1024));
     let chunk = Bytes::from(vec![b'a'; 1024]);
-    assert!(filter.push("data: ".into()).is_ok());
-    assert!((0..200).any(|_| filter.push(chunk.clone()).is_err()));
+    assert!(filter.push(b"data: ").is_ok());
+    assert!((0..200).any(|_| filter.push(&chunk).is_err()));
 }
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -37,8 +37,10 @@
 /// State of a client connection, shared between its socket, its connection task and its service.
 pub struct ConnectionTracker {
     phase: Cell<RequestPhase>,
-    write_blocked: Cell<bool>,
+    /// Since when the socket accepts no more bytes of a response.
+    write_blocked_since: Cell<Option<Instant>>,
     evicted: Cell<bool>,
+    aborted: Cell<bool>,
     answered: Cell<bool>,
     changed: Notify,
     framing: RefCell<FramingScan>,
@@ -72,8 +74,9 @@
     pub fn new() -> Rc<Self> {
         Rc::new(ConnectionTracker {
             phase: Cell::new(RequestPhase::Idle(Instant::now())),
-            write_blocked: Cell::new(false),
+            write_blocked_since: Cell::new(None),
             evicted: Cell::new(false),
+            aborted: Cell::new(false),
             answered: Cell::new(false),
             changed: Notify::new(),
             framing: RefCell::default(),
@@ -89,7 +92,31 @@
 
     /// Whether response bytes wait that the client does not read.
     pub fn is_write_blocked(&self) -> bool {
-        self.write_blocked.get()
+        self.write_blocked_since.get().is_some()
+    }
+
+    /// Since when the client has read nothing of the response bytes that wait.
+    pub fn write_blocked_since(&self) -> Option<Instant> {
+        self.write_blocked_since.get()
+    }
+
+    /// Whether the connection is to be closed with its response unread.
+    pub fn is_aborted(&self) -> bool {
+        self.aborted.get()
+    }
+
+    /// Closes the connection, though its client has not read its response.
+    pub fn abort(&self) {
+        self.aborted.set(true);
+        self.changed.notify_one();
+    }
+
+    pub(super) fn set_write_blocked(&self, is_blocked: bool) {
+        if is_blocked == self.is_write_blocked() {
+            return;
+        }
+        self.write_blocked_since.set(is_blocked.then(Instant::now));
+        self.changed.notify_one();
     }
 
     /// Whether the connection was chosen for eviction.
@@ -410,10 +437,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.tracker.write_blocked.set(true);
-        let written = ready!(stream::poll_write(&self.stream, cx, bufs));
-        self.tracker.write_blocked.set(false);
-        Poll::Ready(written)
+        let written = stream::poll_write(&self.stream, cx, bufs);
+        self.tracker.set_write_blocked(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod connections;
 pub mod discovery;
 pub mod drain;
+pub mod event_memory;
 pub mod events;
 pub mod fault;
 pub mod framing;
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -22,9 +22,9 @@
     }
 }
 
-/// The maximum number of bytes of one read. hyper enlarges a connection's buffer while reads fill it, and keeps it while the
-/// connection is open, so this bounds the memory of hundreds of connections.
-const MAX_READ_BYTES: usize = 16 * 1024;
+/// The maximum number of bytes of one read: less than hyper's first buffer of 8 KB. hyper enlarges a connection's buffer when
+/// a read fills it, and keeps it while the connection is open, so this bounds the memory of hundreds of connections.
+pub(super) const MAX_READ_BYTES: usize = 8 * 1024 - 1;
 
 thread_local! {
     /// Receives reads that could fill more than [`MAX_READ_BYTES`] of their buffer.
--- a/src/routing/policy/close_permit.rs
+++ b/src/routing/policy/close_permit.rs
@@ -9,8 +9,10 @@
 pub enum CloseCause {
     /// The client has closed the connection, or the connection is broken.
     ClientDisconnected,
-    /// The client has exceeded the timeout for idling, for sending a request, or for reading the response.
+    /// The client has exceeded the timeout for idling or for sending a request.
     TimedOut,
+    /// A response was begun, and the client has not read it for too long.
+    ResponseUnread,
     /// The router is draining or shutting down.
     ShuttingDown,
 }
@@ -53,7 +55,7 @@
 /// Returns the reason if the connection must stay open.
 pub fn permit_close(cause: CloseCause, state: ConnectionState) -> Result<ClosePermit, CloseDenial> {
     match (cause, state) {
-        (CloseCause::ClientDisconnected, _) => Ok(ClosePermit(())),
+        (CloseCause::ClientDisconnected | CloseCause::ResponseUnread, _) => Ok(ClosePermit(())),
         (_, ConnectionState::AwaitingResponse) => Err(CloseDenial::AwaitingResponse),
         (
             _,
--- a/src/routing/policy/close_permit/tests.rs
+++ b/src/routing/policy/close_permit/tests.rs
@@ -43,6 +43,7 @@
     None
 )]
 #[case(CloseCause::ClientDisconnected, IDLE_WITH_UNREAD_BYTES, None)]
+#[case(CloseCause::ResponseUnread, ConnectionState::AwaitingResponse, None)]
 fn connection_with_a_live_client_is_closed_only_if_no_request_is_lost(
     #[case] cause: CloseCause,
     #[case] state: ConnectionState,
--- a/src/run.rs
+++ b/src/run.rs
@@ -32,6 +32,7 @@
 use whinhaven::net::connections::Connections;
 use whinhaven::net::discovery::{AdjustEndpoints, Directory, DiscoveryWatcher};
 use whinhaven::net::drain::{self, DrainSwitch};
+use whinhaven::net::event_memory::EventMemory;
 use whinhaven::net::pool::Pool;
 use whinhaven::net::server::{ClientService, Listener, MAX_REFUSED_CONNECTIONS, Stage};
 use whinhaven::net::upgrade::lock_file::ProcessPhase;
@@ -226,6 +227,8 @@
     let directory = Rc::new(Directory::default());
     let (resubscribe, fetch_list) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
     let pending_releases = Rc::<PendingReleases>::default();
+    let body_budget = Budget::new(config.limits.memory_mb * 1024 * 1024 / 3);
+    let connections = Rc::new(Connections::default());
     let hosts = HostClient {
         directory: directory.clone(),
         pool: pool.clone(),
@@ -234,6 +237,7 @@
         resubscribe: resubscribe.clone(),
         pending_releases: pending_releases.clone(),
         late_arrivals: Rc::default(),
+        event_memory: EventMemory::new(body_budget.clone(), connections.clone(), counters.clone()),
     };
     // Computed before the fleet starts: otherwise the other members would wait for this one meanwhile.
     let own_site = config
@@ -408,7 +412,7 @@
         shutdown: shutdown.clone(),
         counters: counters.clone(),
         metrics: Rc::new(Metrics::default()),
-        body_budget: Budget::new(config.limits.memory_mb * 1024 * 1024 / 3),
+        body_budget,
         active_ids: RefCell::default(),
     });
     live_settings.on_change({
@@ -459,7 +463,6 @@
         drain.subscribe(),
         stage.clone(),
     ));
-    let connections = Rc::new(Connections::default());
     let max_connections = client_sockets - MAX_REFUSED_CONNECTIONS;
     let sharing = Rc::new(LimitSharing {
         ownership,
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -3,8 +3,10 @@
 mod support;
 
 use rstest::rstest;
-use std::io::{BufReader, Write};
-use std::net::SocketAddr;
+use socket2::{Domain, Socket, Type};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError, mpsc};
 use std::thread;
 use support::*;
@@ -148,7 +150,11 @@
 }
 
 fn router(reader: SocketAddr, writer: SocketAddr) -> Conductor {
-    let limits = format!("limits = {{ sockets = {SOCKETS}, memory_mb = {MEMORY_MB} }}");
+    router_with_memory(reader, writer, MEMORY_MB)
+}
+
+fn router_with_memory(reader: SocketAddr, writer: SocketAddr, memory_mb: u64) -> Conductor {
+    let limits = format!("limits = {{ sockets = {SOCKETS}, memory_mb = {memory_mb} }}");
     let tools = format!("---[tools]\ndial = \"{}\"\n", Peer::nobody());
     Conductor::start(&operator_file(&[reader], &[writer], &(limits + &tools)))
 }
@@ -217,18 +223,18 @@
     router: &Conductor,
     request: fn(&str) -> String,
     count: usize,
-) -> (Vec<std::net::TcpStream>, Outcomes) {
+) -> (Vec<BufReader<TcpStream>>, Outcomes) {
     let mut outcomes = Outcomes::default();
     let mut open = Vec::new();
     for number in 0..count {
         let mut client = router.connect();
         let request = request(&format!("ask-{number}"));
         client.write_all(request.as_bytes()).unwrap();
-        let mut reader = BufReader::with_capacity(16, client.try_clone().unwrap());
+        let mut reader = BufReader::new(client);
         let mut head = Message::read_head(&mut reader).unwrap_or_default();
         head.whole = true;
         outcomes.count(&head);
-        open.push(client);
+        open.push(reader);
     }
     (open, outcomes)
 }
@@ -251,3 +257,193 @@
     assert!(peak_kb <= MEMORY_MB * 1024, "{} MB", peak_kb / 1024);
     drop(open);
 }
+
+/// `limits.memory_mb` where events are long: far less than the events of all streams.
+const LONG_EVENTS_MEMORY_MB: u64 = 52;
+/// The length of a long event, within the limit of 128 KiB.
+const LONG_EVENT_BYTES: usize = 125_000;
+/// Of this many answers, one is sound where the others are spoilt.
+const SOUND_ANSWER_EVERY: usize = 5;
+/// The number of long events in a response to a client that reads.
+const LONG_EVENTS: usize = 4;
+/// The number of clients that do not read, and of long events in a response to one: more than the sockets on its way hold.
+const STALLED_CLIENTS: usize = 64;
+const STALLED_LONG_EVENTS: usize = 48;
+/// The receive buffer of a client that does not read.
+const SMALL_RECEIVE_BUFFER_BYTES: usize = 4 * 1024;
+
+fn short_single(name: &str) -> String {
+    rpc_request(&call(name, 60, ""))
+}
+
+fn short_platform(name: &str) -> String {
+    request(name, "send", "hello").replace("8000m", "60000m")
+}
+
+/// A writer whose answers begin a long event and leave it incomplete until the router gives them up; one in
+/// [`SOUND_ANSWER_EVERY`] is sound, and ends when all answers have begun.
+fn endless_writer(all_begun: mpsc::Receiver<()>) -> Peer {
+    let (all_begun, count) = (Mutex::new(all_begun), AtomicUsize::new(0));
+    Peer::start(move |message, conn| {
+        if message.method() != "POST" {
+            conn.answer("204 No Content", "", "");
+            return true;
+        }
+        conn.begin_stream();
+        conn.delta("one");
+        if count.fetch_add(1, Ordering::Relaxed) % SOUND_ANSWER_EVERY == 0 {
+            let _ = all_begun.lock().unwrap().recv();
+            conn.end_stream();
+            return true;
+        }
+        conn.chunk(&format!("data: {}", "x".repeat(LONG_EVENT_BYTES)));
+        // Reads until the router closes the connection.
+        let _ = conn.0.read_to_end(&mut Vec::new());
+        false
+    })
+}
+
+/// A writer whose answers are sound and have long events.
+fn long_event_writer(events: usize) -> Peer {
+    Peer::start(move |message, conn| {
+        if message.method() != "POST" {
+            conn.answer("204 No Content", "", "");
+            return true;
+        }
+        conn.begin_stream();
+        conn.delta("one");
+        let is_sent = (0..events).all(|_| conn.delta(&"x".repeat(LONG_EVENT_BYTES)));
+        if is_sent {
+            conn.end_stream();
+        }
+        is_sent
+    })
+}
+
+/// Reads the rest of each response on a thread of its own.
+fn read_all(open: Vec<BufReader<TcpStream>>) -> Outcomes {
+    let read = |client| thread::spawn(move || read_body(client));
+    let reading: Vec<_> = open.into_iter().map(read).collect();
+    let mut outcomes = Outcomes::default();
+    for is_whole in reading {
+        let is_whole = is_whole.join().unwrap();
+        *(if is_whole {
+            &mut outcomes.served
+        } else {
+            &mut outcomes.lost
+        }) += 1;
+    }
+    outcomes
+}
+
+/// Reads a chunked body; returns whether it was whole.
+fn read_body(mut client: BufReader<TcpStream>) -> bool {
+    let mut message = Message::default();
+    let chunked = ("transfer-encoding".into(), "chunked".into());
+    message.headers.push(chunked);
+    message.read_body(&mut client, |_| {});
+    message.whole
+}
+
+/// Guards against spoilt events that never end: they took the router over its memory limit, and all requests with it.
+#[rstest]
+#[case::single(short_single)]
+#[case::platform_protocol(short_platform)]
+fn endless_events_stay_within_the_memory_limit(#[case] request: fn(&str) -> String) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let (begun, all_begun) = mpsc::channel();
+    let (reader, writer) = (reader(), endless_writer(all_begun));
+    let router = router_with_memory(reader.address, writer.address, LONG_EVENTS_MEMORY_MB);
+    let (open, outcomes) = open_streams(&router, request, CLIENTS);
+    drop(begun);
+    let ends = read_all(open);
+    let peak_kb = router.peak_memory_kb();
+    println!("peak {} MB, {outcomes:?}, {ends:?}", peak_kb / 1024);
+    assert!(
+        peak_kb <= LONG_EVENTS_MEMORY_MB * 1024,
+        "{} MB",
+        peak_kb / 1024
+    );
+    // With the budget empty, requests are rejected at admission; every sound answer that began is whole.
+    assert_eq!(outcomes.lost, 0, "{outcomes:?}");
+    let sound = outcomes.served.div_ceil(SOUND_ANSWER_EVERY);
+    assert!(ends.served >= sound, "{sound} sound answers, {ends:?}");
+    router.stop();
+}
+
+/// Guards against whole long events of sound hosts, which took the router over its memory limit as well. Streams wait for
+/// memory in turn, and all of them are served.
+#[rstest]
+#[case::single(short_single)]
+#[case::platform_protocol(short_platform)]
+fn long_events_stay_within_the_memory_limit(#[case] request: fn(&str) -> String) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let (reader, writer) = (reader(), long_event_writer(LONG_EVENTS));
+    let router = router_with_memory(reader.address, writer.address, LONG_EVENTS_MEMORY_MB);
+    let clients = (0..CLIENTS).map(|number| {
+        let (mut client, request) = (router.connect(), request(&format!("ask-{number}")));
+        thread::spawn(move || {
+            client.write_all(request.as_bytes()).unwrap();
+            Message::read(&mut BufReader::new(client)).unwrap_or_default()
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    let mut outcomes = Outcomes::default();
+    for client in clients {
+        outcomes.count(&client.join().unwrap());
+    }
+    let peak_kb = router.peak_memory_kb();
+    println!("peak {} MB, {outcomes:?}", peak_kb / 1024);
+    assert!(
+        peak_kb <= LONG_EVENTS_MEMORY_MB * 1024,
+        "{} MB",
+        peak_kb / 1024
+    );
+    assert_eq!(outcomes.lost, 0, "{outcomes:?}");
+    assert!(outcomes.served > 0, "{outcomes:?}");
+    router.stop();
+}
+
+/// Guards against clients that do not read long events: what waits for them took the router over its memory limit, and was
+/// kept for as long as they stayed. They are disconnected when others need the memory.
+#[rstest]
+#[case::single(short_single)]
+#[case::platform_protocol(short_platform)]
+fn clients_that_do_not_read_stay_within_the_memory_limit(#[case] request: fn(&str) -> String) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let (reader, writer) = (reader(), long_event_writer(STALLED_LONG_EVENTS));
+    let router = router_with_memory(reader.address, writer.address, LONG_EVENTS_MEMORY_MB);
+    let mut open = Vec::new();
+    for number in 0..STALLED_CLIENTS {
+        let mut client = connect_with_small_buffer(router.address);
+        let request = request(&format!("ask-{number}"));
+        client.write_all(request.as_bytes()).unwrap();
+        open.push(client);
+    }
+    let has_closed_one = |counters: &Counters| counters.get("stalled_clients_closed") > 0;
+    let is_reclaimed = (0..MAX_COUNTER_READS).any(|_| has_closed_one(&router.counters()));
+    let peak_kb = router.peak_memory_kb();
+    println!("peak {} MB", peak_kb / 1024);
+    assert!(is_reclaimed, "no client was disconnected");
+    assert!(
+        peak_kb <= LONG_EVENTS_MEMORY_MB * 1024,
+        "{} MB",
+        peak_kb / 1024
+    );
+    drop(open);
+    let answer = router.raw(request("afterwards").as_bytes());
+    assert!(
+        answer.whole && matches!(answer.status(), 200 | 503),
+        "{answer:?}"
+    );
+    router.stop();
+}
+
+fn connect_with_small_buffer(address: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket
+        .set_recv_buffer_size(SMALL_RECEIVE_BUFFER_BYTES)
+        .unwrap();
+    socket.connect(&address.into()).unwrap();
+    socket.into()
+}
--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -14,8 +14,10 @@
 use whinhaven::counters::Counters as Counts;
 use whinhaven::dispatch::{Attempt, Clock, DispatcherEvent, DispatcherHandle, Outbound};
 use whinhaven::exchange::UpstreamRequest;
+use whinhaven::memory::Budget;
 use whinhaven::net::client::HostClient;
 use whinhaven::net::discovery::{Directory, Listing};
+use whinhaven::net::event_memory::EventMemory;
 use whinhaven::net::pool::Pool;
 use whinhaven::routing::types::*;
 
@@ -170,6 +172,8 @@
             entries: vec![(entry.clone(), Some(peer.address))],
         });
         let wait = Duration::from_secs(5);
+        let event_memory =
+            EventMemory::new(Budget::new(1024 * 1024), Rc::default(), counters.clone());
         let hosts = HostClient {
             directory,
             pool: Pool::new(64, wait, wait, counters.clone()),
@@ -178,6 +182,7 @@
             resubscribe: Rc::default(),
             pending_releases: Rc::default(),
             late_arrivals: Rc::default(),
+            event_memory,
         };
         let (id, target, body) = (
             "id-1".to_owned(),
