End the requests of a JSON-RPC batch when their client has left

Outside of a batch the same request was dropped at the close.

Cause: respond_to_batch started a task a message and kept the JoinHandles; dropped with the response, they detach the tasks. Ruled out by the same tests with a single request: the close is noticed at once, and the dispatcher sends nothing after it was told.

Change: the tasks are in a JoinSet, which ends them when it is dropped, at every stage. The same for tool calls that have not begun: a call asks when its connection is up whether its outcome is still waited for; otherwise it counts as not run.

--- a/src/front/jsonrpc/batch.rs
+++ b/src/front/jsonrpc/batch.rs
@@ -9,7 +9,9 @@
 use crate::memory::Buffer;
 use hyper::{Response, StatusCode};
 use serde_json::value::RawValue;
+use std::collections::BTreeMap;
 use std::rc::Rc;
+use tokio::task::JoinSet;
 
 impl Front {
     /// Handles the messages of a batch concurrently, and responds when all of them have their answers.
@@ -17,20 +19,22 @@
         self: Rc<Self>,
         messages: Vec<Result<ClientMessage, InvalidMessage>>,
     ) -> Response<AnswerBody> {
-        let tasks: Vec<_> = messages
-            .into_iter()
-            .map(|message| tokio::task::spawn_local(self.clone().answer_in_batch(message)))
-            .collect();
-        let mut answers = Vec::new();
-        for task in tasks {
-            if let Ok(Some(answer)) = task.await {
-                answers.push(answer);
+        // When the client disconnects, this future is dropped, and with the set all messages that are in progress.
+        let mut tasks = JoinSet::new();
+        for (index, message) in messages.into_iter().enumerate() {
+            let answer = self.clone().answer_in_batch(message);
+            tasks.spawn_local(async move { (index, answer.await) });
+        }
+        let mut answers = BTreeMap::new();
+        while let Some(result) = tasks.join_next().await {
+            if let Ok((index, Some(answer))) = result {
+                answers.insert(index, answer);
             }
         }
         if answers.is_empty() {
             return no_content();
         }
-        self.json_response(StatusCode::OK, join(answers))
+        self.json_response(StatusCode::OK, join(answers.into_values().collect()))
     }
 
     /// Handles one message of a batch, and returns the answer; `None` for a notification.
--- a/src/front/ledger.rs
+++ b/src/front/ledger.rs
@@ -148,6 +148,23 @@
     error: Option<Box<RawValue>>,
 }
 
+/// A call that is on its way to the tool server.
+struct PendingCall {
+    id: String,
+    body: Bytes,
+    /// Whether all of the call may have been written, so that the tool may have run.
+    written: Cell<bool>,
+    outcome: watch::Sender<State>,
+}
+
+impl PendingCall {
+    /// Whether anybody waits for the outcome, besides the ledger's own entry. When the client or the decode worker has
+    /// gone, a call that has not begun is not made: the resumed stream makes it.
+    fn is_wanted(&self) -> bool {
+        self.outcome.receiver_count() > 1
+    }
+}
+
 /// A call whose outcome [`Ledger::outcome`] returns; it does not refer to the call's arguments.
 pub struct StartedCall(Result<watch::Receiver<State>, CallError>);
 
@@ -299,6 +316,12 @@
         let ledger = self.clone();
         // The decode worker waits for the outcome, so the call is made even if the budget has too little left.
         let body = Buffer::overdrawn(body, &self.memory).freeze();
+        let call = PendingCall {
+            id,
+            body,
+            written: Cell::new(false),
+            outcome: state_sender,
+        };
         tokio::task::spawn_local(async move {
             let recorded = match &claim {
                 Some(claim) => {
@@ -316,7 +339,7 @@
                 // The call was made before, by this or another router, or must not be made.
                 Some(outcome) => outcome,
                 None => {
-                    let outcome = ledger.run(id, body, cancelled).await;
+                    let outcome = ledger.run(&call, cancelled).await;
                     if let Some(claim) = &claim {
                         claim.record_call_outcome(key.ordinal, &outcome).await;
                     }
@@ -324,7 +347,7 @@
                 }
             };
             ledger.record(&key, &outcome);
-            state_sender.send_replace(State::Completed(outcome));
+            call.outcome.send_replace(State::Completed(outcome));
         });
         Ok(state)
     }
@@ -368,21 +391,21 @@
 
     /// Sends the call to the tool server. It is sent again only if not all of it has been written, because then the tool
     /// cannot have run.
-    async fn run(&self, id: String, body: Bytes, mut cancelled: watch::Receiver<bool>) -> Outcome {
+    async fn run(&self, call: &PendingCall, mut cancelled: watch::Receiver<bool>) -> Outcome {
         let deadline = tokio::time::sleep(self.settings.call_timeout());
         tokio::pin!(deadline);
-        let written = Cell::new(false);
         let outcome = tokio::select! {
-            outcome = self.run_with_retries(&id, body, &written) => outcome,
+            outcome = self.run_with_retries(call) => outcome,
             () = &mut deadline => Err("no response before the call timeout".into()),
             _ = cancelled.wait_for(|c| *c) => {
-                return Outcome::Error(if written.get() { CANCELLED } else { TOOL_NOT_REACHED });
+                return Outcome::Error(if call.written.get() { CANCELLED } else { TOOL_NOT_REACHED });
             }
         };
         outcome.unwrap_or_else(|error: Box<dyn std::error::Error>| {
-            let not_executed = !written.get();
+            let not_executed = !call.written.get();
             log::warn!(
-                "tool call {id}: {error}; {}",
+                "tool call {}: {error}; {}",
+                call.id,
                 if not_executed {
                     "the tool did not run"
                 } else {
@@ -399,27 +422,24 @@
 
     async fn run_with_retries(
         &self,
-        id: &str,
-        body: Bytes,
-        written: &Cell<bool>,
+        call: &PendingCall,
     ) -> Result<Outcome, Box<dyn std::error::Error>> {
         let mut attempts = 0;
         loop {
             attempts += 1;
-            let outcome = self.send_once(id, body.clone(), written).await;
-            if written.get() || outcome.is_ok() || attempts == MAX_CONNECT_ATTEMPTS {
+            let outcome = self.send_once(call).await;
+            let is_last = attempts == MAX_CONNECT_ATTEMPTS || !call.is_wanted();
+            if call.written.get() || outcome.is_ok() || is_last {
                 return outcome;
             }
             tokio::time::sleep(CONNECT_RETRY_DELAY).await;
         }
     }
 
-    async fn send_once(
-        &self,
-        id: &str,
-        body: Bytes,
-        written: &Cell<bool>,
-    ) -> Result<Outcome, Box<dyn std::error::Error>> {
+    async fn send_once(&self, call: &PendingCall) -> Result<Outcome, Box<dyn std::error::Error>> {
+        let PendingCall {
+            id, body, written, ..
+        } = call;
         let target = Target {
             worker: WorkerId("tools".into()),
             address: self.settings.dial,
@@ -439,10 +459,11 @@
             .header("host", "tools")
             .header("content-type", "application/json")
             .header("idempotency-key", id)
-            .body(Full::new(body))?;
+            .body(Full::new(body.clone()))?;
         let meter = connection.meter();
         let permit = permit_call(CallState::ToolCall {
             may_have_run: written.get(),
+            is_wanted: call.is_wanted(),
         })?;
         self.counters.tool_runs.up();
         // Assume that the call was written until the meter says otherwise: this future may be dropped while it sends.
@@ -468,7 +489,7 @@
                 head.status
             )
         })?;
-        if response.jsonrpc != "2.0" || response.id != id {
+        if response.jsonrpc != "2.0" || response.id != *id {
             return Err("the response has another id or JSON-RPC version".into());
         }
         match (response.result, response.error) {
--- a/src/routing/policy/call_permit.rs
+++ b/src/routing/policy/call_permit.rs
@@ -77,6 +77,8 @@
     ToolCall {
         /// Whether the call was already written before.
         may_have_run: bool,
+        /// Whether the stream that makes the call is still running and its client is connected.
+        is_wanted: bool,
     },
 }
 
@@ -108,12 +110,18 @@
         CallState::ToolResult {
             is_streaming: false,
         } => Err(CallDenial::StreamEnded),
-        CallState::ToolCall { may_have_run: true } => Err(CallDenial::MayHaveRun),
+        CallState::ToolCall {
+            may_have_run: true, ..
+        } => Err(CallDenial::MayHaveRun),
+        CallState::ToolCall {
+            is_wanted: false, ..
+        } => Err(CallDenial::StreamEnded),
         CallState::Release { is_active: true }
         | CallState::LateRelease
         | CallState::ToolResult { is_streaming: true }
         | CallState::ToolCall {
             may_have_run: false,
+            is_wanted: true,
         } => Ok(CallPermit(())),
     }
 }
--- a/src/routing/policy/call_permit/tests.rs
+++ b/src/routing/policy/call_permit/tests.rs
@@ -35,8 +35,10 @@
 #[case(CallState::LateRelease, None)]
 #[case(CallState::ToolResult { is_streaming: true }, None)]
 #[case(CallState::ToolResult { is_streaming: false }, Some(CallDenial::StreamEnded))]
-#[case(CallState::ToolCall { may_have_run: false }, None)]
-#[case(CallState::ToolCall { may_have_run: true }, Some(CallDenial::MayHaveRun))]
+#[case(CallState::ToolCall { may_have_run: false, is_wanted: true }, None)]
+#[case(CallState::ToolCall { may_have_run: false, is_wanted: false }, Some(CallDenial::StreamEnded))]
+#[case(CallState::ToolCall { may_have_run: true, is_wanted: true }, Some(CallDenial::MayHaveRun))]
+#[case(CallState::ToolCall { may_have_run: true, is_wanted: false }, Some(CallDenial::MayHaveRun))]
 fn call_is_denied_once_it_is_no_longer_needed_or_may_have_run(
     #[case] state: CallState,
     #[case] denial: Option<CallDenial>,
--- a/tests/tools.rs
+++ b/tests/tools.rs
@@ -263,6 +263,116 @@
     );
 }
 
+/// A reader that keeps each prompt until it is told to go on, and tells what reached it.
+fn keeping_reader(go_on: mpsc::Receiver<()>, read: mpsc::Sender<String>) -> Peer {
+    let go_on = Mutex::new(go_on);
+    Peer::start(move |message, conn| {
+        if message.method() == "POST" {
+            let _ = read.send(message.text());
+            let _ = go_on.lock().unwrap().recv();
+            conn.answer("202 Accepted", "", r#"{"cached_tokens":0}"#);
+        } else {
+            conn.answer("204 No Content", "", "");
+        }
+        true
+    })
+}
+
+/// A writer that refuses each request as not run, until it is told to go on.
+fn refusing_writer(go_on: mpsc::Receiver<()>, asked: mpsc::Sender<String>) -> Peer {
+    let go_on = Mutex::new(go_on);
+    Peer::start(move |message, conn| {
+        if message.method() == "POST" {
+            let _ = asked.send(message.text());
+            let _ = go_on.lock().unwrap().recv();
+            conn.answer("410 Gone", "x-not-run: 1\r\n", "");
+        } else {
+            conn.answer("204 No Content", "", "");
+        }
+        true
+    })
+}
+
+fn batch(name: &str) -> String {
+    // The first message has its answer at once.
+    let cancel = r#"{"jsonrpc":"2.0","id":0,"method":"cancel","params":{"request":"none"}}"#;
+    let (first, second) = (format!("{name}-1"), format!("{name}-2"));
+    format!("[{cancel},{},{}]", ask(&first, ""), ask(&second, ""))
+}
+
+fn single(name: &str) -> String {
+    ask(name, "")
+}
+
+/// Waits until the router has seen this many clients leave, by its counters.
+fn wait_until_clients_left(router: &Conductor, requests: u64) {
+    let have_left = |counters: &Counters| counters.get("clients_left") >= requests;
+    let have_left = (0..3_000).any(|_| have_left(&router.counters()));
+    assert!(
+        have_left,
+        "the router has not noticed that its clients left"
+    );
+}
+
+/// Guards against requests of a batch that go on after their client has left: an attempt that began then, of a class that
+/// must not run twice, was work for nobody.
+#[rstest]
+#[case::single(single, 1)]
+#[case::batch_partly_answered(batch, 2)]
+fn no_attempt_begins_after_the_client_has_left_during_the_read(
+    #[case] body: fn(&str) -> String,
+    #[case] requests: u64,
+) {
+    let (go_on, may_go_on) = mpsc::channel();
+    let (read, has_read) = mpsc::channel();
+    let (asked, was_asked) = mpsc::channel();
+    let reader = keeping_reader(may_go_on, read);
+    let writer = refusing_writer(mpsc::channel().1, asked);
+    let tools = tools(Peer::nobody(), "");
+    let router = Conductor::start(&operator_file(&[reader.address], &[writer.address], &tools));
+    let mut client = router.connect();
+    client
+        .write_all(rpc_request(&body("left")).as_bytes())
+        .unwrap();
+    for _ in 0..requests {
+        has_read.recv_timeout(STUCK).unwrap();
+    }
+    drop(client);
+    wait_until_clients_left(&router, requests);
+    drop(go_on);
+    // The router ends when nothing is in progress any more.
+    router.stop();
+    assert!(was_asked.try_recv().is_err(), "a writer was asked");
+}
+
+/// The same between two attempts: the client leaves while a writer has the request, which then refuses it.
+#[rstest]
+#[case::single(single, 1)]
+#[case::batch_partly_answered(batch, 2)]
+fn no_attempt_begins_after_the_client_has_left_between_attempts(
+    #[case] body: fn(&str) -> String,
+    #[case] requests: u64,
+) {
+    let (go_on, may_go_on) = mpsc::channel();
+    let (asked, was_asked) = mpsc::channel();
+    let writer = refusing_writer(may_go_on, asked);
+    let tools = tools(Peer::nobody(), "");
+    let reader = Peer::reader();
+    let router = Conductor::start(&operator_file(&[reader.address], &[writer.address], &tools));
+    let mut client = router.connect();
+    client
+        .write_all(rpc_request(&body("left")).as_bytes())
+        .unwrap();
+    for _ in 0..requests {
+        was_asked.recv_timeout(STUCK).unwrap();
+    }
+    drop(client);
+    wait_until_clients_left(&router, requests);
+    let sent = router.counters().get("sent");
+    drop(go_on);
+    assert_eq!(router.stop().get("sent"), sent);
+}
+
 #[test]
 fn a_request_taken_back_ends_with_its_writer_s_stream_and_a_response() {
     let (closed, closes) = mpsc::channel();
