Send a request with a key again only under the claim that sent it

Cause: scope `all` counted as repeatable without an end (non_repeatable_classes). The record has neither window nor time, and no record could make a repeat elsewhere safe: monotonic clocks of two processes cannot be compared, wall clocks may be stepped. Ruled out: the window that the sending router itself measures (SendPermit) is right, but is not known elsewhere.

Change: all but idempotent classes are at most once across claims; within a claim the routing policy repeats as before. A claim of such a class overrules a record of an earlier version. A rejection after a possible run is recorded and answered as a failure on the JSON-RPC front, where it was recorded as not executed. No format changes.

The model (lab/tests/model_takeover.rs) has reads, scope, window, lost connections and clients that leave.

--- a/lab/tests/model_takeover.rs
+++ b/lab/tests/model_takeover.rs
@@ -4,12 +4,18 @@
 //! The log itself is checked by the Raft model. Modelled here besides the state machines is the protocol layer: it acts on
 //! [`Decision::Proceed`], and its client retries at another member when its connection ends. A stopped incarnation is
 //! told nothing: only the records keep it from running something a second time.
+//!
+//! Requests with a key may run again within a scope of workers and a window of time. Each router is in a zone of its own, and
+//! the window ends at any moment after the first send. A router knows the scope and the window of what it sent itself
+//! under its claim, as the routing policy does; of all else it knows what the record says.
 
 use stateright::{Checker, HasDiscoveries, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
+use whinhaven::fleet::transport::policy::non_repeatable_classes;
 use whinhaven::fleet::work::recorder::{Action, Decision, Event, OperationId, WorkRecorder};
 use whinhaven::fleet::work::*;
 use whinhaven::fleet::{Incarnation, Index, MemberInstance, MemberName};
+use whinhaven::routing::types::{DeduplicationScope, Idempotency, RequestClass};
 use whinhaven_lab::explore::explore;
 
 /// No record is removed here, so log entries need not differ, which keeps the state space small.
@@ -34,6 +40,9 @@
     Send,
     Call,
     Answer,
+    Read,
+    /// Sent to a writing worker, which has not begun its response.
+    Wait,
 }
 
 /// A request at one router.
@@ -41,6 +50,26 @@
 struct ClientHandler {
     step: Step,
     generation: u64,
+    /// The writing worker's connection was lost: the request may have run.
+    lost: bool,
+    /// The record of a read was not decided in time, and the read was tried again.
+    retried: bool,
+}
+
+impl ClientHandler {
+    const NEW: ClientHandler = ClientHandler {
+        step: Step::Claim,
+        generation: 0,
+        lost: false,
+        retried: false,
+    };
+}
+
+/// A send of a request with a key to a writing worker, before its response started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct KeyedSend {
+    zone: usize,
+    is_in_window: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -65,6 +94,10 @@
     proposals: BTreeSet<(usize, OperationId, String, OrderedCommand)>,
     /// How often each request was sent to a writing worker before its response started.
     first_runs: BTreeMap<u8, u8>,
+    /// The sends of each request with a key, in order.
+    keyed_sends: BTreeMap<u8, Vec<KeyedSend>>,
+    /// The window after the first send of a request with a key has ended.
+    is_window_over: bool,
     /// How often each request's tool call ran.
     tool_runs: BTreeMap<u8, u8>,
     /// Final responses that clients received.
@@ -103,6 +136,14 @@
     Crash(usize),
     /// The log ends an incarnation, whether its process is dead or only stopped.
     EndIncarnation(usize),
+    /// A writing worker begins its response.
+    Respond(u8, usize),
+    /// The connection to a writing worker is lost before its response began.
+    LoseConnection(u8, usize),
+    /// The client's connection to a router ends.
+    ClientLeaves(u8, usize),
+    /// The deduplication window after the first send ends.
+    WindowEnds,
 }
 
 /// A fault in the protocol layer that the checker has to detect.
@@ -123,9 +164,66 @@
     asks: u8,
     time_outs: u64,
     flaw: Flaw,
+    idempotency: Idempotency,
+    /// Whether connections to writing workers are lost before their responses begin.
+    losses: bool,
 }
 
 impl Case {
+    /// Requests of a class with a key are modelled with their reads, lost connections and clients that leave.
+    fn is_keyed(&self) -> bool {
+        matches!(self.idempotency, Idempotency::WithKey(_))
+    }
+
+    fn is_at_most_once(&self) -> bool {
+        let class = RequestClass {
+            idempotency: self.idempotency,
+            ..RequestClass::default()
+        };
+        non_repeatable_classes(&[class]).next().is_some()
+    }
+
+    /// The operation of a request's current step: no two are alike.
+    fn operation(world: &World, request: u8, handler: ClientHandler, step: u64) -> OperationId {
+        let attempt = u64::from(world.client_attempts[&request]);
+        let tries = u64::from(handler.lost) * 2 + u64::from(handler.retried);
+        OperationId(((attempt * 8 + step) * 4 + tries) * 16 + u64::from(request))
+    }
+
+    /// A writing worker receives the request, unless the router itself knows that it must not be sent again.
+    fn send_keyed(&self, world: &mut World, c: usize, request: u8) {
+        let handler = world.routers[c].handlers[&request];
+        if handler.lost && world.is_window_over {
+            return self.give_up(world, c, request);
+        }
+        let send = KeyedSend {
+            zone: c,
+            is_in_window: !world.is_window_over,
+        };
+        world.keyed_sends.entry(request).or_default().push(send);
+        self.set_step(world, c, request, Step::Wait);
+    }
+
+    fn set_step(&self, world: &mut World, c: usize, request: u8, step: Step) {
+        if let Some(handler) = world.routers[c].handlers.get_mut(&request) {
+            handler.step = step;
+        }
+    }
+
+    /// The router releases its claim, as when its client has left.
+    fn give_up(&self, world: &mut World, c: usize, request: u8) {
+        let Some(handler) = world.routers[c].handlers.get(&request).copied() else {
+            return;
+        };
+        let release = Command::Release {
+            name: request.to_string(),
+            generation: handler.generation,
+            not_executed: false,
+        };
+        self.report(world, c, request, release);
+        world.routers[c].handlers.remove(&request);
+    }
+
     fn act(&self, world: &mut World, c: usize, event: Event) {
         let mut actions = Vec::new();
         let router = &mut world.routers[c];
@@ -153,13 +251,9 @@
 
     fn request(&self, world: &mut World, c: usize, request: u8, command: Command) {
         // The id is made of the request, its client's attempt and the step: a counter would multiply the states.
-        let step = world.routers[c]
-            .handlers
-            .get(&request)
-            .map_or(0, |f| f.step as u64);
-        let operation = OperationId(
-            (u64::from(world.client_attempts[&request]) * 8 + step) * 16 + u64::from(request),
-        );
+        let handler = world.routers[c].handlers.get(&request).copied();
+        let handler = handler.unwrap_or(ClientHandler::NEW);
+        let operation = Self::operation(world, request, handler, handler.step as u64);
         let until = world.routers[c].now + 1;
         self.act(
             world,
@@ -178,9 +272,7 @@
         } else {
             7
         };
-        let operation = OperationId(
-            (u64::from(world.client_attempts[&request]) * 8 + step) * 16 + u64::from(request),
-        );
+        let operation = Self::operation(world, request, ClientHandler::NEW, step);
         self.act(world, c, Event::Report { operation, command });
     }
 
@@ -193,11 +285,12 @@
         let command = match handler.step {
             Step::Claim => Command::Claim {
                 name,
-                at_most_once: true,
+                at_most_once: self.is_at_most_once(),
                 resume,
                 capacity: CAPACITY,
             },
-            Step::Send => {
+            Step::Wait => return,
+            Step::Send | Step::Read => {
                 if self.flaw == Flaw::SendsBeforeRecord {
                     *world.first_runs.entry(request).or_default() += 1;
                 }
@@ -207,7 +300,7 @@
                     id,
                     worker,
                     name,
-                    read_only: false,
+                    read_only: handler.step == Step::Read,
                     max_attempts: 9,
                     capacity: CAPACITY,
                 }
@@ -254,11 +347,25 @@
                 handler.generation = record.generation;
                 handler.step = if record.stage == RequestStage::Responding {
                     Step::Call
+                } else if self.is_keyed() {
+                    Step::Read
                 } else {
                     Step::Send
                 };
                 self.start_step(world, c, request);
             }
+            (Step::Read, Decision::Proceed) => {
+                handler.step = Step::Send;
+                self.start_step(world, c, request);
+            }
+            // The routing policy tries another worker; the first record may still be committed.
+            (Step::Read, Decision::TimedOut) if !handler.retried => {
+                handler.retried = true;
+                self.start_step(world, c, request);
+            }
+            (Step::Send, Decision::Proceed) if self.is_keyed() => {
+                self.send_keyed(world, c, request);
+            }
             (_, Decision::Completed(answer)) => finish(world, &answer),
             (Step::Send, Decision::Proceed) => {
                 handler.step = Step::Call;
@@ -337,6 +444,8 @@
             routers: (0..3).map(router).collect(),
             proposals: BTreeSet::new(),
             first_runs: BTreeMap::new(),
+            keyed_sends: BTreeMap::new(),
+            is_window_over: false,
             tool_runs: BTreeMap::new(),
             received: BTreeMap::new(),
             client_attempts: (0..self.requests).map(|r| (r, 0)).collect(),
@@ -344,6 +453,9 @@
     }
 
     fn actions(&self, world: &World, actions: &mut Vec<Transition>) {
+        if !world.is_window_over && !world.keyed_sends.is_empty() {
+            actions.push(Transition::WindowEnds);
+        }
         for (request, client_attempts) in &world.client_attempts {
             if *client_attempts < self.asks {
                 let free = |c: &usize| {
@@ -374,6 +486,17 @@
             if !router.inbox.is_empty() {
                 actions.push(Transition::Receive(c));
             }
+            for (request, handler) in router.handlers.iter().filter(|_| self.is_keyed()) {
+                if handler.step == Step::Wait {
+                    actions.push(Transition::Respond(*request, c));
+                    if self.losses && !handler.lost {
+                        actions.push(Transition::LoseConnection(*request, c));
+                    }
+                }
+                if handler.generation > 0 && self.deaths == 0 {
+                    actions.push(Transition::ClientLeaves(*request, c));
+                }
+            }
             if router.now < self.time_outs && router.recorder.pending_count() > 0 {
                 actions.push(Transition::TimeOut(c));
             }
@@ -403,15 +526,26 @@
             Transition::ClientRequest(request, c) => {
                 *world.client_attempts.get_mut(&request)? += 1;
                 world.involved.insert(c);
-                world.routers[c].handlers.insert(
-                    request,
-                    ClientHandler {
-                        step: Step::Claim,
-                        generation: 0,
-                    },
-                );
+                world.routers[c]
+                    .handlers
+                    .insert(request, ClientHandler::NEW);
                 self.start_step(&mut world, c, request);
             }
+            Transition::Respond(request, c) => {
+                let generation = world.routers[c].handlers.get(&request)?.generation;
+                let name = request.to_string();
+                let started = Command::ResponseStarted { name, generation };
+                self.report(&mut world, c, request, started);
+                // What follows a response that has begun is the same for all classes.
+                world.routers[c].handlers.remove(&request);
+            }
+            Transition::LoseConnection(request, c) => {
+                world.routers[c].handlers.get_mut(&request)?.lost = true;
+                self.set_step(&mut world, c, request, Step::Read);
+                self.start_step(&mut world, c, request);
+            }
+            Transition::ClientLeaves(request, c) => self.give_up(&mut world, c, request),
+            Transition::WindowEnds => world.is_window_over = true,
             Transition::Commit(c, operation) => {
                 let found = world
                     .proposals
@@ -465,6 +599,27 @@
             Property::always("no at-most-once request is sent twice", |_, w: &World| {
                 w.first_runs.values().all(|n| *n <= 1)
             }),
+            Property::always(
+                "no keyed request is sent outside its window",
+                |_, w: &World| {
+                    let repeats = w
+                        .keyed_sends
+                        .values()
+                        .flat_map(|sends| sends.iter().skip(1));
+                    repeats.into_iter().all(|send| send.is_in_window)
+                },
+            ),
+            Property::always(
+                "no keyed request is sent outside its scope",
+                |case: &Case, w: &World| {
+                    let is_everywhere =
+                        case.idempotency == Idempotency::WithKey(DeduplicationScope::All);
+                    let is_one_zone = |sends: &Vec<KeyedSend>| {
+                        sends.iter().all(|send| send.zone == sends[0].zone)
+                    };
+                    is_everywhere || w.keyed_sends.values().all(is_one_zone)
+                },
+            ),
             Property::always("one final response", |_, w: &World| {
                 w.received.values().all(|h| h.len() <= 1)
             }),
@@ -516,12 +671,41 @@
             asks: 2,
             time_outs: 0,
             flaw: Flaw::None,
+            idempotency: Idempotency::NonIdempotent,
+            losses: false,
         },
         HasDiscoveries::All,
     )
     .assert_properties();
 }
 
+/// Guards against a request with a key that another router, or the same one, sends again outside its scope or window: the
+/// record had neither, and a read made it forget that the request may have run.
+#[rstest::rstest]
+#[case::all_workers_and_a_crash(DeduplicationScope::All, 1, 0, false)]
+fn keyed_request_is_repeated_only_within_its_scope_and_window(
+    #[case] scope: DeduplicationScope,
+    #[case] deaths: usize,
+    #[case] time_outs: u64,
+    #[case] losses: bool,
+) {
+    let checker = check(
+        Case {
+            requests: 1,
+            deaths,
+            asks: 2,
+            time_outs,
+            flaw: Flaw::None,
+            idempotency: Idempotency::WithKey(scope),
+            losses,
+        },
+        HasDiscoveries::AnyFailures,
+    );
+    checker.assert_no_discovery("no keyed request is sent outside its window");
+    checker.assert_no_discovery("no keyed request is sent outside its scope");
+    checker.assert_no_discovery("one final response");
+}
+
 /// Minutes: by hand, in a release build.
 #[test]
 #[ignore = "minutes; run it with --release"]
@@ -533,6 +717,8 @@
             asks: 2,
             time_outs: 0,
             flaw: Flaw::None,
+            idempotency: Idempotency::NonIdempotent,
+            losses: false,
         },
         HasDiscoveries::All,
     )
@@ -544,6 +730,8 @@
             asks: 2,
             time_outs: 1,
             flaw: Flaw::None,
+            idempotency: Idempotency::NonIdempotent,
+            losses: false,
         },
         HasDiscoveries::All,
     )
@@ -555,6 +743,8 @@
             asks: 2,
             time_outs: 0,
             flaw: Flaw::None,
+            idempotency: Idempotency::NonIdempotent,
+            losses: false,
         },
         HasDiscoveries::All,
     )
@@ -566,6 +756,8 @@
             asks: 3,
             time_outs: 2,
             flaw: Flaw::None,
+            idempotency: Idempotency::NonIdempotent,
+            losses: false,
         },
         HasDiscoveries::All,
     )
@@ -585,6 +777,8 @@
             asks: 2,
             time_outs,
             flaw,
+            idempotency: Idempotency::NonIdempotent,
+            losses: false,
         },
         HasDiscoveries::AnyFailures,
     );
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -271,7 +271,7 @@
         );
         if open.monitor.check_rejection().is_ok() {
             self.counters.answered_refused.up();
-            answer.reject(None);
+            answer.reject(open.monitor.may_have_run(), None);
         } else {
             self.counters.answered_failed.up();
             answer.fail();
@@ -354,7 +354,7 @@
             report_violation(&self.counters, &open.upstream_request.id, violation);
         }
         self.counters.answered_refused.up();
-        answer.reject(retry_after);
+        answer.reject(open.monitor.may_have_run(), retry_after);
         self.answered.push(request);
     }
 
--- a/src/dispatch/invariants.rs
+++ b/src/dispatch/invariants.rs
@@ -71,12 +71,17 @@
         }
     }
 
+    /// Whether the request may have run, by any attempt so far.
+    pub fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(Attempt::may_have_run)
+    }
+
     /// Records that an attempt is about to be sent.
     ///
     /// # Errors
     /// Returns the invariant that the send violates.
     pub fn sent(&mut self, is_prefill: bool) -> Result<(), InvariantViolation> {
-        let may_have_run = self.attempts.iter().any(Attempt::may_have_run);
+        let may_have_run = self.may_have_run();
         let has_attempt_in_flight = self
             .attempts
             .iter()
@@ -129,8 +134,7 @@
     /// # Errors
     /// Returns a violation if the request may have run and is not safe to repeat.
     pub fn check_rejection(&self) -> Result<(), InvariantViolation> {
-        let may_have_run = self.attempts.iter().any(Attempt::may_have_run);
-        if self.idempotency.is_harmless_to_repeat() || !may_have_run {
+        if self.idempotency.is_harmless_to_repeat() || !self.may_have_run() {
             Ok(())
         } else {
             Err(InvariantViolation::RejectionAfterPossibleRun)
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -71,8 +71,10 @@
 /// The final answer of a request, or the start of a streamed one.
 #[derive(Debug)]
 pub enum Answer {
-    /// The request is rejected; a retry is safe.
+    /// The request is rejected; a retry is safe by the rules of its class.
     Rejected {
+        /// Whether the request may have run. Then a retry is safe only because its class can be repeated anywhere.
+        may_have_run: bool,
         /// Delay after which the client should retry; `None` if retry advice is not configured.
         retry_after: Option<Micros>,
     },
@@ -163,8 +165,11 @@
 
 impl AnswerHandle {
     /// Rejects the request, which tells the client that a retry is safe.
-    pub fn reject(self, retry_after: Option<Micros>) {
-        self.answer(Answer::Rejected { retry_after });
+    pub fn reject(self, may_have_run: bool, retry_after: Option<Micros>) {
+        self.answer(Answer::Rejected {
+            may_have_run,
+            retry_after,
+        });
     }
 
     /// Fails the request, which makes no promise about its effect.
--- a/src/fleet/transport/policy.rs
+++ b/src/fleet/transport/policy.rs
@@ -14,7 +14,7 @@
 use crate::fleet::policy_epoch::{Command, Notice, Refusal, Reply, Table, digest};
 use crate::fleet::state::{self, ProposalResult, StateChange};
 use crate::live_settings::LiveSettings;
-use crate::routing::types::{Micros, RequestClass};
+use crate::routing::types::{Idempotency, Micros, RequestClass};
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -389,13 +389,11 @@
     }
 }
 
-/// The classes whose requests must not run twice.
+/// The classes whose requests only the router that sent them may send again: all but idempotent ones. Where a key makes a
+/// repeat harmless, it does so for a scope of workers and a window of time. Another router knows neither for sure, since
+/// the clocks of two processes cannot be compared, so it must not repeat what may have run.
 pub fn non_repeatable_classes(classes: &[RequestClass]) -> impl Iterator<Item = &RequestClass> {
-    use crate::routing::types::{DeduplicationScope, Idempotency};
-    classes.iter().filter(|c| {
-        !matches!(
-            c.idempotency,
-            Idempotency::Idempotent | Idempotency::WithKey(DeduplicationScope::All)
-        )
-    })
+    classes
+        .iter()
+        .filter(|class| class.idempotency != Idempotency::Idempotent)
 }
--- a/src/fleet/work/claim.rs
+++ b/src/fleet/work/claim.rs
@@ -36,11 +36,18 @@
         let Some(record) = self.client_requests.get_mut(&request.name) else {
             return self.claim_new(proposer, request);
         };
-        if record.owner.as_ref() == Some(proposer.member) {
+        let is_own = record.owner.as_ref() == Some(proposer.member);
+        if is_own {
             // The owner claims anew: what it did before is over, whether or not it came to reporting that.
-            record.settle();
             record.last_changed = proposer.entry;
         }
+        if is_own || record.owner.is_none() {
+            // The member that claimed it first may have had a version or settings by which it could be repeated.
+            record.at_most_once |= request.at_most_once;
+            if record.settle() {
+                record.last_changed = proposer.entry;
+            }
+        }
         if let RequestStage::Completed(response) = &record.stage {
             let response = response.clone();
             if record.owner.take().is_some() {
--- a/src/fleet/work/command.rs
+++ b/src/fleet/work/command.rs
@@ -23,7 +23,7 @@
     Claim {
         /// The request's lasting name.
         name: String,
-        /// Whether the request must not run twice.
+        /// Whether no other claim may send it again once it may have run.
         at_most_once: bool,
         /// Whether the client asks for the rest of a response.
         resume: bool,
--- a/src/fleet/work/record.rs
+++ b/src/fleet/work/record.rs
@@ -84,7 +84,7 @@
     pub owner: Option<MemberInstance>,
     /// Rises with each change of owner.
     pub generation: u64,
-    /// Whether it must not run twice.
+    /// Whether no other claim may send it again once it may have run.
     pub at_most_once: bool,
     /// Its stage.
     pub stage: RequestStage,
@@ -107,12 +107,14 @@
         RECORD_OVERHEAD_BYTES + name.len() as u64 + response + calls
     }
 
-    /// The owner has given it up. A request that must not run twice and may have run has failed for good; any other one
-    /// stays open for the member that its client asks next.
-    pub(super) fn settle(&mut self) {
-        if self.at_most_once && self.stage == RequestStage::Sent {
+    /// The owner has given it up. A request that must not be sent again and may have run has failed for good; any other
+    /// one stays open for the member that its client asks next. Returns whether it has failed by this.
+    pub(super) fn settle(&mut self) -> bool {
+        let has_failed = self.at_most_once && self.stage == RequestStage::Sent;
+        if has_failed {
             self.stage = RequestStage::Completed(FinalResponse::Failed);
         }
+        has_failed
     }
 
     /// Marks the calls of an ended incarnation that have no outcome, and returns their positions.
--- a/src/fleet/work/tests.rs
+++ b/src/fleet/work/tests.rs
@@ -155,6 +155,32 @@
     );
 }
 
+/// Guards against a record of an earlier version, by which a request with a key could be repeated without an end.
+#[rstest]
+#[case::owner_died(true)]
+#[case::same_owner_claims_anew(false)]
+fn claim_that_must_not_repeat_overrules_the_record(#[case] owner_dies: bool) {
+    let mut log = Log::default();
+    let claim = |at_most_once| Command::Claim {
+        name: "r".into(),
+        at_most_once,
+        resume: false,
+        capacity: CAPACITY,
+    };
+    let g = generation(log.apply("c1", claim(false)));
+    log.send("c1", g, false);
+    let next = if owner_dies {
+        log.end_incarnation("c1");
+        "c2"
+    } else {
+        "c1"
+    };
+    assert_eq!(
+        log.apply(next, claim(true)),
+        Reply::Completed(FinalResponse::Failed)
+    );
+}
+
 #[test]
 fn request_released_as_not_executed_may_be_claimed_again() {
     let mut log = Log::default();
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -357,11 +357,16 @@
             .resume
             .map_or((0, String::new()), |r| (r.calls, r.text));
         match answer {
-            Answer::Rejected { retry_after } => {
+            Answer::Rejected {
+                may_have_run,
+                retry_after,
+            } if !(may_have_run && at_most_once && claim.is_some()) => {
                 claim.iter().for_each(Claim::mark_not_executed);
                 Err(ErrorResponse::rejected(retry_after))
             }
-            Answer::Failed => {
+            // Rejected, which is harmless while its window lasts: but nobody knows for how long the client waits, so the
+            // record says that it has failed, and the client hears the same.
+            Answer::Failed | Answer::Rejected { .. } => {
                 claim
                     .iter()
                     .for_each(|claim| claim.complete_in_background(FinalResponse::Failed));
--- a/src/front/platform.rs
+++ b/src/front/platform.rs
@@ -235,7 +235,7 @@
 /// Encodes an answer as an HTTP response. For a stream, `notifier` reports it if the client disconnects early.
 pub fn encode(answer: Answer, notifier: DisconnectNotifier) -> Response<AnswerBody> {
     match answer {
-        Answer::Rejected { retry_after } => refusal(retry_after),
+        Answer::Rejected { retry_after, .. } => refusal(retry_after),
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         Answer::Stream(stream) => {
             let content_type = stream.content_type.clone();
--- a/src/front/shared.rs
+++ b/src/front/shared.rs
@@ -51,7 +51,7 @@
         self.classes.borrow().iter().any(|c| c.name == name)
     }
 
-    /// Whether requests of this class must not run more than once.
+    /// Whether a request of this class that may have run must not be sent again under another claim.
     pub fn is_at_most_once(&self, name: &str) -> bool {
         non_repeatable_classes(&self.classes.borrow()).any(|c| c.name == name)
     }
