Keep in the record that a request may have run when its prompt is read again

Cause: Table::count_attempt wrote the stage of the last send over that of all before: a read set `Sent` back to `Claimed`. Found by the model besides: the entry of an earlier read that is committed late does the same without a second read. Ruled out: the routing policy, which stays in the zone under its own claim.

Change: the stage goes from Claimed to Sent and stays until a release says that nothing has run, which also starts the attempts anew.

No format changes.

--- a/lab/tests/model_takeover.rs
+++ b/lab/tests/model_takeover.rs
@@ -683,6 +683,9 @@
 /// record had neither, and a read made it forget that the request may have run.
 #[rstest::rstest]
 #[case::all_workers_and_a_crash(DeduplicationScope::All, 1, 0, false)]
+#[case::lost_connection_and_a_crash(DeduplicationScope::All, 1, 0, true)]
+#[case::one_zone_and_a_crash(DeduplicationScope::Zone, 1, 0, true)]
+#[case::one_zone_and_a_late_read(DeduplicationScope::Zone, 0, 1, true)]
 fn keyed_request_is_repeated_only_within_its_scope_and_window(
     #[case] scope: DeduplicationScope,
     #[case] deaths: usize,
--- a/src/fleet/work/record.rs
+++ b/src/fleet/work/record.rs
@@ -5,6 +5,10 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// Earlier versions set the stage back to [`RequestStage::Claimed`] at each read. So in their snapshots a record with as many
+/// sends as this may hide one to a worker that writes: it is between two reads at the least.
+const MIN_ATTEMPTS_WITH_HIDDEN_SEND: u32 = 3;
+
 /// The one final response of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum FinalResponse {
@@ -37,7 +41,7 @@
 pub enum RequestStage {
     /// Claimed. Nothing was sent, or only reads: nothing can have run.
     Claimed,
-    /// Sent to a worker that writes; no event has arrived.
+    /// Sent to a worker that writes; no event has arrived. It stays so when the prompt is read again.
     Sent,
     /// The response has started. The client asks for the rest.
     Responding,
@@ -107,10 +111,19 @@
         RECORD_OVERHEAD_BYTES + name.len() as u64 + response + calls
     }
 
+    /// Whether it may have run, as long as its response has not started.
+    fn may_have_run(&self) -> bool {
+        match self.stage {
+            RequestStage::Sent => true,
+            RequestStage::Claimed => self.attempts >= MIN_ATTEMPTS_WITH_HIDDEN_SEND,
+            RequestStage::Responding | RequestStage::Completed(_) => false,
+        }
+    }
+
     /// The owner has given it up. A request that must not be sent again and may have run has failed for good; any other
     /// one stays open for the member that its client asks next. Returns whether it has failed by this.
     pub(super) fn settle(&mut self) -> bool {
-        let has_failed = self.at_most_once && self.stage == RequestStage::Sent;
+        let has_failed = self.at_most_once && self.may_have_run();
         if has_failed {
             self.stage = RequestStage::Completed(FinalResponse::Failed);
         }
--- a/src/fleet/work/table.rs
+++ b/src/fleet/work/table.rs
@@ -280,7 +280,7 @@
         let reply = self.update_owned(proposer, claim, |record| {
             record.owner = None;
             record.last_changed = proposer.entry;
-            if not_executed && record.stage == RequestStage::Sent {
+            if not_executed && record.stage != RequestStage::Responding {
                 record.stage = RequestStage::Claimed;
                 record.attempts = 0;
             }
--- a/src/fleet/work/tests.rs
+++ b/src/fleet/work/tests.rs
@@ -155,6 +155,69 @@
     );
 }
 
+/// Guards against a read that makes the record forget that the request may have run, and against the entry of an earlier read
+/// that is committed late.
+#[rstest]
+#[case::owner_died(true)]
+#[case::client_left(false)]
+fn request_that_may_have_run_fails_though_its_prompt_is_read_again(#[case] owner_dies: bool) {
+    let mut log = Log::default();
+    let g = generation(log.claim("c1", false));
+    for reads in [true, false, true] {
+        assert_eq!(log.send("c1", g, reads), Reply::Recorded);
+    }
+    if owner_dies {
+        log.end_incarnation("c1");
+    } else {
+        log.apply("c1", release(g, false));
+    }
+    assert_eq!(
+        log.claim("c2", false),
+        Reply::Completed(FinalResponse::Failed)
+    );
+}
+
+/// Guards against records in snapshots of earlier versions, whose stage was set back by a read. Reads alone never hide a send.
+#[rstest]
+#[case::two_reads(2, false)]
+#[case::a_read_a_send_and_a_read(3, true)]
+fn record_of_an_earlier_version_may_hide_a_send(#[case] attempts: u32, #[case] failed: bool) {
+    let mut log = Log::default();
+    let g = generation(log.claim("c1", false));
+    log.table.client_requests.get_mut("r").unwrap().attempts = attempts;
+    log.end_incarnation("c1");
+    let reply = log.claim("c2", false);
+    if failed {
+        assert_eq!(reply, Reply::Completed(FinalResponse::Failed));
+    } else {
+        assert_eq!(generation(reply), g + 1);
+    }
+}
+
+/// Guards against a request that is known not to have run and fails for its earlier reads.
+#[test]
+fn request_released_as_not_executed_starts_with_no_attempts() {
+    let mut log = Log::default();
+    let mut g = generation(log.claim("c1", false));
+    for _ in 0..2 {
+        for _ in 0..3 {
+            assert_eq!(log.send("c1", g, true), Reply::Recorded);
+        }
+        log.apply("c1", release(g, true));
+        let next = generation(log.claim("c1", false));
+        assert_eq!(next, g + 1);
+        g = next;
+    }
+}
+
+fn release(generation: u64, not_executed: bool) -> Command {
+    Command::Release {
+        name: "r".into(),
+        generation,
+        not_executed,
+    }
+}
+
 /// Guards against a record of an earlier version, by which a request with a key could be repeated without an end.
 #[rstest]
 #[case::owner_died(true)]
--- a/src/fleet/work/upstream.rs
+++ b/src/fleet/work/upstream.rs
@@ -72,12 +72,9 @@
             }
             record.attempts += 1;
             record.last_changed = proposer.entry;
-            if record.stage != RequestStage::Responding {
-                record.stage = if send.read_only {
-                    RequestStage::Claimed
-                } else {
-                    RequestStage::Sent
-                };
+            // A read takes nothing back: what was sent before it may have run, and entries may arrive late.
+            if record.stage == RequestStage::Claimed && !send.read_only {
+                record.stage = RequestStage::Sent;
             }
             Ok(Reply::Recorded)
         })
