Let streams hold long events although waiting prompts fill the budget

Change: long events may exceed the budget by an eighth, so streams go on, a few at a time. a_stream_goes_on_while_prompts_fill_the_budget is for this; without the overdraft a waiting stream gets no memory by construction (not run as a failing test).

--- a/src/memory.rs
+++ b/src/memory.rs
@@ -26,6 +26,8 @@
     returned: Arc<Notify>,
     /// How far [`Reservation::grow_in_progress`] may exceed the budget.
     overdraft_limit: usize,
+    /// How far long events may exceed the budget, so that streams go on while waiting prompts fill it.
+    event_overdraft_limit: usize,
 }
 
 impl Budget {
@@ -35,6 +37,7 @@
             left: Arc::new(AtomicIsize::new(bytes.cast_signed())),
             returned: Arc::default(),
             overdraft_limit: bytes / 2,
+            event_overdraft_limit: bytes / 8,
         }
     }
 
@@ -43,9 +46,9 @@
         self.left.load(Ordering::Relaxed).max(0).cast_unsigned()
     }
 
-    /// Whether more is held than the budget allows.
-    pub fn is_overdrawn(&self) -> bool {
-        self.left.load(Ordering::Relaxed) < 0
+    /// Whether more is held than the budget and the limit by which long events may exceed it.
+    pub fn is_exceeded_by_events(&self) -> bool {
+        self.left.load(Ordering::Relaxed) < -self.event_overdraft_limit.cast_signed()
     }
 
     /// Resolves when bytes were returned since the last call. For one waiting task at a time.
--- a/src/net/event_memory.rs
+++ b/src/net/event_memory.rs
@@ -2,9 +2,9 @@
 //!
 //! An event is passed on when it is complete, so its bytes are kept until then. Short ones are counted and kept. A stream
 //! whose event becomes longer has to hold the memory for all of it before it reads on, so that an event that has begun can
-//! always be completed. While the budget lacks that memory the stream waits, its model host is slowed down by TCP, and new
-//! requests are rejected. Streams wait in order. The first one ends what has made no progress for long: an event whose
-//! model host does not complete it, or else a response that its client does not read.
+//! always be completed. Events may exceed the budget by a part of it. While there is no memory the stream waits, its model
+//! host is slowed down by TCP, and new requests are rejected. Streams wait in order. The first one ends what has made no
+//! progress for long: an event whose model host does not complete it, or else a response that its client does not read.
 
 use super::connections::Connections;
 use crate::counters::Counters;
@@ -85,7 +85,7 @@
         let turn = self.turn.acquire().await;
         // Taken before it is there: what is returned to the budget belongs to this stream, not to new requests.
         let reservation = PendingReservation::new(buffer, bytes);
-        while self.budget.is_overdrawn() {
+        while self.budget.is_exceeded_by_events() {
             self.reclaim_or_wait().await;
         }
         reservation.complete();
--- a/src/net/event_memory/tests.rs
+++ b/src/net/event_memory/tests.rs
@@ -121,3 +121,17 @@
     assert_eq!(begun.elapsed(), MAX_CLIENT_STALL);
     assert_eq!(memory.counters.stalled_clients_closed.get(), 1);
 }
+
+/// Guards against sound streams that wait, and break in the end, because prompts fill the budget.
+#[tokio::test(start_paused = true)]
+async fn a_stream_goes_on_while_prompts_fill_the_budget() {
+    let budget = Budget::new(8 * EVENT_BYTES);
+    let memory = EventMemory::new(budget.clone(), Rc::default(), Rc::default());
+    let prompts = Buffer::with_reservation(8 * EVENT_BYTES, &budget).unwrap();
+    let first = Stream::new(&budget).reserve(&memory).now_or_never();
+    assert!(first.is_some());
+    assert!(Buffer::with_reservation(1, &budget).is_err());
+    let second = Stream::new(&budget).reserve(&memory);
+    assert!(second.now_or_never().is_none());
+    drop(prompts);
+}
