--- a/lab/src/peer.rs
+++ b/lab/src/peer.rs
@@ -168,6 +168,14 @@
             || matches!(self.0.read(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset)
     }
 
+    /// Whether the other side closes or says something within `period`.
+    pub fn closes_within(&mut self, period: Duration) -> bool {
+        use std::io::ErrorKind::{Interrupted, TimedOut, WouldBlock};
+        let _ = self.0.set_read_timeout(Some(period));
+        let read = self.0.read(&mut [0]);
+        !matches!(read, Err(e) if matches!(e.kind(), WouldBlock | TimedOut | Interrupted))
+    }
+
     /// Whether the other side has closed by now, without waiting. Only where it has nothing to say.
     pub fn has_closed(&mut self) -> bool {
         if self.0.set_nonblocking(true).is_err() {
