End streams on which nothing comes that the client waits for

What callers saw: a client was left waiting on a stream until it left, 5 s after the last event. Cause: EventFilter took each blank line for the end of an event, whatever the block held. So a comment, a blank line, an id, event or retry alone, empty data, or [DONE] again moved the idle limit on, and were a first event, which ends the deadline and the attempts at other hosts. Besides, the limit, a cancellation and a tool's result waited while the client had no room for a frame, and the idle time counted from the delivery. Change: a block is an event if it has data; what precedes the first one is kept back. StreamProgress, a state machine of its own, holds the limits: 4.5 s from the last event; an incomplete event that comes at 256 bytes of data a second or more is waited for, 30 s at most; the pause of a host whose client read slowly counts 0.5 s at most. The relay is a module of its own, and sends, reads and is cancelled in one select. A body that is no event stream counts an event for each 1 KB. The log tells how each stream ended, with the time and the bytes since the last event; counter streams_timed_out.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -116,6 +116,8 @@
         clients_left,
         /// Streams that broke after their first event.
         streams_broken,
+        /// Streams that broke because their model host sent no event in time, though it may have sent other bytes.
+        streams_timed_out,
         /// Incomplete events of model hosts that were ended because memory was short.
         events_revoked,
         /// Clients disconnected because they did not read their response and memory was short.
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -7,7 +7,7 @@
 
 mod frames;
 
-pub use frames::{Frame, FrameReceiver, FrameSender, WeakFrameSender, frame_channel};
+pub use frames::{Frame, FrameReceiver, FrameSender, ReceiverGone, WeakFrameSender, frame_channel};
 
 use crate::routing::types::Micros;
 use bytes::Bytes;
--- a/src/exchange/frames.rs
+++ b/src/exchange/frames.rs
@@ -42,6 +42,22 @@
 #[error("the receiver of the stream is gone")]
 pub struct ReceiverGone;
 
+/// Room for one frame in a channel.
+pub struct FramePermit<'a> {
+    slot: mpsc::Permit<'a, QueuedFrame>,
+    bytes: OwnedSemaphorePermit,
+}
+
+impl FramePermit<'_> {
+    /// Sends the frame that the room was reserved for.
+    pub fn send(self, frame: Frame) {
+        self.slot.send(QueuedFrame {
+            frame,
+            _permit: self.bytes,
+        });
+    }
+}
+
 /// Sends the frames of a stream.
 #[derive(Clone, Debug)]
 pub struct FrameSender {
@@ -55,17 +71,23 @@
     /// # Errors
     /// The receiver was dropped.
     pub async fn send(&self, frame: Frame) -> Result<(), ReceiverGone> {
-        let permit = self
-            .free_bytes
-            .clone()
-            .acquire_many_owned(frame.queued_bytes())
-            .await
-            .map_err(|_| ReceiverGone)?;
-        let queued = QueuedFrame {
-            frame,
-            _permit: permit,
-        };
-        self.frames.send(queued).await.map_err(|_| ReceiverGone)
+        let permit = self.reserve(&frame).await?;
+        permit.send(frame);
+        Ok(())
+    }
+
+    /// Waits until the channel has room for `frame`. Cancel safe.
+    ///
+    /// # Errors
+    /// The receiver was dropped.
+    pub async fn reserve(&self, frame: &Frame) -> Result<FramePermit<'_>, ReceiverGone> {
+        let bytes = self.free_bytes.clone();
+        let bytes = bytes.acquire_many_owned(frame.queued_bytes()).await;
+        let slot = self.frames.reserve().await;
+        Ok(FramePermit {
+            slot: slot.map_err(|_| ReceiverGone)?,
+            bytes: bytes.map_err(|_| ReceiverGone)?,
+        })
     }
 
     /// Resolves when the receiver was dropped.
--- a/src/net/answer.rs
+++ b/src/net/answer.rs
@@ -120,7 +120,7 @@
             .is_some_and(|content_type| content_type.starts_with("text/event-stream"));
         let mut events = EventStream::new(body, is_event_stream, memory);
         // Until the first event, nothing was sent to the client, and the router can still retry the request.
-        match events.next().await? {
+        match events.first().await? {
             Some(first_events) => Ok(HostResponse::Stream(StartedStream {
                 first_events,
                 events,
@@ -164,7 +164,7 @@
     prompt_tokens_details: PrefillResult,
 }
 
-/// The last [`TAIL_BYTES`] bytes of a stream.
+/// The last [`TAIL_BYTES`] bytes of the events of a stream.
 pub(super) struct StreamTail(Vec<u8>);
 
 impl StreamTail {
@@ -172,7 +172,7 @@
         StreamTail(Vec::with_capacity(2 * TAIL_BYTES))
     }
 
-    /// Appends the next bytes of the stream.
+    /// Appends the bytes of the next events.
     pub fn push(&mut self, data: &[u8]) {
         if data.len() >= TAIL_BYTES {
             self.0.clear();
@@ -184,9 +184,11 @@
         }
     }
 
-    /// Whether the stream has ended with `data: [DONE]`.
+    /// Whether the last event is `data: [DONE]`, with or without a comment behind it.
     pub fn ends_with_done(&self) -> bool {
-        self.0.trim_ascii_end().ends_with(b"data: [DONE]")
+        let mut lines = self.0.rsplit(|byte| *byte == b'\n');
+        let last_data = lines.find(|line| line.starts_with(b"data"));
+        last_data.is_some_and(|line| line.trim_ascii_end() == b"data: [DONE]")
     }
 
     /// The number of cached prompt tokens in the last usage report; 0 if there is none.
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,17 +1,16 @@
 //! The upstream client: runs attempts at model hosts, and the calls that accompany them.
 
-use super::answer::{AttemptEnd, HostResponse, MAX_RESPONSE_BYTES, StartedStream, StreamTail};
+use super::answer::{AttemptEnd, HostResponse, MAX_RESPONSE_BYTES};
 use super::discovery::Directory;
 use super::event_memory::EventMemory;
 use super::pool::{ConnectError, Connection, Pool, Target};
 use super::release_calls::LateArrivalTracker;
+use super::stream_progress::STREAM_IDLE_TIMEOUT;
 use crate::counters::Counters;
 use crate::dispatch::{
     Attempt, Clock, DispatcherEvent, DispatcherHandle, Outbound, ReleaseProgress,
 };
-use crate::exchange::{
-    Frame, Reply, StreamSender, UpstreamRequest, WeakFrameSender, stream_channel,
-};
+use crate::exchange::{Reply, UpstreamRequest, WeakFrameSender};
 use crate::routing::types::{
     AttemptIndex, AttemptOutcome, CallDenial, CallState, Micros, ReleasePermit, RequestId,
     SendDenial, WorkerId, WritePermit, WriteState, permit_call,
@@ -23,17 +22,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 use tower::{Service, ServiceExt};
 
-/// A stream that delivers no event for this long is considered broken, even if its connection looks open: a machine
-/// that vanished closes nothing. A client counts its response as lost after 5 s without an event. Calls that carry a
-/// tool result have the same timeout.
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(4500);
+/// Timeout of a call that carries a tool result, while which the stream waits.
+const TOOL_RESULT_TIMEOUT: Duration = STREAM_IDLE_TIMEOUT;
 /// Limit from the first byte of a response head to its last.
 const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
-/// A client that reads nothing of its stream for this long is considered disconnected.
-const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Ample time for a connection's close to reach its model host. Bytes on different connections are not ordered, so a
 /// call that must not overtake the close is sent this much later.
 pub(super) const CLOSE_PROPAGATION_DELAY: Duration = Duration::from_millis(5);
@@ -377,94 +371,13 @@
         None
     }
 
-    /// Relays a stream's events unchanged, without a deadline, until one side ends it. Returns the attempt's end and
-    /// whether the connection can be reused.
-    async fn relay_stream(
-        &self,
-        attempt: &mut Attempt,
-        stream: StartedStream,
-    ) -> (AttemptEnd, bool) {
-        let StartedStream {
-            first_events,
-            mut events,
-            content_type,
-            is_framed,
-        } = stream;
-        let (
-            StreamSender {
-                frames,
-                mut replies,
-                is_paused: paused,
-            },
-            feed,
-        ) = stream_channel(content_type);
-        let (request, index) = (attempt.request, attempt.attempt);
-        self.dispatcher.send(DispatcherEvent::StreamStarted {
-            request,
-            attempt: index,
-            stream: feed,
-        });
-        let mut tail = StreamTail::new();
-        let mut next = Some(first_events);
-        let mut last_activity = Instant::now();
-        loop {
-            if let Some(data) = next.take() {
-                tail.push(&data);
-                // The channel is short, so that a slow client slows the model host down instead of filling memory.
-                match tokio::time::timeout(CLIENT_STALL_TIMEOUT, frames.send(Frame::Data(data)))
-                    .await
-                {
-                    Ok(Ok(())) => last_activity = Instant::now(),
-                    _ => return (AttemptOutcome::Cancelled.into(), false),
-                }
-            }
-            tokio::select! {
-                biased;
-                _ = &mut attempt.cancelled => return (AttemptOutcome::Cancelled.into(), false),
-                () = frames.closed() => return (AttemptOutcome::Cancelled.into(), false),
-                Some(reply) = replies.recv() => {
-                    last_activity = Instant::now();
-                    self.post_tool_result(attempt, reply, frames.downgrade());
-                }
-                // Measured from the last complete event: bytes that complete none do not count as activity.
-                received = tokio::time::timeout_at(
-                    last_activity + STREAM_IDLE_TIMEOUT,
-                    events.next(),
-                ) => match received {
-                    Ok(Ok(Some(data))) => next = Some(data),
-                    Ok(Ok(None)) if is_framed || tail.ends_with_done() => {
-                        let _ = frames.send(Frame::End).await;
-                        let end = AttemptEnd {
-                            outcome: AttemptOutcome::Served,
-                            cached_tokens: tail.cached_tokens(),
-                            load: None,
-                        };
-                        return (end, is_framed);
-                    }
-                    // A decode worker that waits for a tool result sends nothing.
-                    Err(_) if paused.get() => last_activity = Instant::now(),
-                    // Dropping `frames` without `Frame::End` aborts the client's stream before its last chunk.
-                    broken => {
-                        self.counters.streams_broken.up();
-                        let reason = match broken {
-                            Err(_) => "timed out without an event".to_owned(),
-                            Ok(Err(error)) => format!("broke: {error}"),
-                            Ok(Ok(_)) => "broke: it ended early".to_owned(),
-                        };
-                        log::info!(
-                            "request {}: stream from {} {reason}; the client's stream is aborted",
-                            attempt.upstream_request.id,
-                            attempt.worker.0
-                        );
-                        return (AttemptOutcome::ConnectionLost.into(), false);
-                    }
-                },
-            }
-        }
-    }
-
     /// Posts a tool result to the decode worker while its stream is open.
-    fn post_tool_result(&self, attempt: &Attempt, reply: Reply, stream: WeakFrameSender) {
+    pub(super) fn post_tool_result(
+        &self,
+        attempt: &Attempt,
+        reply: Reply,
+        stream: WeakFrameSender,
+    ) {
         let target = format!("/internal/tool-results/{}", attempt.upstream_request.id);
         let request = Request::post(target)
             .header("host", "model-host")
@@ -479,7 +392,7 @@
                 is_streaming: stream.is_open(),
             };
             let pending_call = client.unary_call(target.as_ref(), request, body_len, state);
-            let result = tokio::time::timeout(STREAM_IDLE_TIMEOUT, pending_call).await;
+            let result = tokio::time::timeout(TOOL_RESULT_TIMEOUT, pending_call).await;
             let _ = reply
                 .accepted
                 .send(matches!(result, Ok(Ok(status)) if status.is_success()));
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -3,13 +3,16 @@
 //! A stream may be corrupt from any byte on: a wrong chunk size makes chunk heads look like data, or makes whatever
 //! follows part of a chunk. Bytes that form no event end the stream before they reach the client; the bytes of events
 //! are passed on unchanged.
+//!
+//! A blank line ends a block of lines, and a block with data is an event. Blocks without data (comments, an `id` alone) are
+//! passed on as well, but they are no events: nobody waits for them.
 
 use super::event_memory::{EventMemory, LongEvent};
 use super::stream::MAX_READ_BYTES;
 use crate::memory::{Budget, Buffer};
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use std::rc::Rc;
 
 /// Maximum length of an event.
@@ -19,6 +22,9 @@
 /// The memory of a stream with a long event: one of the maximum length, and the bytes that are read with its end.
 const LONG_EVENT_BYTES: usize = MAX_EVENT_BYTES + MAX_READ_BYTES;
 
+/// This many bytes of a body that is not an event stream count as one event.
+const UNCHECKED_EVENT_BYTES: usize = 1024;
+
 /// Why a stream of events was ended before its end.
 #[derive(Debug, thiserror::Error)]
 pub enum StreamError {
@@ -36,12 +42,25 @@
     Revoked,
 }
 
+/// What one read of a stream has brought.
+#[derive(Debug, Default)]
+pub struct Received {
+    /// Complete blocks, to be passed on; they count against the memory budget until they are dropped. May be empty.
+    pub blocks: Bytes,
+    /// Whether one of the blocks is an event, that is, has data.
+    pub has_event: bool,
+    /// Number of bytes of data that were added to an event that is still incomplete.
+    pub partial_data: usize,
+}
+
 /// The events of one response.
 pub struct EventStream {
     body: Incoming,
     /// Whether the response is declared to be an event stream. Other bodies are passed on unfiltered.
     is_checked: bool,
     filter: EventFilter,
+    /// Number of bytes since the last one that counted as an event, in a body that is not an event stream.
+    unchecked_bytes: usize,
     /// Held while the incomplete event is long. Dropped after the filter, whose memory has been returned by then.
     long_event: Option<LongEvent>,
     memory: Rc<EventMemory>,
@@ -54,38 +73,62 @@
             body,
             is_checked,
             filter: EventFilter::new(memory.budget()),
+            unchecked_bytes: 0,
             long_event: None,
             memory,
         }
     }
 
-    /// Whether the length of the remaining body is known.
-    pub fn has_length(&self) -> bool {
-        self.body.size_hint().exact().is_some()
+    /// Whether the response is declared to be an event stream.
+    pub fn is_checked(&self) -> bool {
+        self.is_checked
+    }
+
+    /// Reads until the first event is complete, and returns it with all that came before it and was received together with it;
+    /// `None` if the stream ends without an event.
+    ///
+    /// # Errors
+    /// The stream is broken or corrupt, and must not be read any further.
+    pub async fn first(&mut self) -> Result<Option<Bytes>, StreamError> {
+        while let Some(received) = self.next().await? {
+            if received.has_event || !received.blocks.is_empty() {
+                return Ok(Some(received.blocks));
+            }
+        }
+        Ok(None)
     }
 
-    /// Returns the bytes of the next events, one or more complete ones; `None` at the end of the stream. The bytes count
-    /// against the memory budget until they are dropped. Cancel safe.
+    /// Reads once, and returns what that has brought; `None` at the end of the stream. Cancel safe.
     ///
     /// # Errors
     /// The stream is broken or corrupt, and must not be read any further.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, StreamError> {
-        while let Some(data) = self.next_data().await? {
-            let events = if self.is_checked {
+    pub async fn next(&mut self) -> Result<Option<Received>, StreamError> {
+        if let Some(data) = self.next_data().await? {
+            let received = if self.is_checked {
                 self.filter.push(&data)?
             } else {
-                Buffer::overdrawn(data.to_vec(), self.memory.budget()).freeze()
+                self.receive_unchecked(&data)
             };
             if self.filter.is_short() {
                 self.long_event = None;
             }
-            if !events.is_empty() {
-                return Ok(Some(events));
-            }
+            return Ok(Some(received));
         }
         // The last event may lack its final blank line.
-        let remainder = self.filter.remainder()?;
-        Ok(Some(remainder).filter(|remainder| !remainder.is_empty()))
+        self.filter.remainder()
+    }
+
+    fn receive_unchecked(&mut self, data: &[u8]) -> Received {
+        self.unchecked_bytes += data.len();
+        let has_event = self.unchecked_bytes >= UNCHECKED_EVENT_BYTES;
+        if has_event {
+            self.unchecked_bytes = 0;
+        }
+        Received {
+            blocks: Buffer::overdrawn(data.to_vec(), self.memory.budget()).freeze(),
+            has_event,
+            partial_data: 0,
+        }
     }
 
     /// Reads the next bytes of the body, once there is memory for the event that they belong to.
@@ -120,13 +163,19 @@
     }
 }
 
-/// Buffers bytes until they form complete events.
+/// Buffers bytes until they form complete blocks, and up to the first event.
 struct EventFilter {
     buffer: Buffer,
     /// Number of bytes of `buffer` that were parsed: complete lines.
     parsed: usize,
     /// Number of bytes of `buffer` that were searched for the end of a line.
     searched: usize,
+    /// Number of bytes of data in the complete lines of the incomplete block.
+    block_data: usize,
+    /// Number of bytes of data in the incomplete block, with its incomplete line.
+    partial_data: usize,
+    /// Whether an event was complete. What precedes the first one is kept, since it is no answer yet.
+    has_begun: bool,
     budget: Budget,
 }
 
@@ -136,6 +185,9 @@
             buffer: Buffer::new(budget),
             parsed: 0,
             searched: 0,
+            block_data: 0,
+            partial_data: 0,
+            has_begun: false,
             budget: budget.clone(),
         }
     }
@@ -145,10 +197,11 @@
         self.buffer.len() <= MAX_SHORT_EVENT_BYTES
     }
 
-    fn push(&mut self, data: &[u8]) -> Result<Bytes, StreamError> {
+    fn push(&mut self, data: &[u8]) -> Result<Received, StreamError> {
         self.buffer.extend_overdrawn(data, LONG_EVENT_BYTES);
         let bytes = self.buffer.as_ref();
         let mut complete = 0;
+        let mut has_event = false;
         while let Some(end) = bytes[self.searched..]
             .iter()
             .position(|byte| *byte == b'\n')
@@ -161,33 +214,62 @@
             }
             self.parsed = end + 1;
             self.searched = self.parsed;
+            self.block_data += data_of(line).len();
             if line.is_empty() {
-                complete = self.parsed;
+                has_event |= self.block_data > 0;
+                self.has_begun |= has_event;
+                self.block_data = 0;
+                self.partial_data = 0;
+                if self.has_begun {
+                    complete = self.parsed;
+                }
             }
         }
         if bytes.len() - complete > MAX_EVENT_BYTES {
             return Err(StreamError::TooLong);
         }
+        let partial_data = self.block_data + data_of(&bytes[self.parsed..]).len();
+        let added_data = partial_data.saturating_sub(self.partial_data);
+        self.partial_data = partial_data;
         self.searched = bytes.len() - complete;
         self.parsed -= complete;
-        if complete == 0 {
-            return Ok(Bytes::new());
-        }
-        Ok(self.buffer.split_to(complete).freeze())
+        let blocks = if complete == 0 {
+            Bytes::new()
+        } else {
+            self.buffer.split_to(complete).freeze()
+        };
+        Ok(Received {
+            blocks,
+            has_event,
+            partial_data: added_data,
+        })
     }
 
-    fn remainder(&mut self) -> Result<Bytes, StreamError> {
+    /// What is left at the end of the stream; `None` if that is nothing, or if there was no event.
+    fn remainder(&mut self) -> Result<Option<Received>, StreamError> {
         let remainder = std::mem::replace(&mut self.buffer, Buffer::new(&self.budget)).freeze();
         self.searched = 0;
         let last_line = &remainder[std::mem::take(&mut self.parsed)..];
-        if is_field(last_line) {
-            Ok(remainder)
-        } else {
-            Err(StreamError::NotAnEvent)
+        if !is_field(last_line) {
+            return Err(StreamError::NotAnEvent);
+        }
+        let has_event = std::mem::take(&mut self.block_data) + data_of(last_line).len() > 0;
+        if remainder.is_empty() || !(has_event || self.has_begun) {
+            return Ok(None);
         }
+        Ok(Some(Received {
+            blocks: remainder,
+            has_event,
+            partial_data: 0,
+        }))
     }
 }
 
+/// The value of a line's `data` field without surrounding white space; empty if it is another field.
+fn data_of(line: &[u8]) -> &[u8] {
+    line.strip_prefix(b"data:").unwrap_or_default().trim_ascii()
+}
+
 /// Whether a line is valid in an event (server-sent events, WHATWG HTML).
 fn is_field(line: &[u8]) -> bool {
     let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
--- a/src/net/events/tests.rs
+++ b/src/net/events/tests.rs
@@ -21,7 +21,7 @@
         let mut failed = false;
         for chunk in [&body[..cut], &body[cut..]] {
             match filter.push(chunk.as_bytes()) {
-                Ok(bytes) => events.extend_from_slice(&bytes),
+                Ok(received) => events.extend_from_slice(&received.blocks),
                 Err(_) => failed = true,
             }
         }
@@ -33,7 +33,8 @@
                 body.strip_suffix(incomplete).unwrap().as_bytes(),
                 "cut at {cut}"
             );
-            assert_eq!(filter.remainder().unwrap(), incomplete);
+            let remainder = filter.remainder().unwrap().unwrap_or_default();
+            assert_eq!(remainder.blocks, incomplete);
         }
     }
 }
@@ -45,3 +46,62 @@
     assert!(filter.push(b"data: ").is_ok());
     assert!((0..200).any(|_| filter.push(&chunk).is_err()));
 }
+
+fn filter() -> EventFilter {
+    EventFilter::new(&Budget::new(1024 * 1024))
+}
+
+/// Guards against blocks that are taken for events although they have no data.
+#[rstest]
+#[case::comment(": ping\n\n", false)]
+#[case::blank_line("\r\n", false)]
+#[case::id("id: 7\n\n", false)]
+#[case::event_type("event: ping\n\n", false)]
+#[case::retry("retry: 10\n\n", false)]
+#[case::empty_data("data:\n\n", false)]
+#[case::data_without_a_value("data\n\n", false)]
+#[case::white_space("data:  \r\n\r\n", false)]
+#[case::data("event: x\ndata: a\nid: 1\n\n", true)]
+fn a_block_is_an_event_if_it_has_data(#[case] block: &str, #[case] is_event: bool) {
+    let mut filter = filter();
+    let before = filter.push(block.as_bytes()).unwrap();
+    assert_eq!(before.has_event, is_event);
+    assert_eq!(
+        !before.blocks.is_empty(),
+        is_event,
+        "before the first event"
+    );
+    let first = filter.push(b"data: x\n\n").unwrap();
+    assert!(first.has_event);
+    let after = filter.push(block.as_bytes()).unwrap();
+    assert_eq!(
+        (&after.blocks[..], after.has_event),
+        (block.as_bytes(), is_event)
+    );
+    assert_eq!(after.partial_data, 0);
+    let all = [before.blocks, first.blocks].concat();
+    assert_eq!(all, format!("{block}data: x\n\n").as_bytes());
+}
+
+#[test]
+fn only_data_of_an_incomplete_event_counts_as_partial_data() {
+    let mut filter = filter();
+    let mut push = |bytes: &str| filter.push(bytes.as_bytes()).unwrap().partial_data;
+    assert_eq!(push("data: a\n\ndata: 123"), 3);
+    assert_eq!(push("4567"), 4);
+    assert_eq!(push("\n: a long comment\nevent: x\n"), 0);
+    assert_eq!(push("data:89"), 2);
+    assert_eq!(push("\n\n"), 0);
+    assert_eq!(push(": a comment"), 0);
+}
+
+#[rstest]
+#[case::nothing("", false)]
+#[case::a_comment(": ping\n\n: ping", false)]
+#[case::an_event_without_its_blank_line("data: a", true)]
+fn a_stream_without_an_event_ends_with_none(#[case] body: &str, #[case] has_event: bool) {
+    let mut filter = filter();
+    assert!(filter.push(body.as_bytes()).unwrap().blocks.is_empty());
+    let remainder = filter.remainder().unwrap();
+    assert_eq!(remainder.is_some_and(|last| last.has_event), has_event);
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,8 @@
 pub mod server;
 pub mod shutdown_stages;
 pub mod stream;
+mod stream_progress;
+mod stream_relay;
 pub mod upgrade;
 
 use std::pin::Pin;
--- /dev/null
+++ b/src/net/stream_progress/tests.rs
@@ -0,0 +1,70 @@
+use super::*;
+use rstest::rstest;
+
+/// Writes `bytes` of an incomplete event each `period` until the stream is considered broken or `until` has passed since the
+/// last event; returns the time from the last event to the end.
+fn trickle(bytes: usize, period: Duration, until: Duration) -> Duration {
+    let begin = Instant::now();
+    let mut progress = StreamProgress::new(begin);
+    let mut at = begin;
+    while at + period < progress.deadline() && at + period < begin + until {
+        at += period;
+        progress.on_partial_data(bytes, at);
+    }
+    progress.deadline().min(begin + until) - begin
+}
+
+#[rstest]
+#[case::a_byte_each_100_ms(1, 100, 4_600)]
+#[case::a_byte_each_second(1, 1_000, 4_600)]
+#[case::half_the_least_rate(32, 250, 4_750)]
+fn a_trickle_ends_with_the_idle_timeout(
+    #[case] bytes: usize,
+    #[case] period_ms: u64,
+    #[case] latest_ms: u64,
+) {
+    let ended = trickle(bytes, Duration::from_millis(period_ms), MAX_EVENT_DURATION);
+    assert!(ended >= STREAM_IDLE_TIMEOUT, "{ended:?}");
+    assert!(ended <= Duration::from_millis(latest_ms), "{ended:?}");
+}
+
+#[rstest]
+#[case::kilobyte_a_second(250, 250)]
+#[case::five_kilobytes_a_second(1_250, 250)]
+#[case::in_lumps(2_000, 1_800)]
+fn an_event_that_is_still_being_written_is_waited_for(#[case] bytes: usize, #[case] period: u64) {
+    let until = Duration::from_secs(20);
+    assert_eq!(trickle(bytes, Duration::from_millis(period), until), until);
+}
+
+#[test]
+fn an_event_without_end_is_not_waited_for_longer_than_the_longest_event() {
+    let endless = trickle(4_000, Duration::from_millis(100), Duration::from_secs(600));
+    assert_eq!(endless, MAX_EVENT_DURATION);
+}
+
+#[test]
+fn half_an_event_and_then_silence_ends_with_the_idle_timeout() {
+    let begin = Instant::now();
+    let mut progress = StreamProgress::new(begin);
+    progress.on_partial_data(100_000, begin + Duration::from_secs(2));
+    assert_eq!(progress.deadline(), begin + STREAM_IDLE_TIMEOUT);
+}
+
+#[test]
+fn the_host_of_a_client_that_read_slowly_has_time_to_write_again() {
+    let begin = Instant::now();
+    let mut progress = StreamProgress::new(begin);
+    let pause = Duration::from_secs(20);
+    progress.on_reading_resumed(pause, begin + pause);
+    assert_eq!(progress.deadline(), begin + pause + HOST_RESUME_GRACE);
+}
+
+/// Guards against a limit that each delivery moves on, whatever was delivered.
+#[test]
+fn a_client_that_reads_at_once_extends_nothing() {
+    let begin = Instant::now();
+    let mut progress = StreamProgress::new(begin);
+    progress.on_reading_resumed(Duration::ZERO, begin + Duration::from_millis(4_400));
+    assert_eq!(progress.deadline(), begin + STREAM_IDLE_TIMEOUT);
+}
--- a/tests/left_waiting.rs
+++ b/tests/left_waiting.rs
@@ -82,7 +82,8 @@
         "data:\n\n",
         "data\n\n",
         ": ping\n",
-        "data: [DONE]\n\n"
+        "data: [DONE]\n\n",
+        "data: x"
     )]
     piece: &'static str,
     #[values(platform, json_rpc)] front: fn(&str, u64) -> String,
@@ -111,3 +112,39 @@
     assert_eq!((answer.status(), answer.whole), (503, true), "{answer:?}");
     assert_eq!(router.stop().get("answered_stream"), 0);
 }
+
+/// A decode worker whose answer has one event of `bytes` bytes that it writes in `pieces` pieces.
+fn slow_writer(bytes: usize, pieces: usize) -> Peer {
+    Peer::start(move |message, conn| {
+        if message.method() == "DELETE" {
+            conn.answer("204 No Content", "", "");
+            return true;
+        }
+        conn.begin_stream();
+        conn.delta("one");
+        conn.chunk(r#"data: {"choices":[{"index":0,"delta":{"content":""#);
+        for _ in 0..pieces {
+            conn.chunk(&"x".repeat(bytes / pieces));
+            if conn.closes_within(TRICKLE_PERIOD) {
+                return false;
+            }
+        }
+        conn.chunk("\"},\"finish_reason\":null}]}\n\n");
+        conn.end_stream();
+        true
+    })
+}
+
+/// Guards against long answers that are cut off while their host is still writing them, slowly.
+#[rstest]
+fn a_long_event_that_is_written_slowly_is_served_whole(
+    #[values((40_000, 32), (6_000, 24))] (bytes, pieces): (usize, usize),
+    #[values(platform, json_rpc)] front: fn(&str, u64) -> String,
+) {
+    let writer = slow_writer(bytes, pieces);
+    let (router, _reader) = start_router(&writer);
+    let answer = router.raw(front("slow-1", 8_000).as_bytes());
+    assert_eq!((answer.status(), answer.whole), (200, true));
+    let longest = "x".repeat(bytes / pieces * pieces);
+    assert!(answer.text().contains(&longest));
+}
