Remember which unsafe requests may have run, so that no id or name runs twice

Cause: an id was known only while attempts of it were open, a name only while its client's connection was. Change: one table, RunTable, holds the names of both fronts: those in progress, and those of a class that is not harmless to repeat that may have run, for as long as the class lets a client come again (give_up_us), after the last attempt. It replaces the set of active ids. The dispatcher tells the request's record what its attempts prove. A repeat gets 409, -32001, or -32004 when its answer had begun; a resume of such an answer goes on as before. With [takeover] JSON-RPC requests keep to the fleet's record, which is waited for before anything is sent. Counters runs_not_repeated, run_records_full.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -84,6 +84,10 @@
         held_back,
         /// Sends suppressed because the request may have run already and its deduplication window had ended.
         repeats_held_back,
+        /// Requests not started because one of the same name may have run.
+        runs_not_repeated,
+        /// Requests rejected because no more names of requests that may have run can be kept.
+        run_records_full,
         /// Sends that routing decided on but the rules for retries did not permit.
         sends_refused,
         /// Calls other than attempts that were not written, because their purpose had lapsed by then.
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -211,6 +211,7 @@
         );
         self.counters.answered_stream.up();
         open.monitor.stream_started();
+        open.note_stream_started();
         if let Some(release) = open.release.take() {
             release.stop();
         }
@@ -250,6 +251,7 @@
         );
         open.monitor
             .attempt_completed(attempt.0 as usize, outcome, self.clock.now());
+        open.note_possible_run();
         open.release_history.attempt_ended(outcome);
         outcome_counter(&self.counters, outcome).up();
         self.route(Event::AttemptCompleted(completed));
@@ -287,7 +289,8 @@
     fn remove_if_finished(&mut self, request: RequestId) {
         let open = self.open_requests.get(&request);
         if open.is_some_and(OpenRequest::is_finished) {
-            self.open_requests.remove(&request);
+            let finished = self.open_requests.remove(&request);
+            finished.iter().for_each(OpenRequest::note_attempts_ended);
         }
     }
 
@@ -395,6 +398,7 @@
         if let Err(violation) = open.monitor.sent(permit.is_prefill()) {
             report_violation(&self.counters, &open.upstream_request.id, violation);
         }
+        open.note_possible_run();
         let first_event_deadline = timeout.map_or(open.deadline, |timeout| {
             open.deadline.min(now.saturating_add(timeout))
         });
--- a/src/dispatch/open_request.rs
+++ b/src/dispatch/open_request.rs
@@ -77,6 +77,27 @@
                 .all(|attempt| attempt.outcome.is_some())
     }
 
+    /// Tells the request's record whether it may have run by now.
+    pub fn note_possible_run(&self) {
+        if let Some(record) = &self.upstream_request.run_record {
+            record.set_may_have_run(self.monitor.may_have_run());
+        }
+    }
+
+    /// Tells the request's record that its answer has begun.
+    pub fn note_stream_started(&self) {
+        if let Some(record) = &self.upstream_request.run_record {
+            record.note_started();
+        }
+    }
+
+    /// Tells the request's record that no attempt is in flight any more.
+    pub fn note_attempts_ended(&self) {
+        if let Some(record) = &self.upstream_request.run_record {
+            record.note_attempts_ended();
+        }
+    }
+
     /// Whether the latest release has been neither accepted nor stopped.
     pub fn is_releasing(&self) -> bool {
         self.release
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -46,6 +46,7 @@
             headers: hyper::HeaderMap::new(),
             body: Bytes::new().into(),
             lifetime_guards: None,
+            run_record: None,
             claim_key: None,
         };
         drop(handle.submit(spec, upstream_request, permit()));
@@ -140,6 +141,7 @@
                 headers: hyper::HeaderMap::new(),
                 body: body.into(),
                 lifetime_guards: None,
+                run_record: None,
                 claim_key: None,
             },
             permit(),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -9,6 +9,7 @@
 
 pub use frames::{Frame, FrameReceiver, FrameSender, ReceiverGone, WeakFrameSender, frame_channel};
 
+use crate::front::run_table::RunRecord;
 use crate::routing::types::Micros;
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -39,8 +40,10 @@
     /// Body that is sent to the model host with each attempt.
     pub body: RequestBody,
     /// Resources that are held until nothing of the request is in progress any more, which may be after its answer: the
-    /// reservation of its id and the memory that its body counts against.
+    /// memory that its headers count against.
     pub lifetime_guards: Option<Rc<dyn Any>>,
+    /// The request's entry among those that are in progress or may have run; `None` if nothing has to be known of it.
+    pub run_record: Option<Rc<RunRecord>>,
     /// For requests that the fleet records: the name under which the client may send the request again, and the
     /// generation of this router's claim to it. Otherwise `None`.
     pub claim_key: Option<(String, u64)>,
--- a/src/fleet/transport/work.rs
+++ b/src/fleet/transport/work.rs
@@ -393,6 +393,7 @@
             headers: hyper::HeaderMap::new(),
             body: body.into(),
             lifetime_guards: None,
+            run_record: None,
             claim_key: None,
         };
         let release = Rc::new(ReleaseProgress::default());
--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -23,6 +23,7 @@
 use super::ledger::Ledger;
 use super::platform::{AnswerBody, refusal};
 use super::record::{Claim, ClaimResult};
+use super::run_table::{RunDenial, RunName, RunOptions, RunRecord};
 use super::shared::{RETRY_AFTER_CUT_OFF, RETRY_AFTER_OVERLOAD, Shared};
 use crate::config::ToolSettings;
 use crate::exchange::{
@@ -300,6 +301,7 @@
             Ok(claim) => claim,
             Err(answer) => return recorded_answer(&request, answer),
         };
+        let run_record = self.begin_run(&request)?;
         // A reload (SIGHUP) may have changed the class in the meantime; the claim and the
         // dispatcher would then disagree on whether the request may run more than once.
         if !self.shared.has_class(&request.class)
@@ -340,6 +342,7 @@
             )]),
             body: request.prompt.into(),
             lifetime_guards: None,
+            run_record,
             claim_key: claim.as_ref().map(Claim::key),
         };
         let pending_answer = self.shared.dispatcher.submit(spec, call, permit).answer();
@@ -392,6 +395,30 @@
         }
     }
 
+    /// Enters a request that is not harmless to repeat among those in progress. With `[takeover]` the fleet's record, which a
+    /// claim waits for before anything is sent, says more than this router knows.
+    fn begin_run(
+        &self,
+        request: &CompletionRequest,
+    ) -> Result<Option<Rc<RunRecord>>, ErrorResponse> {
+        let retention = self.shared.run_retention(&request.class);
+        if self.work.is_some() || retention.is_none() {
+            return Ok(None);
+        }
+        let options = RunOptions {
+            retention,
+            is_resume: request.resume.is_some(),
+        };
+        let name = RunName::JsonRpc(request.name.clone());
+        match self.shared.begin_run(name, options) {
+            Ok(record) => Ok(Some(record)),
+            Err(RunDenial::InProgress) => Err(ALREADY_IN_PROGRESS),
+            Err(RunDenial::MayHaveRun) => Err(FAILED),
+            Err(RunDenial::HasStarted) => Err(STREAM_BROKEN),
+            Err(RunDenial::Full) => Err(ErrorResponse::rejected(Some(RETRY_AFTER_OVERLOAD))),
+        }
+    }
+
     /// Claims the request in the fleet. Returns `Ok(Ok(None))` if the fleet keeps no records, and `Ok(Err(_))` with the
     /// final response if one is already recorded.
     async fn claim(
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -5,4 +5,5 @@
 pub mod ledger;
 pub mod platform;
 pub mod record;
+pub mod run_table;
 pub mod shared;
--- a/src/front/shared.rs
+++ b/src/front/shared.rs
@@ -1,5 +1,6 @@
 //! State and limits that the client connections and both protocol front ends share.
 
+use super::run_table::{RunDenial, RunName, RunOptions, RunRecord, RunTable, retention_of};
 use crate::admin::metrics::Metrics;
 use crate::counters::Counters;
 use crate::dispatch::DispatcherHandle;
@@ -10,7 +11,6 @@
 use crate::routing::types::{Micros, RequestClass};
 use crate::shutdown::{AdmissionPermit, Shutdown};
 use std::cell::RefCell;
-use std::collections::HashSet;
 use std::rc::Rc;
 
 /// The maximum length of a request body, in bytes.
@@ -41,8 +41,8 @@
     pub metrics: Rc<Metrics>,
     /// The memory that requests and their answers may hold, over all connections.
     pub body_budget: Budget,
-    /// The ids of requests in progress. [`ActiveRequestId`] removes an id when it is dropped.
-    pub active_ids: RefCell<HashSet<String>>,
+    /// The requests that are in progress or may have run.
+    pub runs: Rc<RunTable>,
 }
 
 impl Shared {
@@ -56,6 +56,39 @@
         non_repeatable_classes(&self.classes.borrow()).any(|c| c.name == name)
     }
 
+    /// How long a client may come again with a request of this class; `None` if that is harmless.
+    pub fn run_retention(&self, name: &str) -> Option<Micros> {
+        let classes = self.classes.borrow();
+        classes
+            .iter()
+            .find(|c| c.name == name)
+            .and_then(retention_of)
+    }
+
+    /// Enters a request among those in progress, unless one of the same name is or may have run.
+    ///
+    /// # Errors
+    /// The reason why the request must not be sent to a model host.
+    pub fn begin_run(
+        &self,
+        name: RunName,
+        options: RunOptions,
+    ) -> Result<Rc<RunRecord>, RunDenial> {
+        let begun = self
+            .runs
+            .begin(name.clone(), options, self.dispatcher.clock);
+        begun.map(Rc::new).inspect_err(|denial| {
+            match denial {
+                RunDenial::InProgress => {}
+                RunDenial::MayHaveRun | RunDenial::HasStarted => {
+                    self.counters.runs_not_repeated.up();
+                }
+                RunDenial::Full => self.counters.run_records_full.up(),
+            }
+            log::info!("request {name:?}: not started: {denial}");
+        })
+    }
+
     /// Admits a request that has just been received in full.
     ///
     /// # Errors
@@ -102,19 +135,3 @@
         }
     }
 }
-
-/// Removes an id from [`Shared::active_ids`] on drop.
-pub struct ActiveRequestId(Rc<Shared>, String);
-
-impl ActiveRequestId {
-    /// Takes over an id that the caller has inserted into [`Shared::active_ids`].
-    pub fn new(shared: Rc<Shared>, id: String) -> Self {
-        ActiveRequestId(shared, id)
-    }
-}
-
-impl Drop for ActiveRequestId {
-    fn drop(&mut self) {
-        self.0.active_ids.borrow_mut().remove(&self.1);
-    }
-}
--- a/src/net/client/tests.rs
+++ b/src/net/client/tests.rs
@@ -90,6 +90,7 @@
             headers: Default::default(),
             body: body.into(),
             lifetime_guards: None,
+            run_record: None,
             claim_key: None,
         };
         let (cancel, cancelled) = oneshot::channel();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -11,9 +11,8 @@
 use crate::exchange::UpstreamRequest;
 use crate::front::jsonrpc;
 use crate::front::platform::{self, AnswerBody, end_to_end_headers, plain};
-use crate::front::shared::{
-    ActiveRequestId, MAX_BODY_BYTES, RETRY_AFTER_CUT_OFF, RETRY_AFTER_OVERLOAD, Shared,
-};
+use crate::front::run_table::{RunDenial, RunName, RunOptions};
+use crate::front::shared::{MAX_BODY_BYTES, RETRY_AFTER_CUT_OFF, RETRY_AFTER_OVERLOAD, Shared};
 use crate::memory::{BudgetExhausted, Buffer, Reservation};
 use crate::routing::types::Micros;
 use futures_util::FutureExt;
@@ -174,22 +173,38 @@
         // Model hosts identify requests by id, so two concurrent requests with one id would share KV state. The id
         // stays registered until the last attempt and release of the request have ended; otherwise another client
         // could send a second copy of a request whose stream still runs.
-        if !shared.active_ids.borrow_mut().insert(intake.id.clone()) {
-            return self.bad_request(StatusCode::CONFLICT, "a request with this id is in hand\n");
-        }
-        let in_hand = ActiveRequestId::new(shared.clone(), intake.id.clone());
+        let options = RunOptions {
+            retention: shared.run_retention(&intake.spec.class),
+            is_resume: false,
+        };
+        let name = RunName::Platform(intake.id.as_str().into());
+        let run_record = match shared.begin_run(name, options) {
+            Ok(record) => record,
+            Err(RunDenial::Full) => return platform::refusal(Some(RETRY_AFTER_OVERLOAD)),
+            Err(RunDenial::InProgress) => {
+                return self
+                    .bad_request(StatusCode::CONFLICT, "a request with this id is in hand\n");
+            }
+            Err(RunDenial::MayHaveRun | RunDenial::HasStarted) => {
+                return self.bad_request(
+                    StatusCode::CONFLICT,
+                    "a request with this id may have run\n",
+                );
+            }
+        };
         let target = head
             .uri
             .path_and_query()
             .map_or(platform::COMPLETIONS_PATH, |path| path.as_str())
             .to_owned();
-        let lifetime_guards: Option<Rc<dyn Any>> = Some(Rc::new((in_hand, header_memory)));
+        let lifetime_guards: Option<Rc<dyn Any>> = Some(Rc::new(header_memory));
         let call = UpstreamRequest {
             id: intake.id,
             target,
             headers,
             body: body.into(),
             lifetime_guards,
+            run_record: Some(run_record),
             claim_key: None,
         };
         let submitted = shared.dispatcher.submit(intake.spec, call, permit);
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -7,6 +7,7 @@
 use super::*;
 use crate::admin::metrics::Metrics;
 use crate::dispatch::Clock;
+use crate::front::run_table::RunTable;
 use crate::memory::Budget;
 use crate::net::framing::RequestPhase;
 use crate::shutdown::{Shutdown, StopRequest};
@@ -95,8 +96,8 @@
         may_serve: Box::new(|| true),
         metrics: Rc::default(),
         counters: Rc::default(),
+        runs: RunTable::new(&Budget::new(budget)),
         body_budget: Budget::new(budget),
-        active_ids: RefCell::default(),
     })
 }
 
--- a/src/run.rs
+++ b/src/run.rs
@@ -25,6 +25,7 @@
 use whinhaven::fleet::transport::work::{RecordingOutbound, TakeoverClient};
 use whinhaven::fleet::transport::{self, Fleet};
 use whinhaven::front::jsonrpc::Front;
+use whinhaven::front::run_table::RunTable;
 use whinhaven::front::shared::Shared;
 use whinhaven::live_settings::LiveSettings;
 use whinhaven::memory::Budget;
@@ -403,6 +404,7 @@
             refresh_list,
         ));
     }
+    let runs = RunTable::new(&body_budget);
     let shared = Rc::new(Shared {
         dispatcher,
         classes: RefCell::new(settings.classes.clone()),
@@ -412,8 +414,8 @@
         shutdown: shutdown.clone(),
         counters: counters.clone(),
         metrics: Rc::new(Metrics::default()),
+        runs: runs.clone(),
         body_budget,
-        active_ids: RefCell::default(),
     });
     live_settings.on_change({
         let shared = Rc::downgrade(&shared);
@@ -522,6 +524,7 @@
             () = signals.reload.notified() => reload.run(),
             _ = pool_cleanup.tick() => {
                 pool.evict_stale();
+                runs.expire(clock.now());
                 if let Some(front) = &tool_front {
                     front.sweep();
                 }
--- a/tests/held.rs
+++ b/tests/held.rs
@@ -288,6 +288,7 @@
                         headers: hyper::HeaderMap::new(),
                         body: body.into(),
                         lifetime_guards: None,
+                        run_record: None,
                         claim_key: None,
                     },
                     shutdown.permit_admission().unwrap(),
--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -200,6 +200,7 @@
                 headers: hyper::HeaderMap::new(),
                 body: body.into(),
                 lifetime_guards: None,
+                run_record: None,
                 claim_key: None,
             }),
             max_attempts: 6,
