Tell a client that its request may have run before anything rejects it

What callers saw: a send that had reached a decode worker, whose client had left and came again, got 503 from a stopping router, which promises that it has not run. Cause: the table of possible runs was asked behind the refusals of a stopping router, one without its session lease, and a busy policy gate. Change: both fronts ask it first. Refusals by the limit on waiting requests and by memory while a request is being read still come before it.

--- a/src/front/jsonrpc.rs
+++ b/src/front/jsonrpc.rs
@@ -279,6 +279,11 @@
         self: &Rc<Self>,
         request: CompletionRequest,
     ) -> Result<StartedRequest, ErrorResponse> {
+        let name = RunName::JsonRpc(request.name.clone());
+        let is_resume = request.resume.is_some();
+        if let Some(denial) = self.shared.find_earlier_run(&name, is_resume) {
+            return Err(run_denied(denial));
+        }
         if !(self.shared.may_serve)() {
             self.shared.counters.cut_off.up();
             return Err(ErrorResponse::rejected(Some(RETRY_AFTER_CUT_OFF)));
@@ -410,13 +415,8 @@
             is_resume: request.resume.is_some(),
         };
         let name = RunName::JsonRpc(request.name.clone());
-        match self.shared.begin_run(name, options) {
-            Ok(record) => Ok(Some(record)),
-            Err(RunDenial::InProgress) => Err(ALREADY_IN_PROGRESS),
-            Err(RunDenial::MayHaveRun) => Err(FAILED),
-            Err(RunDenial::HasStarted) => Err(STREAM_BROKEN),
-            Err(RunDenial::Full) => Err(ErrorResponse::rejected(Some(RETRY_AFTER_OVERLOAD))),
-        }
+        let begun = self.shared.begin_run(name, options);
+        begun.map(Some).map_err(run_denied)
     }
 
     /// Claims the request in the fleet. Returns `Ok(Ok(None))` if the fleet keeps no records, and `Ok(Err(_))` with the
@@ -487,6 +487,16 @@
     }
 }
 
+/// What the client hears when a request must not begin.
+fn run_denied(denial: RunDenial) -> ErrorResponse {
+    match denial {
+        RunDenial::InProgress => ALREADY_IN_PROGRESS,
+        RunDenial::MayHaveRun => FAILED,
+        RunDenial::HasStarted => STREAM_BROKEN,
+        RunDenial::Full => ErrorResponse::rejected(Some(RETRY_AFTER_OVERLOAD)),
+    }
+}
+
 /// Answers a request whose final response is already recorded: with the part of the text that the client does not have.
 fn recorded_answer(
     request: &CompletionRequest,
--- a/src/front/run_table.rs
+++ b/src/front/run_table.rs
@@ -75,6 +75,18 @@
     memory: Option<Reservation>,
 }
 
+impl Entry {
+    /// Whether another request of this name may begin.
+    fn permit(&self, is_resume: bool) -> Result<(), RunDenial> {
+        match self.kept_until {
+            _ if is_resume && self.has_started => Ok(()),
+            None => Err(RunDenial::InProgress),
+            Some(_) if self.has_started => Err(RunDenial::HasStarted),
+            Some(_) => Err(RunDenial::MayHaveRun),
+        }
+    }
+}
+
 /// The table of names.
 pub struct RunTable {
     entries: RefCell<HashMap<RunName, Entry>>,
@@ -124,6 +136,19 @@
         })
     }
 
+    /// Why a request of this name, which is not in progress any more, must not begin again; `None` if it may. Ask before anything
+    /// rejects a request: a rejection promises that it has not run.
+    pub fn find_earlier_run(
+        &self,
+        name: &RunName,
+        is_resume: bool,
+        now: Micros,
+    ) -> Option<RunDenial> {
+        self.expire(now);
+        let denial = self.entries.borrow().get(name)?.permit(is_resume).err()?;
+        (denial != RunDenial::InProgress).then_some(denial)
+    }
+
     /// Inserts an entry, or takes over the one of the request that is resumed. Returns its serial number, and whether an
     /// answer has begun.
     fn insert(
@@ -137,13 +162,7 @@
         self.next_serial.set(serial + 1);
         let mut entries = self.entries.borrow_mut();
         if let Some(entry) = entries.get_mut(name) {
-            if !(options.is_resume && entry.has_started) {
-                return Err(match entry.kept_until {
-                    None => RunDenial::InProgress,
-                    Some(_) if entry.has_started => RunDenial::HasStarted,
-                    Some(_) => RunDenial::MayHaveRun,
-                });
-            }
+            entry.permit(options.is_resume)?;
             entry.serial = serial;
             if let Some(kept_until) = entry.kept_until.take() {
                 let expiry = (kept_until, name.clone());
--- a/src/front/shared.rs
+++ b/src/front/shared.rs
@@ -77,16 +77,26 @@
         let begun = self
             .runs
             .begin(name.clone(), options, self.dispatcher.clock);
-        begun.map(Rc::new).inspect_err(|denial| {
-            match denial {
-                RunDenial::InProgress => {}
-                RunDenial::MayHaveRun | RunDenial::HasStarted => {
-                    self.counters.runs_not_repeated.up();
-                }
-                RunDenial::Full => self.counters.run_records_full.up(),
-            }
-            log::info!("request {name:?}: not started: {denial}");
-        })
+        begun
+            .map(Rc::new)
+            .inspect_err(|denial| self.note_denial(&name, *denial))
+    }
+
+    /// Like [`RunTable::find_earlier_run`], with a counter and a log line.
+    pub fn find_earlier_run(&self, name: &RunName, is_resume: bool) -> Option<RunDenial> {
+        let now = self.dispatcher.clock.now();
+        let denial = self.runs.find_earlier_run(name, is_resume, now)?;
+        self.note_denial(name, denial);
+        Some(denial)
+    }
+
+    fn note_denial(&self, name: &RunName, denial: RunDenial) {
+        match denial {
+            RunDenial::InProgress => {}
+            RunDenial::MayHaveRun | RunDenial::HasStarted => self.counters.runs_not_repeated.up(),
+            RunDenial::Full => self.counters.run_records_full.up(),
+        }
+        log::info!("request {name:?}: not started: {denial}");
     }
 
     /// Admits a request that has just been received in full.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -66,6 +66,17 @@
         plain(status, text)
     }
 
+    fn run_denied(&self, denial: RunDenial) -> Response<AnswerBody> {
+        let text = match denial {
+            RunDenial::Full => return platform::refusal(Some(RETRY_AFTER_OVERLOAD)),
+            RunDenial::InProgress => "a request with this id is in hand\n",
+            RunDenial::MayHaveRun | RunDenial::HasStarted => {
+                "a request with this id may have run\n"
+            }
+        };
+        self.bad_request(StatusCode::CONFLICT, text)
+    }
+
     fn over_budget(&self, error: BudgetExhausted) -> Response<AnswerBody> {
         self.shared.counters.over_bound.up();
         log::debug!("request rejected: {error}");
@@ -138,15 +149,19 @@
         request_metrics: &RequestMetrics,
     ) -> Response<AnswerBody> {
         let shared = self.shared.clone();
-        if !(shared.may_serve)() {
-            shared.counters.cut_off.up();
-            return platform::refusal(Some(RETRY_AFTER_CUT_OFF));
-        }
         let (head, body) = request.into_parts();
         let mut intake = match platform::decode(&head.headers, arrived) {
             Ok(intake) => intake,
             Err(reason) => return self.bad_request(StatusCode::BAD_REQUEST, reason),
         };
+        let name = RunName::Platform(intake.id.as_str().into());
+        if let Some(denial) = shared.find_earlier_run(&name, false) {
+            return self.run_denied(denial);
+        }
+        if !(shared.may_serve)() {
+            shared.counters.cut_off.up();
+            return platform::refusal(Some(RETRY_AFTER_CUT_OFF));
+        }
         if shared.gate.is_none() && !shared.has_class(&intake.spec.class) {
             return self.bad_request(StatusCode::BAD_REQUEST, "unknown class\n");
         }
@@ -183,20 +198,9 @@
             retention: shared.run_retention(&intake.spec.class),
             is_resume: false,
         };
-        let name = RunName::Platform(intake.id.as_str().into());
         let run_record = match shared.begin_run(name, options) {
             Ok(record) => record,
-            Err(RunDenial::Full) => return platform::refusal(Some(RETRY_AFTER_OVERLOAD)),
-            Err(RunDenial::InProgress) => {
-                return self
-                    .bad_request(StatusCode::CONFLICT, "a request with this id is in hand\n");
-            }
-            Err(RunDenial::MayHaveRun | RunDenial::HasStarted) => {
-                return self.bad_request(
-                    StatusCode::CONFLICT,
-                    "a request with this id may have run\n",
-                );
-            }
+            Err(denial) => return self.run_denied(denial),
         };
         let target = head
             .uri
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -105,3 +105,31 @@
     }
     assert_eq!(router.stop().get("runs_not_repeated"), 0);
 }
+
+/// Guards against a rejection, which promises that nothing has run, of a request that may have run: the router is stopping when
+/// its client comes again.
+#[rstest]
+#[case::platform(platform, 409)]
+#[case::json_rpc(json_rpc, 502)]
+fn a_stopping_router_does_not_reject_what_may_have_run(
+    #[case] front: fn(&str, &str) -> String,
+    #[case] status: u16,
+) {
+    let (writer, told) = holding_writer();
+    let (router, _reader) = start_router(&writer);
+    let mut client = router.connect();
+    client.write_all(front("order-1", "").as_bytes()).unwrap();
+    told.recv_timeout(STUCK).unwrap();
+    leave(client);
+    ask_until_it_is_over(&router, &front("order-1", ""));
+    // A connection whose request is under way is open until that is answered, however long the router is stopping.
+    let late = front("order-1", "");
+    let (first, last) = late.split_at(late.len() - 1);
+    let mut again = router.connect();
+    again.write_all(first.as_bytes()).unwrap();
+    router.signal("-TERM");
+    router.wait_for("to Rejecting");
+    again.write_all(last.as_bytes()).unwrap();
+    let answer = Message::read(&mut std::io::BufReader::new(again)).unwrap();
+    assert_eq!(answer.status(), status, "{}", answer.text());
+}
