A soak of hosts and clients that trickle, stall, read slowly, leave and come back

whinhaven-lab stall-soak: real processes, both fronts, drawn effects, windows, deadlines and behaviours, judged by the records of clients and hosts.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod sim;
 pub mod sim_sites;
 pub mod soak;
+pub mod stall_soak;
 pub mod steps;
 pub mod tools;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -11,6 +11,7 @@
 use whinhaven_lab::scale::{self, ScaleArgs};
 use whinhaven_lab::shutdown_soak::{self, ShutdownSoakArgs};
 use whinhaven_lab::soak::{self, SoakArgs};
+use whinhaven_lab::stall_soak::{self, StallSoakArgs};
 
 /// Fleets of conductors on loopback: faults to try, histories to check, experiments.
 #[derive(Parser)]
@@ -40,6 +41,8 @@
     /// Stops a router under load with signals in series, kills it as early as it may be, and holds what came of it against
     /// the rules of a shutdown; exits 1 where one breaks.
     ShutdownSoak(ShutdownSoakArgs),
+    /// Hosts and clients that trickle, stall, read slowly, leave and come back.
+    StallSoak(StallSoakArgs),
     /// Measures what each part costs against its size: hollow members, real processes, the deciding module.
     Scale(ScaleArgs),
     /// Replaces the conductors of a fleet under load, one by one, by another build and back; exits 1 where anything is lost.
@@ -59,6 +62,7 @@
             Err(error) => Err(format!("{}: {error}", history.display())),
         },
         Task::Soak(args) => soak::run(&args).map_err(|e| e.to_string()),
+        Task::StallSoak(args) => stall_soak::run(&args).map_err(|e| e.to_string()),
         Task::ShutdownSoak(args) => shutdown_soak::run(&args).map_err(|e| e.to_string()),
         Task::Scale(args) => scale::run(&args).map(|()| true).map_err(|e| e.to_string()),
         Task::RollingUpgrade(args) => rolling_upgrade::run(&args).map_err(|e| e.to_string()),
