Count a client that reads a trickle as stalled since it began

Found by the audit of limits in time: each byte that a client read moved the 30 s limit on reading (and the 2 s where memory is short) on, so a client that took a few bytes now and then kept its place, its stream and its model host for ever. Change: a client that has read less than 4 KB since it was first found stalled counts as stalled since then. Not played with real processes.

--- a/src/net/event_memory/tests.rs
+++ b/src/net/event_memory/tests.rs
@@ -106,7 +106,7 @@
     let (budget, memory) = memory_for_one_event();
     let stalled = ConnectionTracker::new();
     let _entry = memory.connections.register(stalled.clone());
-    stalled.set_write_blocked(true);
+    stalled.note_write_blocked();
     let mut unread = Buffer::new(&budget);
     unread.overdraw_to(EVENT_BYTES);
     let begun = Instant::now();
--- a/src/net/framing.rs
+++ b/src/net/framing.rs
@@ -24,6 +24,9 @@
 /// Maximum number of bytes buffered behind the request in progress, as far as the memory budget of bodies allows.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 
+/// A client that reads less than this while its response waits is considered to read nothing.
+const MIN_READ_BYTES: usize = 4 * 1024;
+
 /// Receive state of a client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestPhase {
@@ -40,6 +43,10 @@
     phase: Cell<RequestPhase>,
     /// Since when the socket accepts no more bytes of a response.
     write_blocked_since: Cell<Option<Instant>>,
+    /// Since when the client has read less than [`MIN_READ_BYTES`], if it was slow at all.
+    stalled_since: Cell<Option<Instant>>,
+    /// Bytes that the socket has accepted since then.
+    read_by_client: Cell<usize>,
     evicted: Cell<bool>,
     aborted: Cell<bool>,
     /// When a request on it was last answered.
@@ -77,6 +84,8 @@
         Rc::new(ConnectionTracker {
             phase: Cell::new(RequestPhase::Idle(Instant::now())),
             write_blocked_since: Cell::new(None),
+            stalled_since: Cell::new(None),
+            read_by_client: Cell::new(0),
             evicted: Cell::new(false),
             aborted: Cell::new(false),
             answered_at: Cell::new(None),
@@ -113,11 +122,29 @@
         self.changed.notify_one();
     }
 
-    pub(super) fn set_write_blocked(&self, is_blocked: bool) {
-        if is_blocked == self.is_write_blocked() {
+    /// Notes that the socket has accepted `bytes` of a response.
+    pub(super) fn note_written(&self, bytes: usize) {
+        self.read_by_client
+            .set(self.read_by_client.get().saturating_add(bytes));
+        if self.write_blocked_since.take().is_some() {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Notes that the socket accepts no more bytes of a response. A client that has read little since it did so before counts
+    /// as stalled since then: a trickle must not hold its place for ever.
+    pub(super) fn note_write_blocked(&self) {
+        if self.is_write_blocked() {
             return;
         }
-        self.write_blocked_since.set(is_blocked.then(Instant::now));
+        let earlier = self.stalled_since.get();
+        let earlier = earlier.filter(|_| self.read_by_client.get() < MIN_READ_BYTES);
+        let since = earlier.unwrap_or_else(Instant::now);
+        if earlier.is_none() {
+            self.read_by_client.set(0);
+            self.stalled_since.set(Some(since));
+        }
+        self.write_blocked_since.set(Some(since));
         self.changed.notify_one();
     }
 
@@ -447,7 +474,11 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = stream::poll_write(&self.stream, cx, bufs);
-        self.tracker.set_write_blocked(written.is_pending());
+        match &written {
+            Poll::Ready(Ok(bytes)) => self.tracker.note_written(*bytes),
+            Poll::Ready(Err(_)) => self.tracker.note_written(0),
+            Poll::Pending => self.tracker.note_write_blocked(),
+        }
         written
     }
 
