Lab: give each address for a later process once, on a loopback address of the test

Peer::nobody took a free port of 127.0.0.1 and gave it back, and any test or connection could take it before the router bound it. Now it lies on a loopback address made of the process's number, and no address is given twice.

--- a/lab/src/peer.rs
+++ b/lab/src/peer.rs
@@ -1,8 +1,9 @@
 //! Scripted peers on loopback sockets: HTTP/1.1 by hand, so that a script can also write what no library would.
 
 use crate::history::STUCK;
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, SystemTime};
@@ -295,14 +296,23 @@
         })
     }
 
-    /// An address at which nobody listens.
+    /// An address at which nobody listens, for a process that is started on it later. It is on a loopback address of this process
+    /// and is given once, so that neither another test nor a connection takes its port meanwhile.
     ///
     /// # Panics
     /// There is no free address.
     pub fn nobody() -> SocketAddr {
-        TcpListener::bind("127.0.0.1:0")
-            .and_then(|l| l.local_addr())
-            .expect("a free address")
+        static GIVEN: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+        let [_, high, middle, low] = std::process::id().to_be_bytes();
+        let own = Ipv4Addr::new(127, 64 | high, middle, low);
+        loop {
+            let free = TcpListener::bind((own, 0)).and_then(|l| l.local_addr());
+            let address = free.expect("a free address");
+            let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+            if given.insert(address) {
+                return address;
+            }
+        }
     }
 }
 
