--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -447,3 +447,79 @@
     socket.connect(&address.into()).unwrap();
     socket.into()
 }
+
+/// What a slow client sends, and whether it reads nothing of its answer.
+#[derive(Clone, Copy, Debug)]
+enum SlowClient {
+    /// A head of many short fields that does not end.
+    EndlessHead,
+    /// Half of a large request.
+    HalfRequest,
+    /// A whole request, of whose long answer it reads nothing.
+    ReadsNothing,
+}
+
+/// Guards against hundreds of slow clients that take the router over its memory, on both fronts, while sound ones are served.
+#[rstest]
+fn hundreds_of_slow_clients_stay_within_the_memory_limit(
+    #[values(single, platform)] front: fn(&str) -> String,
+    #[values(
+        SlowClient::EndlessHead,
+        SlowClient::HalfRequest,
+        SlowClient::ReadsNothing
+    )]
+    kind: SlowClient,
+) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let (reader, writer) = (reader(), verbose_writer());
+    let tools = format!("---[tools]\ndial = \"{}\"\n", Peer::nobody());
+    let more = format!("limits = {{ sockets = {SOCKETS}, memory_mb = {MEMORY_MB} }}\n{tools}");
+    let router = Conductor::start(&operator_file(&[reader.address], &[writer.address], &more));
+    let slow: Vec<TcpStream> = (0..CLIENTS)
+        .map(|number| {
+            let mut stream = router.connect();
+            stream.set_write_timeout(Some(STALL)).unwrap();
+            let request = front(&format!("slow-{number}"));
+            let bytes = match kind {
+                SlowClient::EndlessHead => {
+                    format!("POST /rpc HTTP/1.1\r\n{}", "a: b\r\n".repeat(10_000))
+                }
+                SlowClient::HalfRequest => request[..request.len() / 2].to_owned(),
+                SlowClient::ReadsNothing => request,
+            };
+            let _ = stream.write_all(bytes.as_bytes());
+            stream
+        })
+        .collect();
+    let mut served = 0;
+    for number in 0..20 {
+        served += usize::from(router.ask(&format!("sound-{number}"), "explain").status() == 200);
+    }
+    let peak = router.peak_memory_kb();
+    println!("{kind:?}: {served} of 20 served, peak {peak} kB");
+    assert!(peak <= MEMORY_MB * 1024, "{peak} kB");
+    assert!(served > 0, "no sound client was served");
+    drop(slow);
+}
+
+/// How long a client tries to write more than the router takes.
+const STALL: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// A writer with long answers.
+fn verbose_writer() -> Peer {
+    Peer::start(|message, conn| {
+        if message.method() == "POST" {
+            let is_sound = message.text().len() < 1_000;
+            conn.begin_stream();
+            for _ in 0..if is_sound { 1 } else { 200 } {
+                if !conn.delta(&"x".repeat(if is_sound { 3 } else { 6_000 })) {
+                    return false;
+                }
+            }
+            conn.end_stream();
+        } else {
+            conn.answer("204 No Content", "", "");
+        }
+        true
+    })
+}
