Open a discovery watch again that trickles a line without an end

Found by the audit of limits in time: any byte of a watch moved its 3 s limit on, so half a line that trickled kept a watch that told nothing. Only a line, an empty one included, or 1 KB of a line that is still incomplete is a sign of life now. Measured: a test with a paused clock, which fails on the code before (the watch was kept for 6 s); discovery: 72 library tests and 5 process tests passed.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -56,6 +56,8 @@
     .expect("the divisor is a non-zero constant");
 /// Delay before a retry after a failure. The agent is on this machine, so retries are cheap.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// So many bytes of a line that is still incomplete show that the watch is not silent, as a line does.
+const MIN_PROGRESS_BYTES: usize = 1024;
 /// Maximum length of a message; enough for thousands of hosts.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 
@@ -569,8 +571,10 @@
 
     async fn read_watch(&self, mut body: Incoming, state: &mut WatchState) -> Result<(), Error> {
         let (started_at, mut decoder) = (Instant::now(), MessageDecoder::default());
+        let (mut last_progress, mut bytes_since) = (started_at, 0);
         loop {
-            let Ok(frame) = tokio::time::timeout(WATCH_IDLE_TIMEOUT, body.frame()).await else {
+            let deadline = last_progress + WATCH_IDLE_TIMEOUT;
+            let Ok(frame) = tokio::time::timeout_at(deadline, body.frame()).await else {
                 return Err(format!(
                     "the watch sent nothing for {} ms",
                     WATCH_IDLE_TIMEOUT.as_millis()
@@ -584,6 +588,10 @@
             if started_at.elapsed() > WATCH_IDLE_TIMEOUT {
                 state.failures = 0;
             }
+            bytes_since += data.len();
+            if data.contains(&b'\n') || bytes_since >= MIN_PROGRESS_BYTES {
+                (last_progress, bytes_since) = (Instant::now(), 0);
+            }
             decoder.push(&data);
             while let Some(message) = decoder.next() {
                 let applied = message
--- a/src/net/discovery/tests.rs
+++ b/src/net/discovery/tests.rs
@@ -328,6 +328,29 @@
     .await;
 }
 
+/// Guards against a watch that is taken for a live one since bytes of a line come that never ends.
+#[tokio::test(start_paused = true)]
+async fn a_watch_that_trickles_half_a_line_is_opened_again() {
+    run_local(async {
+        let mut fixture = Fixture::start(false);
+        let mut watch = fixture.call().await;
+        watch.send_head().await;
+        watch.send_chunk("\n").await;
+        let trickle = async {
+            loop {
+                sleep(KEEPALIVE_INTERVAL / 4).await;
+                watch.send_chunk("{").await;
+            }
+        };
+        tokio::select! {
+            () = trickle => {}
+            reopened = fixture.call() => assert_eq!(reopened.target, "/v1/servers?watch=1&after=1"),
+            () = sleep(UPDATE_DEADLINE) => panic!("the watch was kept"),
+        }
+    })
+    .await;
+}
+
 /// Guards against a lost call or a silent watch that is awaited for so long that the next call cannot deliver the
 /// missed changes in time, however long the routing module delays that call.
 #[rstest]
--- a/tests/slow_hosts.rs
+++ b/tests/slow_hosts.rs
@@ -16,7 +16,6 @@
 /// A host that accepts connections and reads nothing of them.
 struct DeafHost {
     address: SocketAddr,
-    _accepting: thread::JoinHandle<()>,
 }
 
 impl DeafHost {
