--- a/tests/slow_hosts.rs
+++ b/tests/slow_hosts.rs
@@ -27,13 +27,11 @@
         socket.listen(64).unwrap();
         let listener = TcpListener::from(socket);
         let address = listener.local_addr().unwrap();
-        let _accepting = thread::spawn(move || {
-            let _open: Vec<TcpStream> = listener.incoming().flatten().collect();
+        thread::spawn(move || {
+            let open: Vec<TcpStream> = listener.incoming().flatten().collect();
+            drop(open);
         });
-        DeafHost {
-            address,
-            _accepting,
-        }
+        DeafHost { address }
     }
 }
 
