Count a request that finds no room among the kept names as one over the bound

Cause: in a burst that exhausts the memory budget a send may find no room for its name; it was rejected with 503, and counted in run_records_full alone, though over_bound counts all that is rejected for a limit on capacity before routing. Change: it counts in both.

--- a/src/front/shared.rs
+++ b/src/front/shared.rs
@@ -94,7 +94,10 @@
         match denial {
             RunDenial::InProgress => {}
             RunDenial::MayHaveRun | RunDenial::HasStarted => self.counters.runs_not_repeated.up(),
-            RunDenial::Full => self.counters.run_records_full.up(),
+            RunDenial::Full => {
+                self.counters.over_bound.up();
+                self.counters.run_records_full.up();
+            }
         }
         log::info!("request {name:?}: not started: {denial}");
     }
