End streams whose HTTP framing can never be whole

What callers saw: a model host sent a chunk stated at gigabytes (or 1 MB, or 12 KB) and went on with sound events inside it at their usual pace; the router passed them on and left the client's stream open for as long as the host wrote, past the 5 s.

Cause: hyper decodes chunks and hands on the bytes of one that may never be complete. EventFilter sees sound events, and each of them moved StreamProgress on. Nobody watched the length that the host had stated.

Change: - net/http1_framing.rs: one scan of HTTP/1 framing for both sides, split off from the client's socket (now connection_tracker.rs and read_ahead.rs), with responses, interim heads, chunks and trailers. It does no I/O and skips bodies by their length. - net/host_socket.rs, split off from pool.rs: the socket of a host runs the scan. A chunk whose only event is still being written is left to the limits of events; time in which the client did not read does not count. - EventFilter keeps the first event back until its chunk is complete, and passes on whole events that were received together with a corrupt line behind them, once the answer has begun. - Counters framing_faults and frames_timed_out; the log line names the frame. - A chunked request is followed to its end, so that its connection can be kept.

Who loses: a host that writes several events into one chunk over more than 4.5 s.

The test of interim heads moved to host_socket/tests.rs and reads the times themselves; the test of corrupt lines in events/tests.rs takes the error behind whole events as well, which the old one dropped together with them.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -122,6 +122,10 @@
         streams_broken,
         /// Streams that broke because their model host sent no event in time, though it may have sent other bytes.
         streams_timed_out,
+        /// Connections to servers whose response has spoilt framing: a length that can't be sound, or a chunk that can't be read.
+        framing_faults,
+        /// Streams that broke because a part of their framing was not complete in time.
+        frames_timed_out,
         /// Incomplete events of model hosts that were ended because memory was short.
         events_revoked,
         /// Clients disconnected because they did not read their response and memory was short.
--- a/src/net/answer.rs
+++ b/src/net/answer.rs
@@ -2,6 +2,7 @@
 
 use super::event_memory::EventMemory;
 use super::events::EventStream;
+use super::host_socket::IoMeter;
 use crate::routing::types::{AttemptOutcome, LoadReport};
 use crate::wire::read_report;
 use bytes::Bytes;
@@ -56,21 +57,22 @@
     /// The response is complete. `is_reusable`: whether the connection can carry another request.
     Complete { end: AttemptEnd, is_reusable: bool },
     /// The first event of a stream has arrived, and more events may follow.
-    Stream(StartedStream),
+    Stream(Box<StartedStream>),
 }
 
 impl HostResponse {
-    /// Reads a response after its head.
+    /// Reads a response after its head; `meter` is that of its connection.
     ///
     /// # Errors
     /// The body is not a valid event stream, or the connection broke.
     pub async fn read(
         response: Response<Incoming>,
+        meter: Rc<IoMeter>,
         memory: Rc<EventMemory>,
     ) -> Result<Self, Box<dyn std::error::Error>> {
         let (head, body) = response.into_parts();
         if head.status == StatusCode::OK {
-            return Self::read_stream(&head.headers, body, memory).await;
+            return Self::read_stream(&head.headers, body, meter, memory).await;
         }
         // The status determines the outcome. A missing or incomplete body only makes the connection unusable.
         let collected = tokio::time::timeout(
@@ -107,6 +109,7 @@
     async fn read_stream(
         headers: &HeaderMap,
         body: Incoming,
+        meter: Rc<IoMeter>,
         memory: Rc<EventMemory>,
     ) -> Result<Self, Box<dyn std::error::Error>> {
         let chunked = headers.get("transfer-encoding").is_some();
@@ -118,15 +121,15 @@
         let is_event_stream = content_type
             .as_ref()
             .is_some_and(|content_type| content_type.starts_with("text/event-stream"));
-        let mut events = EventStream::new(body, is_event_stream, memory);
+        let mut events = EventStream::new(body, is_event_stream, meter, memory);
         // Until the first event, nothing was sent to the client, and the router can still retry the request.
         match events.first().await? {
-            Some(first_events) => Ok(HostResponse::Stream(StartedStream {
+            Some(first_events) => Ok(HostResponse::Stream(Box::new(StartedStream {
                 first_events,
                 events,
                 content_type,
                 is_framed,
-            })),
+            }))),
             None => Ok(HostResponse::Complete {
                 end: AttemptOutcome::ConnectionLost.into(),
                 is_reusable: false,
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -274,7 +274,7 @@
                     return Err("the response head did not end in time".into());
                 }
             };
-            HostResponse::read(response, self.event_memory.clone()).await
+            HostResponse::read(response, meter.clone(), self.event_memory.clone()).await
         };
         let send_by = attempt.permit.send_by();
         // A repeat that a stalled host has not read completely by `send_by` must not be written any further, since it
@@ -313,6 +313,8 @@
         };
         match result {
             Err(error) => {
+                let fault = meter.framing_fault();
+                let error = fault.map_or_else(|| error.to_string(), |fault| fault.to_string());
                 log::info!(
                     "request {}: no valid response from {}: {error}; attempt abandoned",
                     attempt.upstream_request.id,
@@ -337,7 +339,7 @@
                 end
             }
             Ok(HostResponse::Stream(stream)) => {
-                let (end, is_reusable) = self.relay_stream(attempt, stream).await;
+                let (end, is_reusable) = self.relay_stream(attempt, *stream).await;
                 if is_reusable {
                     self.pool.put_back(&target, connection);
                 }
--- a/src/net/client_connection.rs
+++ b/src/net/client_connection.rs
@@ -2,7 +2,7 @@
 //! [`crate::routing::policy::close_permit`] permits it.
 
 use super::LocalBoxFuture;
-use super::framing::{ConnectionTracker, RequestPhase, TrackedStream};
+use super::connection_tracker::{ConnectionTracker, RequestPhase, TrackedStream};
 use super::server::{FIRST_REQUEST_TIMEOUT, MIN_ARRIVAL_BEFORE_EVICTION, Stage};
 use super::stream::{retry_interrupted, shutdown_write};
 use crate::admin::metrics::{RequestMetrics, RequestOutcome};
--- a/src/net/framing.rs
+++ b/src/net/connection_tracker.rs
@@ -1,9 +1,11 @@
 //! Tracks a client's socket: how much of its request has been received, and whether the framing is unambiguous.
 //!
 //! hyper resolves a head with both `Content-Length` and `Transfer-Encoding` by dropping one of them before the
-//! service sees the head. Such a head can smuggle a second request in its body, so the raw bytes of heads are checked
-//! here.
+//! service sees the head. Such a head can smuggle a second request in its body, so the raw bytes are scanned by
+//! [`FramingScan`].
 
+use super::http1_framing::{Direction, FramingScan};
+use super::read_ahead::ReadAhead;
 use super::stream::{self, retry_interrupted};
 use crate::memory::Reservation;
 use std::cell::{Cell, RefCell};
@@ -18,11 +20,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Number of bytes of a header line that are examined; framing headers are far shorter.
-const MAX_HEADER_LINE_BYTES: usize = 256;
-
-/// Maximum number of bytes buffered behind the request in progress, as far as the memory budget of bodies allows.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// The longest chunk or body of a request that is tracked; the server refuses shorter ones already.
+const MAX_STATED_BYTES: u64 = u64::MAX >> 1;
 
 /// A client that reads less than this while its response waits is considered to read nothing.
 const MIN_READ_BYTES: usize = 4 * 1024;
@@ -68,16 +67,6 @@
     pub arrived: Instant,
 }
 
-/// Bytes read from the socket before hyper asked for them.
-#[derive(Default)]
-struct ReadAhead {
-    bytes: VecDeque<u8>,
-    /// Length and time of each read that contributed to `bytes`.
-    pieces: VecDeque<(usize, Instant)>,
-    /// The buffer limit was exceeded: input behind the request in progress is no longer parsed as requests.
-    overflowed: bool,
-}
-
 impl ConnectionTracker {
     /// Creates the state of a connection accepted now.
     pub fn new() -> Rc<Self> {
@@ -90,7 +79,7 @@
             aborted: Cell::new(false),
             answered_at: Cell::new(None),
             changed: Notify::new(),
-            framing: RefCell::default(),
+            framing: RefCell::new(FramingScan::new(Direction::Requests, MAX_STATED_BYTES)),
             heads: RefCell::default(),
             read_ahead: RefCell::default(),
         })
@@ -177,7 +166,7 @@
 
     /// Takes the next head, as it is handed to the service.
     pub fn take_head(&self) -> RequestHead {
-        self.framing.borrow_mut().verdicts.pop_front();
+        self.framing.borrow_mut().verdicts().pop_front();
         let head = self.heads.borrow_mut().pop_front();
         head.unwrap_or_else(|| RequestHead {
             is_sound: false,
@@ -192,7 +181,11 @@
 
     /// Notes that the response has been handed over.
     pub fn response_finished(&self) {
-        let (now, has_next_head) = (Instant::now(), self.framing.borrow().has_partial_head());
+        let now = Instant::now();
+        let has_next_head = {
+            let mut framing = self.framing.borrow_mut();
+            framing.has_partial_head() || !framing.verdicts().is_empty()
+        };
         self.answered_at.set(Some(now));
         self.set_phase(if has_next_head {
             RequestPhase::Arriving(now)
@@ -210,23 +203,12 @@
     /// Whether the connection must be closed after the last request, because its body was not read completely or its
     /// framing cannot be tracked.
     pub fn must_close(&self) -> bool {
-        self.framing.borrow().state != ScanState::Head
+        self.framing.borrow().is_in_body()
     }
 
     /// Whether bytes after the request in progress cannot begin another request, so the stated length was wrong.
     pub fn has_excess_bytes(&self) -> bool {
-        let framing = self.framing.borrow();
-        framing.state == ScanState::Head
-            && framing.verdicts.is_empty()
-            && framing.line_count == 0
-            && {
-                let method = framing
-                    .line
-                    .split(|b| *b == b' ')
-                    .next()
-                    .unwrap_or_default();
-                !method.iter().all(|b| b.is_ascii_uppercase() || *b == b'\r')
-            }
+        self.framing.borrow().has_excess_bytes()
     }
 
     /// Reads input behind the request in progress into a buffer that is charged to `read_ahead_budget`; resolves after each read,
@@ -257,7 +239,7 @@
 
     /// Number of bytes read ahead and not handed to hyper yet.
     pub fn buffered_bytes(&self) -> usize {
-        self.read_ahead.borrow().bytes.len()
+        self.read_ahead.borrow().len()
     }
 
     /// Records bytes handed to hyper and when they were received.
@@ -266,10 +248,11 @@
             self.set_phase(RequestPhase::Arriving(Instant::now()));
         }
         let mut framing = self.framing.borrow_mut();
-        let before = framing.verdicts.len();
-        framing.scan(bytes);
+        let before = framing.verdicts().len();
+        // hyper answers a request with spoilt framing; the scan then tracks nothing more.
+        let _ = framing.scan(bytes);
         let heads = framing
-            .verdicts
+            .verdicts()
             .iter()
             .skip(before)
             .map(|is_sound| RequestHead {
@@ -280,150 +263,6 @@
     }
 }
 
-impl ReadAhead {
-    fn push(&mut self, bytes: &[u8], read_ahead_budget: &mut Reservation) {
-        self.overflowed = self.overflowed
-            || self.bytes.len() + bytes.len() > MAX_READ_AHEAD_BYTES
-            || read_ahead_budget.grow(bytes.len()).is_err();
-        if self.overflowed {
-            self.bytes = VecDeque::new();
-            self.pieces = VecDeque::new();
-            read_ahead_budget.shrink_to(0);
-        } else {
-            self.bytes.extend(bytes);
-            self.pieces.push_back((bytes.len(), Instant::now()));
-        }
-    }
-
-    /// Copies as much as fits of the first buffered read, and returns when that was received; `None` if the buffer is
-    /// empty.
-    fn read_into(&mut self, buf: &mut ReadBuf<'_>) -> Option<Instant> {
-        let (length, arrived) = self.pieces.front_mut()?;
-        let (first, _) = self.bytes.as_slices();
-        let part = first.len().min(buf.remaining()).min(*length);
-        buf.put_slice(&first[..part]);
-        self.bytes.drain(..part);
-        *length -= part;
-        let arrived = *arrived;
-        if self.pieces.front().is_some_and(|(length, _)| *length == 0) {
-            self.pieces.pop_front();
-        }
-        Some(arrived)
-    }
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum ScanState {
-    /// Within a request head, or before its first byte.
-    #[default]
-    Head,
-    /// In a body, with this many bytes to come.
-    Body(u64),
-    /// Not tracked: a chunked body, or a refused head. The connection is closed after it.
-    Untracked,
-}
-
-/// Parses the framing of heads and bodies that a client sends.
-#[derive(Default)]
-struct FramingScan {
-    state: ScanState,
-    line: Vec<u8>,
-    /// Number of non-blank lines of the current head.
-    line_count: usize,
-    content_length: Option<u64>,
-    has_transfer_encoding: bool,
-    is_ambiguous: bool,
-    /// For each complete head, whether it is unambiguous.
-    verdicts: VecDeque<bool>,
-}
-
-impl FramingScan {
-    /// Whether bytes of a head have been received that the service has not been handed.
-    fn has_partial_head(&self) -> bool {
-        !self.verdicts.is_empty()
-            || self.state == ScanState::Head && (self.line_count > 0 || !self.line.is_empty())
-    }
-
-    fn scan(&mut self, mut bytes: &[u8]) {
-        while !bytes.is_empty() {
-            match self.state {
-                ScanState::Untracked => return,
-                ScanState::Body(left) => {
-                    let part = left.min(bytes.len() as u64);
-                    bytes = &bytes[part as usize..];
-                    self.state = if part == left {
-                        ScanState::Head
-                    } else {
-                        ScanState::Body(left - part)
-                    };
-                }
-                ScanState::Head => {
-                    let end = bytes.iter().position(|b| *b == b'\n');
-                    let part = &bytes[..end.unwrap_or(bytes.len())];
-                    let room = MAX_HEADER_LINE_BYTES.saturating_sub(self.line.len());
-                    self.line.extend_from_slice(&part[..part.len().min(room)]);
-                    bytes = &bytes[end.map_or(bytes.len(), |e| e + 1)..];
-                    if end.is_some() {
-                        self.end_line();
-                    }
-                }
-            }
-        }
-    }
-
-    fn end_line(&mut self) {
-        let line = std::mem::take(&mut self.line);
-        let line = line.strip_suffix(b"\r").unwrap_or(&line);
-        if line.is_empty() {
-            // Blank lines before a request are skipped, as in hyper.
-            if self.line_count > 0 {
-                self.end_head();
-            }
-            return;
-        }
-        self.line_count += 1;
-        let Some(colon) = line
-            .iter()
-            .position(|b| *b == b':')
-            .filter(|_| self.line_count > 1)
-        else {
-            return;
-        };
-        let (name, value) = (line[..colon].trim_ascii(), line[colon + 1..].trim_ascii());
-        if name.eq_ignore_ascii_case(b"content-length") {
-            let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
-            let length = std::str::from_utf8(value)
-                .ok()
-                .filter(|_| digits)
-                .and_then(|v| v.parse().ok());
-            self.is_ambiguous |=
-                length.is_none() || self.content_length.is_some_and(|l| Some(l) != length);
-            self.content_length = length;
-        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
-            self.is_ambiguous |=
-                self.has_transfer_encoding || !value.eq_ignore_ascii_case(b"chunked");
-            self.has_transfer_encoding = true;
-        }
-    }
-
-    fn end_head(&mut self) {
-        let is_sound =
-            !(self.is_ambiguous || self.has_transfer_encoding && self.content_length.is_some());
-        self.verdicts.push_back(is_sound);
-        self.state = match self.content_length {
-            _ if self.has_transfer_encoding || !is_sound => ScanState::Untracked,
-            Some(length) if length > 0 => ScanState::Body(length),
-            _ => ScanState::Head,
-        };
-        (
-            self.line_count,
-            self.content_length,
-            self.has_transfer_encoding,
-            self.is_ambiguous,
-        ) = (0, None, false, false);
-    }
-}
-
 /// The socket as hyper reads and writes it. It is shared with the connection task, which has to see events that hyper
 /// does not poll for.
 pub struct TrackedStream {
@@ -447,7 +286,7 @@
         let before = buf.filled().len();
         let read_ahead_at = self.tracker.read_ahead.borrow_mut().read_into(buf);
         let mut result = Ok(());
-        if read_ahead_at.is_none() && !self.tracker.read_ahead.borrow().overflowed {
+        if read_ahead_at.is_none() && !self.tracker.read_ahead.borrow().has_overflowed() {
             result = ready!(stream::poll_read(&self.stream, cx, buf));
         }
         let read = &buf.filled()[before..];
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -1,6 +1,6 @@
 //! Table of open client connections; chooses which one to evict when capacity is short.
 
-use super::framing::{ConnectionTracker, RequestPhase};
+use super::connection_tracker::{ConnectionTracker, RequestPhase};
 use super::server::{MIN_ARRIVAL_BEFORE_EVICTION, MIN_IDLE_BEFORE_EVICTION};
 use crate::counters::Counters;
 use std::cell::{Cell, RefCell};
--- a/src/net/event_memory/tests.rs
+++ b/src/net/event_memory/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::net::framing::ConnectionTracker;
+use crate::net::connection_tracker::ConnectionTracker;
 use futures_util::FutureExt;
 
 const EVENT_BYTES: usize = 1_000;
--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -4,10 +4,15 @@
 //! follows part of a chunk. Bytes that form no event end the stream before they reach the client; the bytes of events
 //! are passed on unchanged.
 //!
+//! A chunk that holds the first event has to be complete before that event counts: a stream that is spoilt from its first
+//! chunk on is no answer.
+//!
 //! A blank line ends a block of lines, and a block with data is an event. Blocks without data (comments, an `id` alone) are
 //! passed on as well, but they are no events: nobody waits for them.
 
 use super::event_memory::{EventMemory, LongEvent};
+use super::host_socket::{IoMeter, OpenFrame};
+use super::http1_framing::FramingFault;
 use super::stream::MAX_READ_BYTES;
 use crate::memory::{Budget, Buffer};
 use bytes::Bytes;
@@ -61,19 +66,28 @@
     filter: EventFilter,
     /// Number of bytes since the last one that counted as an event, in a body that is not an event stream.
     unchecked_bytes: usize,
+    /// The socket that the body is read from.
+    meter: Rc<IoMeter>,
     /// Held while the incomplete event is long. Dropped after the filter, whose memory has been returned by then.
     long_event: Option<LongEvent>,
     memory: Rc<EventMemory>,
 }
 
 impl EventStream {
-    /// Reads events from `body`. If `is_checked` is false, the body is passed on unfiltered.
-    pub fn new(body: Incoming, is_checked: bool, memory: Rc<EventMemory>) -> Self {
+    /// Reads events from `body`, which comes over the socket of `meter`. If `is_checked` is false, the body is passed on
+    /// unfiltered.
+    pub fn new(
+        body: Incoming,
+        is_checked: bool,
+        meter: Rc<IoMeter>,
+        memory: Rc<EventMemory>,
+    ) -> Self {
         EventStream {
             body,
             is_checked,
             filter: EventFilter::new(memory.budget()),
             unchecked_bytes: 0,
+            meter,
             long_event: None,
             memory,
         }
@@ -84,6 +98,21 @@
         self.is_checked
     }
 
+    /// How the framing of the body is spoilt.
+    pub fn framing_fault(&self) -> Option<FramingFault> {
+        self.meter.framing_fault()
+    }
+
+    /// The part of the framing that has begun and is incomplete.
+    pub fn open_frame(&self) -> Option<OpenFrame> {
+        self.meter.open_frame()
+    }
+
+    /// The offset in the body of the end of the last complete event; of the last byte in a body that is not an event stream.
+    pub fn events_end(&self) -> u64 {
+        self.filter.events_end
+    }
+
     /// Reads until the first event is complete, and returns it with all that came before it and was received together with it;
     /// `None` if the stream ends without an event.
     ///
@@ -103,9 +132,13 @@
     /// # Errors
     /// The stream is broken or corrupt, and must not be read any further.
     pub async fn next(&mut self) -> Result<Option<Received>, StreamError> {
+        if let Some(error) = self.filter.deferred_error.take() {
+            return Err(error);
+        }
         if let Some(data) = self.next_data().await? {
             let received = if self.is_checked {
-                self.filter.push(&data)?
+                let open_frame = self.meter.open_frame();
+                self.filter.push(&data, open_frame)?
             } else {
                 self.receive_unchecked(&data)
             };
@@ -120,6 +153,7 @@
 
     fn receive_unchecked(&mut self, data: &[u8]) -> Received {
         self.unchecked_bytes += data.len();
+        self.filter.events_end += data.len() as u64;
         let has_event = self.unchecked_bytes >= UNCHECKED_EVENT_BYTES;
         if has_event {
             self.unchecked_bytes = 0;
@@ -170,12 +204,22 @@
     parsed: usize,
     /// Number of bytes of `buffer` that were searched for the end of a line.
     searched: usize,
+    /// Number of bytes of `buffer` that are complete blocks.
+    complete: usize,
     /// Number of bytes of data in the complete lines of the incomplete block.
     block_data: usize,
     /// Number of bytes of data in the incomplete block, with its incomplete line.
     partial_data: usize,
-    /// Whether an event was complete. What precedes the first one is kept, since it is no answer yet.
+    /// Number of bytes that have left `buffer`.
+    passed_on: u64,
+    /// The offset in the body of the end of the last event.
+    events_end: u64,
+    /// The offset in the body of the end of the first event.
+    first_event_end: Option<u64>,
+    /// Whether the first event was passed on. What precedes it is kept, since it is no answer yet.
     has_begun: bool,
+    /// An error behind events that were passed on.
+    deferred_error: Option<StreamError>,
     budget: Budget,
 }
 
@@ -185,9 +229,14 @@
             buffer: Buffer::new(budget),
             parsed: 0,
             searched: 0,
+            complete: 0,
             block_data: 0,
             partial_data: 0,
+            passed_on: 0,
+            events_end: 0,
+            first_event_end: None,
             has_begun: false,
+            deferred_error: None,
             budget: budget.clone(),
         }
     }
@@ -197,11 +246,47 @@
         self.buffer.len() <= MAX_SHORT_EVENT_BYTES
     }
 
-    fn push(&mut self, data: &[u8]) -> Result<Received, StreamError> {
+    /// Takes data of the body; `open_frame` is the part of its framing that is incomplete by now.
+    fn push(
+        &mut self,
+        data: &[u8],
+        open_frame: Option<OpenFrame>,
+    ) -> Result<Received, StreamError> {
         self.buffer.extend_overdrawn(data, LONG_EVENT_BYTES);
+        let events_before = self.events_end;
+        let parsed = self.parse_lines();
+        let buffered = self.buffer.len();
+        let is_held = self.first_event_end.is_some_and(|end| {
+            let is_incomplete = open_frame.is_some_and(|frame| frame.holds(end));
+            is_incomplete && buffered <= MAX_EVENT_BYTES
+        });
+        let begins = !self.has_begun && self.first_event_end.is_some() && !is_held;
+        let has_event = begins || self.has_begun && self.events_end > events_before;
+        match parsed {
+            // Whatever is whole is passed on, but an answer does not begin with a stream that is spoilt already.
+            Err(error) if self.has_begun && self.complete > 0 => self.deferred_error = Some(error),
+            Err(error) => return Err(error),
+            Ok(()) => {}
+        }
+        self.has_begun |= begins;
+        let complete = if self.has_begun { self.complete } else { 0 };
+        if buffered - complete > MAX_EVENT_BYTES {
+            return Err(StreamError::TooLong);
+        }
+        let partial_data = self.block_data + data_of(&self.buffer.as_ref()[self.parsed..]).len();
+        let added_data = partial_data.saturating_sub(self.partial_data);
+        self.partial_data = partial_data;
+        self.searched = buffered - complete;
+        Ok(Received {
+            blocks: self.take_blocks(complete),
+            has_event,
+            partial_data: added_data,
+        })
+    }
+
+    /// Parses the lines that are complete, up to the first that is not valid.
+    fn parse_lines(&mut self) -> Result<(), StreamError> {
         let bytes = self.buffer.as_ref();
-        let mut complete = 0;
-        let mut has_event = false;
         while let Some(end) = bytes[self.searched..]
             .iter()
             .position(|byte| *byte == b'\n')
@@ -216,44 +301,41 @@
             self.searched = self.parsed;
             self.block_data += data_of(line).len();
             if line.is_empty() {
-                has_event |= self.block_data > 0;
-                self.has_begun |= has_event;
+                self.complete = self.parsed;
+                if self.block_data > 0 {
+                    self.events_end = self.passed_on + self.parsed as u64;
+                    self.first_event_end.get_or_insert(self.events_end);
+                }
                 self.block_data = 0;
                 self.partial_data = 0;
-                if self.has_begun {
-                    complete = self.parsed;
-                }
             }
         }
-        if bytes.len() - complete > MAX_EVENT_BYTES {
-            return Err(StreamError::TooLong);
+        Ok(())
+    }
+
+    /// Takes the first `length` bytes, which are complete blocks, out of the buffer.
+    fn take_blocks(&mut self, length: usize) -> Bytes {
+        if length == 0 {
+            return Bytes::new();
         }
-        let partial_data = self.block_data + data_of(&bytes[self.parsed..]).len();
-        let added_data = partial_data.saturating_sub(self.partial_data);
-        self.partial_data = partial_data;
-        self.searched = bytes.len() - complete;
-        self.parsed -= complete;
-        let blocks = if complete == 0 {
-            Bytes::new()
-        } else {
-            self.buffer.split_to(complete).freeze()
-        };
-        Ok(Received {
-            blocks,
-            has_event,
-            partial_data: added_data,
-        })
+        self.parsed -= length;
+        self.complete -= length;
+        self.passed_on += length as u64;
+        self.buffer.split_to(length).freeze()
     }
 
     /// What is left at the end of the stream; `None` if that is nothing, or if there was no event.
     fn remainder(&mut self) -> Result<Option<Received>, StreamError> {
         let remainder = std::mem::replace(&mut self.buffer, Buffer::new(&self.budget)).freeze();
         self.searched = 0;
+        self.complete = 0;
         let last_line = &remainder[std::mem::take(&mut self.parsed)..];
         if !is_field(last_line) {
             return Err(StreamError::NotAnEvent);
         }
-        let has_event = std::mem::take(&mut self.block_data) + data_of(last_line).len() > 0;
+        let ends_with_event = std::mem::take(&mut self.block_data) + data_of(last_line).len() > 0;
+        // An event that was kept back has a complete chunk now.
+        let has_event = ends_with_event || !self.has_begun && self.first_event_end.is_some();
         if remainder.is_empty() || !(has_event || self.has_begun) {
             return Ok(None);
         }
--- a/src/net/events/tests.rs
+++ b/src/net/events/tests.rs
@@ -1,3 +1,4 @@
+use super::super::http1_framing::OpenPart;
 use super::*;
 use rstest::rstest;
 
@@ -20,10 +21,12 @@
         let mut events = Vec::new();
         let mut failed = false;
         for chunk in [&body[..cut], &body[cut..]] {
-            match filter.push(chunk.as_bytes()) {
+            match filter.push(chunk.as_bytes(), None) {
                 Ok(received) => events.extend_from_slice(&received.blocks),
                 Err(_) => failed = true,
             }
+            // Whole events before the corrupt line, received with it, are passed on first.
+            failed |= filter.deferred_error.take().is_some();
         }
         assert_eq!(failed, is_corrupt, "cut at {cut}");
         assert!(events.ends_with(b"\n") || events.is_empty());
@@ -43,8 +46,8 @@
 fn an_event_that_exceeds_the_limit_is_an_error() {
     let mut filter = EventFilter::new(&Budget::new(1024 * 1024));
     let chunk = Bytes::from(vec![b'a'; 1024]);
-    assert!(filter.push(b"data: ").is_ok());
-    assert!((0..200).any(|_| filter.push(&chunk).is_err()));
+    assert!(filter.push(b"data: ", None).is_ok());
+    assert!((0..200).any(|_| filter.push(&chunk, None).is_err()));
 }
 
 fn filter() -> EventFilter {
@@ -64,16 +67,16 @@
 #[case::data("event: x\ndata: a\nid: 1\n\n", true)]
 fn a_block_is_an_event_if_it_has_data(#[case] block: &str, #[case] is_event: bool) {
     let mut filter = filter();
-    let before = filter.push(block.as_bytes()).unwrap();
+    let before = filter.push(block.as_bytes(), None).unwrap();
     assert_eq!(before.has_event, is_event);
     assert_eq!(
         !before.blocks.is_empty(),
         is_event,
         "before the first event"
     );
-    let first = filter.push(b"data: x\n\n").unwrap();
+    let first = filter.push(b"data: x\n\n", None).unwrap();
     assert!(first.has_event);
-    let after = filter.push(block.as_bytes()).unwrap();
+    let after = filter.push(block.as_bytes(), None).unwrap();
     assert_eq!(
         (&after.blocks[..], after.has_event),
         (block.as_bytes(), is_event)
@@ -86,7 +89,7 @@
 #[test]
 fn only_data_of_an_incomplete_event_counts_as_partial_data() {
     let mut filter = filter();
-    let mut push = |bytes: &str| filter.push(bytes.as_bytes()).unwrap().partial_data;
+    let mut push = |bytes: &str| filter.push(bytes.as_bytes(), None).unwrap().partial_data;
     assert_eq!(push("data: a\n\ndata: 123"), 3);
     assert_eq!(push("4567"), 4);
     assert_eq!(push("\n: a long comment\nevent: x\n"), 0);
@@ -101,7 +104,65 @@
 #[case::an_event_without_its_blank_line("data: a", true)]
 fn a_stream_without_an_event_ends_with_none(#[case] body: &str, #[case] has_event: bool) {
     let mut filter = filter();
-    assert!(filter.push(body.as_bytes()).unwrap().blocks.is_empty());
+    assert!(
+        filter
+            .push(body.as_bytes(), None)
+            .unwrap()
+            .blocks
+            .is_empty()
+    );
     let remainder = filter.remainder().unwrap();
     assert_eq!(remainder.is_some_and(|last| last.has_event), has_event);
 }
+
+fn open_chunk(body_offset: u64) -> Option<OpenFrame> {
+    Some(OpenFrame {
+        since: tokio::time::Instant::now(),
+        part: OpenPart::Data { body_offset },
+    })
+}
+
+/// Guards against an answer that begins with an event of a chunk that may never be whole.
+#[test]
+fn the_first_event_is_kept_back_until_its_chunk_is_complete() {
+    let mut filter = filter();
+    let received = filter.push(b": hi\n\ndata: a\n\n", open_chunk(0)).unwrap();
+    assert!(!received.has_event && received.blocks.is_empty());
+    let received = filter.push(b"data: b\n", open_chunk(0)).unwrap();
+    assert!(!received.has_event && received.blocks.is_empty());
+    let received = filter.push(b"\ndata: c\n\n", None).unwrap();
+    assert!(received.has_event);
+    assert_eq!(received.blocks, ": hi\n\ndata: a\n\ndata: b\n\ndata: c\n\n");
+    // From then on events are passed on as they come.
+    let received = filter.push(b"data: d\n\n", open_chunk(36)).unwrap();
+    assert!(received.has_event && received.blocks == "data: d\n\n");
+}
+
+#[test]
+fn an_event_before_the_incomplete_chunk_is_passed_on() {
+    let mut filter = filter();
+    let received = filter.push(b"data: a\n\ndata: b", open_chunk(9)).unwrap();
+    assert!(received.has_event && received.blocks == "data: a\n\n");
+}
+
+#[test]
+fn more_than_the_longest_event_is_not_kept_back() {
+    let mut filter = filter();
+    let event = format!("data: {}\n\n", "x".repeat(30_000));
+    let kept = (0..10).map(|_| filter.push(event.as_bytes(), open_chunk(0)).unwrap());
+    let passed: usize = kept.map(|received| received.blocks.len()).sum();
+    assert_eq!(passed, 10 * event.len());
+}
+
+/// Guards against an answer that begins with a stream that is spoilt already, and against whole events that are dropped
+/// since what follows them is corrupt.
+#[test]
+fn whole_events_before_a_corrupt_line_are_passed_on_once_the_answer_has_begun() {
+    let mut filter = filter();
+    assert!(filter.push(b"data: a\n\nnoise\n", None).is_err());
+    let mut filter = self::filter();
+    assert!(filter.push(b"data: a\n\n", None).unwrap().has_event);
+    let received = filter.push(b"data: b\n\nnoise\ndata: c\n\n", None).unwrap();
+    assert_eq!(received.blocks, "data: b\n\n");
+    assert!(filter.deferred_error.is_some());
+}
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -1,13 +1,14 @@
 //! Connection pool for model hosts: one request at a time per connection, reuse of recently idle connections, and a
 //! limit on the total number.
 //!
-//! The pool never resends a request. It records for each request whether its last byte was written, which hyper does
-//! not report: this decides whether an attempt may have run.
+//! The pool never resends a request. Its connections record whether a request's last byte was written, and how far the
+//! response has come ([`super::host_socket`]).
 
 use super::LocalBoxFuture;
 use super::fault::{ErrorScope, SystemCall, classify_error};
+use super::host_socket::{IoMeter, MeteredStream};
 use super::reachability::Reachability;
-use super::stream::{self, retry_interrupted};
+use super::stream::retry_interrupted;
 use crate::counters::Counters;
 use crate::routing::types::{CallPermit, WorkerId, WritePermit};
 use bytes::Bytes;
@@ -19,16 +20,14 @@
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::io::{self, IoSlice};
+use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -47,185 +46,6 @@
 /// Delay before a connect is retried that failed for lack of a local resource; doubled with each retry.
 const LOCAL_ERROR_BACKOFF: Duration = Duration::from_millis(5);
 
-/// Offset of the status code in a response's status line.
-const STATUS_OFFSET: usize = "HTTP/1.1 ".len();
-
-/// Progress of the current request on a connection, as seen at the socket: how much of the request was written, and how
-/// much of the response head was received.
-#[derive(Debug, Default)]
-pub struct IoMeter {
-    /// Length of the prefix of `\r\n\r\n` that ends the request bytes written so far; 4 once the head was written.
-    matched: Cell<u8>,
-    /// Bytes of the request body still to be written.
-    remaining: Cell<usize>,
-    /// Number of bytes written on the connection so far.
-    written: Cell<u64>,
-    /// Whether any byte of the response was received.
-    response_seen: Cell<bool>,
-    head: RefCell<ResponseHead>,
-    /// Notified when a response head starts.
-    head_started: Notify,
-    /// Counts the current request once its last byte is written; `None` if the request is not an attempt.
-    attempt_counters: RefCell<Option<Rc<Counters>>>,
-}
-
-/// Progress of a response head. Interim (1xx) heads before it are skipped.
-#[derive(Debug, Default)]
-struct ResponseHead {
-    /// When its first byte was received.
-    first_byte_at: Option<Instant>,
-    /// Its first bytes, up to the first digit of the status code.
-    prefix: Vec<u8>,
-    /// Length of the prefix of `\r\n\r\n` that ends the bytes received so far.
-    matched: u8,
-}
-
-impl ResponseHead {
-    /// Takes received bytes; returns whether a head started in them.
-    fn push(&mut self, bytes: &[u8]) -> bool {
-        let before = self.first_byte_at;
-        for byte in bytes {
-            self.first_byte_at.get_or_insert_with(Instant::now);
-            if self.prefix.len() <= STATUS_OFFSET {
-                self.prefix.push(*byte);
-            }
-            self.matched = match_head_end(self.matched, *byte);
-            // An interim (1xx) head is not the response: the next head is timed from its own first byte.
-            if self.matched == 4 && self.prefix.get(STATUS_OFFSET) == Some(&b'1') {
-                *self = ResponseHead::default();
-            }
-        }
-        self.first_byte_at.is_some() && self.first_byte_at != before
-    }
-}
-
-/// Advances the match against `\r\n\r\n` by one byte; returns the number of bytes matched so far.
-fn match_head_end(matched: u8, byte: u8) -> u8 {
-    match (matched, byte) {
-        (4, _) => 4,
-        (0 | 2, b'\r') | (1 | 3, b'\n') => matched + 1,
-        (_, b'\r') => 1,
-        _ => 0,
-    }
-}
-
-impl IoMeter {
-    /// Resets the progress for a new request with a body of `body_len` bytes.
-    fn begin_request(&self, body_len: usize, attempt_counters: Option<Rc<Counters>>) {
-        self.attempt_counters.replace(attempt_counters);
-        self.matched.set(0);
-        self.remaining.set(body_len);
-        self.response_seen.set(false);
-        self.head.take();
-    }
-
-    fn note_received(&self, bytes: &[u8]) {
-        if !bytes.is_empty() {
-            self.response_seen.set(true);
-            if self.head.borrow_mut().push(bytes) {
-                self.head_started.notify_one();
-            }
-        }
-    }
-
-    /// Resolves when `limit` has passed since the first byte of a response head. The caller polls this only until the
-    /// head is complete. Without this limit a head that never ends would use up the request's whole deadline.
-    pub async fn head_overdue(&self, limit: Duration) {
-        loop {
-            let first_byte_at = self.head.borrow().first_byte_at;
-            let Some(first_byte_at) = first_byte_at else {
-                self.head_started.notified().await;
-                continue;
-            };
-            tokio::time::sleep_until(first_byte_at + limit).await;
-            if self.head.borrow().first_byte_at == Some(first_byte_at) {
-                return;
-            }
-        }
-    }
-
-    /// Takes request bytes that the socket accepted.
-    fn note_written(&self, mut bytes: &[u8]) {
-        self.written.set(self.written.get() + bytes.len() as u64);
-        while self.matched.get() < 4 {
-            let Some((byte, rest)) = bytes.split_first() else {
-                return;
-            };
-            bytes = rest;
-            self.matched.set(match_head_end(self.matched.get(), *byte));
-        }
-        self.remaining
-            .set(self.remaining.get().saturating_sub(bytes.len()));
-        if self.is_written()
-            && let Some(counters) = self.attempt_counters.take()
-        {
-            counters.written_whole.up();
-        }
-    }
-
-    /// Whether the socket has accepted the last byte of the current request.
-    pub fn is_written(&self) -> bool {
-        self.matched.get() == 4 && self.remaining.get() == 0
-    }
-}
-
-/// A socket that reports its reads and writes to a meter. It is shared with the [`Connection`], which has to see
-/// pending bytes before hyper reads them.
-struct MeteredStream {
-    stream: Rc<TcpStream>,
-    meter: Rc<IoMeter>,
-}
-
-impl AsyncRead for MeteredStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = stream::poll_read(&self.stream, cx, buf);
-        self.meter.note_received(&buf.filled()[before..]);
-        read
-    }
-}
-
-impl AsyncWrite for MeteredStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.poll_write_vectored(cx, &[IoSlice::new(buf)])
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = ready!(stream::poll_write(&self.stream, cx, bufs))?;
-        let mut remaining = written;
-        for buf in bufs {
-            let taken = remaining.min(buf.len());
-            self.meter.note_written(&buf[..taken]);
-            remaining -= taken;
-        }
-        Poll::Ready(Ok(written))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(stream::shutdown_write(&self.stream))
-    }
-}
-
 /// A connection to a model host. It counts against the pool's socket limit, and its socket is closed on drop.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -422,7 +242,7 @@
     /// count: its connection was open.
     pub fn note_broken(&self, connection: &Connection) {
         if !connection.is_reused
-            || connection.meter.response_seen.get()
+            || connection.meter.has_response_begun()
             || connection.sent_at.elapsed() > STALE_RESET_WINDOW
         {
             return;
@@ -614,6 +434,7 @@
         let io = TokioIo::new(MeteredStream {
             stream: stream.clone(),
             meter: meter.clone(),
+            counters: self.counters.clone(),
         });
         // A malformed header (such as a load report) must not cost an otherwise valid response.
         let mut builder = http1::Builder::new();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,9 +2,9 @@
 
 use super::LocalBoxFuture;
 use super::client_connection::{ResponseFuture, TrackedBody, serve};
+use super::connection_tracker::ConnectionTracker;
 use super::connections::Connections;
 use super::fault::accept_retry_delay;
-use super::framing::ConnectionTracker;
 use super::upgrade::socket::drop_new_connections;
 use crate::admin::metrics::RequestMetrics;
 use crate::counters::Counters;
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -3,13 +3,13 @@
 //! of.
 
 use super::super::client_connection::LINGER_TIMEOUT;
-use super::super::framing::TrackedStream;
+use super::super::connection_tracker::TrackedStream;
 use super::*;
 use crate::admin::metrics::Metrics;
 use crate::dispatch::Clock;
 use crate::front::run_table::RunTable;
 use crate::memory::Budget;
-use crate::net::framing::RequestPhase;
+use crate::net::connection_tracker::RequestPhase;
 use crate::shutdown::{Shutdown, StopRequest};
 use bytes::Bytes;
 use rstest::rstest;
--- a/src/net/stream_progress/tests.rs
+++ b/src/net/stream_progress/tests.rs
@@ -56,7 +56,7 @@
     let begin = Instant::now();
     let mut progress = StreamProgress::new(begin);
     let pause = Duration::from_secs(20);
-    progress.on_reading_resumed(pause, begin + pause);
+    progress.on_reading_resumed(pause, None, begin + pause);
     assert_eq!(progress.deadline(), begin + pause + HOST_RESUME_GRACE);
 }
 
@@ -65,6 +65,77 @@
 fn a_client_that_reads_at_once_extends_nothing() {
     let begin = Instant::now();
     let mut progress = StreamProgress::new(begin);
-    progress.on_reading_resumed(Duration::ZERO, begin + Duration::from_millis(4_400));
+    progress.on_reading_resumed(Duration::ZERO, None, begin + Duration::from_millis(4_400));
     assert_eq!(progress.deadline(), begin + STREAM_IDLE_TIMEOUT);
 }
+
+fn frame(since: Instant, part: OpenPart) -> OpenFrame {
+    OpenFrame { since, part }
+}
+
+const CHUNK: OpenPart = OpenPart::Data { body_offset: 0 };
+
+/// Guards against events that keep a stream open for ever inside a chunk that is never whole.
+#[test]
+fn a_chunk_with_a_complete_event_is_waited_for_as_long_as_a_silent_host() {
+    let begin = Instant::now();
+    let mut progress = StreamProgress::new(begin);
+    let chunk = frame(begin, CHUNK);
+    assert_eq!(progress.frame_deadline(chunk, true), None);
+    for number in 1..20 {
+        let now = begin + Duration::from_millis(300) * number;
+        progress.on_event(now);
+        progress.on_event_in_chunk(chunk, now);
+        let deadline = progress.frame_deadline(chunk, true);
+        assert_eq!(deadline, Some(begin + STREAM_IDLE_TIMEOUT));
+    }
+    let next = frame(begin + Duration::from_secs(6), CHUNK);
+    assert_eq!(progress.frame_deadline(next, true), None);
+}
+
+#[test]
+fn a_chunk_may_go_on_for_a_moment_behind_an_event_that_was_written_slowly() {
+    let begin = Instant::now();
+    let mut progress = StreamProgress::new(begin);
+    let (chunk, completed) = (frame(begin, CHUNK), begin + Duration::from_secs(8));
+    for number in 0..5 {
+        let now = completed + Duration::from_millis(100) * number;
+        progress.on_event(now);
+        progress.on_event_in_chunk(chunk, now);
+    }
+    let deadline = progress.frame_deadline(chunk, true);
+    assert_eq!(deadline, Some(completed + CHUNK_REST_GRACE));
+}
+
+#[rstest]
+#[case::size_line(OpenPart::SizeLine, true, STREAM_IDLE_TIMEOUT)]
+#[case::trailer(OpenPart::Trailer, true, STREAM_IDLE_TIMEOUT)]
+#[case::chunk_of_another_body(CHUNK, false, MAX_UNCHECKED_CHUNK_DURATION)]
+fn an_incomplete_part_is_waited_for_from_its_first_byte(
+    #[case] part: OpenPart,
+    #[case] is_event_stream: bool,
+    #[case] limit: Duration,
+) {
+    let begin = Instant::now();
+    let mut progress = StreamProgress::new(begin);
+    let since = begin + Duration::from_secs(1);
+    progress.on_event(begin + Duration::from_secs(3));
+    let deadline = progress.frame_deadline(frame(since, part), is_event_stream);
+    assert_eq!(deadline, Some(since + limit));
+}
+
+/// Guards against a host that is cut off since its client did not read.
+#[test]
+fn the_time_in_which_the_host_was_not_read_does_not_count_for_a_chunk() {
+    let begin = Instant::now();
+    let mut progress = StreamProgress::new(begin);
+    let since = begin + Duration::from_secs(1);
+    let chunk = frame(since, CHUNK);
+    progress.on_event_in_chunk(chunk, since);
+    let pause = Duration::from_secs(3);
+    // The first pause began before the chunk, by one second.
+    progress.on_reading_resumed(pause, Some(chunk), begin + pause);
+    progress.on_reading_resumed(pause, Some(chunk), begin + 3 * pause);
+    let deadline = since + STREAM_IDLE_TIMEOUT + Duration::from_secs(5);
+    assert_eq!(progress.frame_deadline(chunk, true), Some(deadline));
+}
--- a/src/net/stream_relay.rs
+++ b/src/net/stream_relay.rs
@@ -3,6 +3,7 @@
 use super::answer::{AttemptEnd, StartedStream, StreamTail};
 use super::client::HostClient;
 use super::events::{EventStream, Received, StreamError};
+use super::host_socket::OpenFrame;
 use super::stream_progress::StreamProgress;
 use crate::dispatch::{Attempt, DispatcherEvent};
 use crate::exchange::{Frame, ReceiverGone, Reply, StreamSender, stream_channel};
@@ -24,6 +25,8 @@
     ClientStalled,
     /// The model host sent no event in time.
     TimedOut,
+    /// A part of the framing was not complete in time.
+    FrameTimedOut(OpenFrame),
     /// The stream is broken or corrupt.
     Broken(StreamError),
     /// The connection ended before the stream was complete.
@@ -101,7 +104,9 @@
                     continue;
                 }
                 Step::HasRoom(Ok(Ok(pause))) => {
-                    self.progress.on_reading_resumed(pause, Instant::now());
+                    let frame = self.events.open_frame();
+                    self.progress
+                        .on_reading_resumed(pause, frame, Instant::now());
                     continue;
                 }
                 Step::HasRoom(Ok(Err(ReceiverGone))) | Step::ClientLeft => {
@@ -115,6 +120,9 @@
                 Ok(Ok(None)) if self.is_framed || self.is_done => return StreamEnd::Complete,
                 Ok(Ok(None)) => return StreamEnd::EndedEarly,
                 Ok(Err(error)) => return StreamEnd::Broken(error),
+                Err(_) if let Some(frame) = self.overdue_frame() => {
+                    return StreamEnd::FrameTimedOut(frame);
+                }
                 // A decode worker that waits for a tool result sends nothing. The call has a timeout of its own.
                 Err(_) if self.channel.is_paused.get() => self.progress.on_event(Instant::now()),
                 Err(_) => return StreamEnd::TimedOut,
@@ -122,13 +130,34 @@
         }
     }
 
+    /// The incomplete part of the framing, and until when it has to be complete.
+    fn frame_deadline(&self) -> Option<(OpenFrame, Instant)> {
+        let frame = self.events.open_frame()?;
+        let is_event_stream = self.events.is_checked();
+        let deadline = self.progress.frame_deadline(frame, is_event_stream)?;
+        Some((frame, deadline))
+    }
+
+    fn overdue_frame(&self) -> Option<OpenFrame> {
+        let (frame, deadline) = self.frame_deadline()?;
+        (deadline <= Instant::now()).then_some(frame)
+    }
+
+    /// When the stream ends if the model host sends nothing. A frame that begins later has a later deadline.
+    fn deadline(&self) -> Instant {
+        let deadline = self.progress.deadline();
+        let frame_deadline = self.frame_deadline();
+        frame_deadline.map_or(deadline, |(_, frame)| frame.min(deadline))
+    }
+
     /// Waits for what happens next. While the client has no room for a frame, nothing more is read, so that a slow client
     /// slows the model host down instead of filling memory. Cancel safe.
     async fn next_step(&mut self) -> Step {
+        let deadline = self.deadline();
         let StreamSender {
             frames, replies, ..
         } = &mut self.channel;
-        let (unsent, deadline) = (&mut self.unsent, self.progress.deadline());
+        let unsent = &mut self.unsent;
         let is_blocked = unsent.is_some();
         let sent = async {
             let Some((frame, since)) = unsent else {
@@ -168,6 +197,10 @@
             self.bytes_since_event = 0;
             self.progress.on_event(now);
             self.progress.on_partial_data(partial_data, now);
+            let frame = self.events.open_frame();
+            if let Some(frame) = frame.filter(|frame| frame.holds(self.events.events_end())) {
+                self.progress.on_event_in_chunk(frame, now);
+            }
         }
         if has_event || !self.events.is_checked() {
             self.tail.push(&blocks);
@@ -206,7 +239,19 @@
                     AttemptOutcome::ConnectionLost,
                 )
             }
-            StreamEnd::Broken(error) => (format!("broke: {error}"), AttemptOutcome::ConnectionLost),
+            StreamEnd::FrameTimedOut(frame) => {
+                self.client.counters.frames_timed_out.up();
+                let (part, age) = (frame.part, frame.since.elapsed().as_millis());
+                (
+                    format!("timed out with {part} that began {age} ms ago"),
+                    AttemptOutcome::ConnectionLost,
+                )
+            }
+            StreamEnd::Broken(error) => {
+                let fault = self.events.framing_fault();
+                let cause = fault.map_or_else(|| error.to_string(), |fault| fault.to_string());
+                (format!("broke: {cause}"), AttemptOutcome::ConnectionLost)
+            }
             StreamEnd::EndedEarly => (
                 "broke: it ended early".to_owned(),
                 AttemptOutcome::ConnectionLost,
