Wait for a short event that a host writes slowly, if its chunk will be whole

What tells a slow writer from a trickle is now known from the framing: a chunk states how much is to come. An event whose chunk will be complete within MAX_EVENT_DURATION at its rate so far is being written, and is waited for up to MAX_WRITE_PAUSE behind its last bytes. An event that is spread over chunks holds to the least rate as before, so every trickle of the tests ends as before.

Who loses: a sound host that spreads one event over many chunks below 256 bytes a second; the client of a host that stops, or goes on with single bytes, near the end of a chunk.

--- a/src/net/events/tests.rs
+++ b/src/net/events/tests.rs
@@ -118,7 +118,11 @@
 fn open_chunk(body_offset: u64) -> Option<OpenFrame> {
     Some(OpenFrame {
         since: tokio::time::Instant::now(),
-        part: OpenPart::Data { body_offset },
+        part: OpenPart::Data {
+            body_offset,
+            size: 1_000,
+            left: 1,
+        },
     })
 }
 
--- a/src/net/host_socket.rs
+++ b/src/net/host_socket.rs
@@ -33,7 +33,18 @@
 impl OpenFrame {
     /// Whether the byte of the body before `offset` lies in this chunk.
     pub fn holds(&self, offset: u64) -> bool {
-        matches!(self.part, OpenPart::Data { body_offset } if body_offset < offset)
+        matches!(self.part, OpenPart::Data { body_offset, .. } if body_offset < offset)
+    }
+
+    /// Whether the chunk will be complete `by` then, if its data goes on to come as fast as so far.
+    pub fn completes_by(&self, by: Instant, now: Instant) -> bool {
+        let OpenPart::Data { size, left, .. } = self.part else {
+            return false;
+        };
+        let received = size.saturating_sub(left);
+        let elapsed = now.saturating_duration_since(self.since).as_secs_f64();
+        let time_left = elapsed * left as f64 / received.max(1) as f64;
+        now.saturating_duration_since(by).is_zero() && time_left <= (by - now).as_secs_f64()
     }
 }
 
--- a/src/net/http1_framing.rs
+++ b/src/net/http1_framing.rs
@@ -63,6 +63,10 @@
     Data {
         /// Number of bytes of the body that precede this chunk.
         body_offset: u64,
+        /// The chunk's stated size.
+        size: u64,
+        /// Number of bytes of it that are still to come.
+        left: u64,
     },
     /// The last chunk's line or the trailer behind it.
     Trailer,
@@ -227,8 +231,10 @@
         };
         match state {
             ChunkState::Start | ChunkState::DataCr | ChunkState::DataLf => None,
-            ChunkState::Data(_) => Some(OpenPart::Data {
+            ChunkState::Data(left) => Some(OpenPart::Data {
                 body_offset: self.chunk_offset,
+                size: self.chunk_size,
+                left,
             }),
             ChunkState::TrailerStart
             | ChunkState::TrailerLine
--- a/src/net/stream_progress.rs
+++ b/src/net/stream_progress.rs
@@ -1,8 +1,8 @@
 //! Decides until when a model host has to send the next event of a stream.
 //!
 //! Only what the client waits for moves the limit on: an event with data. Comments, blank lines and blocks without data do
-//! not. A long event that is still being written gets more time while its data comes at a least rate, so that a slow host is
-//! not cut off and a trickle is.
+//! not. An event that is still being written gets more time, so that a slow host is not cut off and a trickle is: while its data
+//! comes at a least rate, or while the chunk that holds it comes fast enough to become whole.
 //!
 //! Events in a chunk move the limit on only as long as the chunk may become whole: it is complete soon after its first
 //! event, or its stated size is not believed.
@@ -87,8 +87,17 @@
         }
     }
 
-    /// `bytes` of the data of an incomplete event were received.
-    pub fn on_partial_data(&mut self, bytes: usize, now: Instant) {
+    /// `bytes` of the data of an incomplete event were received; `frame` is the incomplete part of the framing.
+    pub fn on_partial_data(&mut self, bytes: usize, frame: Option<OpenFrame>, now: Instant) {
+        if bytes == 0 {
+            return;
+        }
+        let longest = self.last_event + MAX_EVENT_DURATION;
+        if frame.is_some_and(|frame| frame.completes_by(longest, now)) {
+            self.writing_until = now + MAX_WRITE_PAUSE;
+            return;
+        }
+
         let paid_for = Duration::from_secs_f64(bytes as f64 / MIN_EVENT_RATE as f64);
         let until = self.writing_until.max(now) + paid_for;
         self.writing_until = until.min(now + MAX_WRITE_PAUSE);
--- a/src/net/stream_progress/tests.rs
+++ b/src/net/stream_progress/tests.rs
@@ -9,7 +9,7 @@
     let mut at = begin;
     while at + period < progress.deadline() && at + period < begin + until {
         at += period;
-        progress.on_partial_data(bytes, at);
+        progress.on_partial_data(bytes, None, at);
     }
     progress.deadline().min(begin + until) - begin
 }
@@ -47,7 +47,7 @@
 fn half_an_event_and_then_silence_ends_with_the_idle_timeout() {
     let begin = Instant::now();
     let mut progress = StreamProgress::new(begin);
-    progress.on_partial_data(100_000, begin + Duration::from_secs(2));
+    progress.on_partial_data(100_000, None, begin + Duration::from_secs(2));
     assert_eq!(progress.deadline(), begin + STREAM_IDLE_TIMEOUT);
 }
 
@@ -73,7 +73,11 @@
     OpenFrame { since, part }
 }
 
-const CHUNK: OpenPart = OpenPart::Data { body_offset: 0 };
+const CHUNK: OpenPart = OpenPart::Data {
+    body_offset: 0,
+    size: 1_000,
+    left: 500,
+};
 
 /// Guards against events that keep a stream open for ever inside a chunk that is never whole.
 #[test]
@@ -139,3 +143,62 @@
     let deadline = since + STREAM_IDLE_TIMEOUT + Duration::from_secs(5);
     assert_eq!(progress.frame_deadline(chunk, true), Some(deadline));
 }
+
+/// Writes a chunk of `size` bytes that holds one event, `bytes` each quarter of a second; returns how long the stream waits for
+/// it, or `None` if the chunk becomes whole.
+fn write_chunk(size: u64, bytes: u64) -> Option<Duration> {
+    let period = Duration::from_millis(250);
+    let begin = Instant::now();
+    let mut progress = StreamProgress::new(begin);
+    let (mut now, mut left) = (begin, size);
+    loop {
+        left = left.saturating_sub(bytes);
+        if left == 0 {
+            return None;
+        }
+        let part = OpenPart::Data {
+            body_offset: 0,
+            size,
+            left,
+        };
+        progress.on_partial_data(bytes as usize, Some(frame(begin, part)), now);
+        if progress.deadline() < now + period {
+            return Some(progress.deadline() - begin);
+        }
+        now += period;
+    }
+}
+
+/// Guards against short events that are cut off while a slow host writes them.
+#[rstest]
+#[case::twenty_bytes_a_second(117, 5)]
+#[case::fifty_bytes_a_second(477, 13)]
+#[case::two_hundred_bytes_a_second(1_077, 50)]
+#[case::in_just_under_the_longest_time(110, 1)]
+fn an_event_in_a_chunk_that_becomes_whole_is_waited_for(#[case] size: u64, #[case] bytes: u64) {
+    assert_eq!(write_chunk(size, bytes), None);
+}
+
+/// After this long without an event a client counts its response as lost.
+const MAX_CLIENT_WAIT: Duration = Duration::from_secs(5);
+
+/// Guards against a trickle in a chunk that can't become whole in time.
+#[rstest]
+#[case::short(1_000, 1)]
+#[case::long(200_000, 40)]
+fn an_event_in_a_chunk_that_comes_too_slowly_is_not_waited_for(
+    #[case] size: u64,
+    #[case] bytes: u64,
+) {
+    let waited = write_chunk(size, bytes).unwrap();
+    assert!(waited >= STREAM_IDLE_TIMEOUT && waited < MAX_CLIENT_WAIT);
+}
+
+#[test]
+fn a_host_that_stops_in_the_middle_of_a_chunk_is_waited_for_a_moment_longer() {
+    let begin = Instant::now();
+    let mut progress = StreamProgress::new(begin);
+    let now = begin + Duration::from_secs(4);
+    progress.on_partial_data(10, Some(frame(begin, CHUNK)), now);
+    assert_eq!(progress.deadline(), now + MAX_WRITE_PAUSE);
+}
--- a/src/net/stream_relay.rs
+++ b/src/net/stream_relay.rs
@@ -190,14 +190,14 @@
             has_event,
             partial_data,
         } = received;
+        let frame = self.events.open_frame();
         if !has_event || self.is_done {
             self.bytes_since_event += blocks.len() + partial_data;
-            self.progress.on_partial_data(partial_data, now);
+            self.progress.on_partial_data(partial_data, frame, now);
         } else {
             self.bytes_since_event = 0;
             self.progress.on_event(now);
-            self.progress.on_partial_data(partial_data, now);
-            let frame = self.events.open_frame();
+            self.progress.on_partial_data(partial_data, frame, now);
             if let Some(frame) = frame.filter(|frame| frame.holds(self.events.events_end())) {
                 self.progress.on_event_in_chunk(frame, now);
             }
