--- a/src/net/events.rs
+++ b/src/net/events.rs
@@ -132,9 +132,6 @@
     /// # Errors
     /// The stream is broken or corrupt, and must not be read any further.
     pub async fn next(&mut self) -> Result<Option<Received>, StreamError> {
-        if let Some(error) = self.filter.deferred_error.take() {
-            return Err(error);
-        }
         if let Some(data) = self.next_data().await? {
             let received = if self.is_checked {
                 let open_frame = self.meter.open_frame();
@@ -218,8 +215,6 @@
     first_event_end: Option<u64>,
     /// Whether the first event was passed on. What precedes it is kept, since it is no answer yet.
     has_begun: bool,
-    /// An error behind events that were passed on.
-    deferred_error: Option<StreamError>,
     budget: Budget,
 }
 
@@ -236,7 +231,6 @@
             events_end: 0,
             first_event_end: None,
             has_begun: false,
-            deferred_error: None,
             budget: budget.clone(),
         }
     }
@@ -254,7 +248,7 @@
     ) -> Result<Received, StreamError> {
         self.buffer.extend_overdrawn(data, LONG_EVENT_BYTES);
         let events_before = self.events_end;
-        let parsed = self.parse_lines();
+        self.parse_lines()?;
         let buffered = self.buffer.len();
         let is_held = self.first_event_end.is_some_and(|end| {
             let is_incomplete = open_frame.is_some_and(|frame| frame.holds(end));
@@ -262,12 +256,6 @@
         });
         let begins = !self.has_begun && self.first_event_end.is_some() && !is_held;
         let has_event = begins || self.has_begun && self.events_end > events_before;
-        match parsed {
-            // Whatever is whole is passed on, but an answer does not begin with a stream that is spoilt already.
-            Err(error) if self.has_begun && self.complete > 0 => self.deferred_error = Some(error),
-            Err(error) => return Err(error),
-            Ok(()) => {}
-        }
         self.has_begun |= begins;
         let complete = if self.has_begun { self.complete } else { 0 };
         if buffered - complete > MAX_EVENT_BYTES {
--- a/src/net/events/tests.rs
+++ b/src/net/events/tests.rs
@@ -25,8 +25,6 @@
                 Ok(received) => events.extend_from_slice(&received.blocks),
                 Err(_) => failed = true,
             }
-            // Whole events before the corrupt line, received with it, are passed on first.
-            failed |= filter.deferred_error.take().is_some();
         }
         assert_eq!(failed, is_corrupt, "cut at {cut}");
         assert!(events.ends_with(b"\n") || events.is_empty());
@@ -157,16 +155,3 @@
     let passed: usize = kept.map(|received| received.blocks.len()).sum();
     assert_eq!(passed, 10 * event.len());
 }
-
-/// Guards against an answer that begins with a stream that is spoilt already, and against whole events that are dropped
-/// since what follows them is corrupt.
-#[test]
-fn whole_events_before_a_corrupt_line_are_passed_on_once_the_answer_has_begun() {
-    let mut filter = filter();
-    assert!(filter.push(b"data: a\n\nnoise\n", None).is_err());
-    let mut filter = self::filter();
-    assert!(filter.push(b"data: a\n\n", None).unwrap().has_event);
-    let received = filter.push(b"data: b\n\nnoise\ndata: c\n\n", None).unwrap();
-    assert_eq!(received.blocks, "data: b\n\n");
-    assert!(filter.deferred_error.is_some());
-}
