--- a/lab/src/stall_soak/hosts.rs
+++ b/lab/src/stall_soak/hosts.rs
@@ -1,17 +1,14 @@
-//! Model hosts of the stall soak: they trickle, stall and comment, and record what reached them and how it ended.
+//! Model hosts of the stall soak: they record what reached them and how it ended.
 
-use super::plan::{Behaviour, Plan};
-use crate::peer::{Conn, Peer};
+use super::answers::{Answer, ToolResults};
+use super::behaviour::{Behaviour, SoundFraming};
+use super::plan::Plan;
+use crate::peer::Peer;
 use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Between two pieces of a trickle.
-const TRICKLE_PERIOD: Duration = Duration::from_millis(250);
-/// A host that trickles or is silent waits this long for the router to close.
-const PATIENCE: Duration = Duration::from_secs(30);
-
 /// How a request ended at a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HostEnd {
@@ -32,6 +29,8 @@
     pub at: Instant,
     /// What a decode worker did with it; `None` at a prefill worker.
     pub behaviour: Option<Behaviour>,
+    /// When its first spoilt byte was written.
+    pub spoilt: Option<Instant>,
     /// How it ended.
     pub end: HostEnd,
     /// When it ended.
@@ -40,6 +39,13 @@
 
 type Forwards = Arc<Mutex<Vec<Forward>>>;
 
+/// What the decode workers of a round share.
+#[derive(Clone, Default)]
+struct Shared {
+    forwards: Forwards,
+    tool_results: Arc<ToolResults>,
+}
+
 /// The hosts of a round.
 pub struct Hosts {
     /// Addresses of the prefill workers.
@@ -48,12 +54,16 @@
     pub decode: Vec<SocketAddr>,
     peers: Vec<Peer>,
     forwards: Forwards,
+    /// Address of the tool server.
+    pub tools: SocketAddr,
 }
 
 impl Hosts {
     /// Starts the hosts of a plan.
     pub fn start(plan: &Plan) -> Hosts {
-        let forwards = Forwards::default();
+        let shared = Shared::default();
+        let forwards = shared.forwards.clone();
+        let tools = tool_server(Duration::from_millis(plan.tool_ms));
         let prefill: Vec<Peer> = plan
             .slow_prefill
             .iter()
@@ -63,15 +73,14 @@
             .spoilt_percent
             .iter()
             .enumerate()
-            .map(|(number, percent)| {
-                decode_worker(plan.random(number as u64), *percent, forwards.clone())
-            })
+            .map(|(number, percent)| decode_worker(plan.random(number as u64), *percent, &shared))
             .collect();
         let addresses = |peers: &[Peer]| peers.iter().map(|peer| peer.address).collect();
         Hosts {
             prefill: addresses(&prefill),
             decode: addresses(&decode),
-            peers: prefill.into_iter().chain(decode).collect(),
+            tools: tools.address,
+            peers: prefill.into_iter().chain(decode).chain([tools]).collect(),
             forwards,
         }
     }
@@ -102,6 +111,7 @@
         mark: mark.to_owned(),
         at: Instant::now(),
         behaviour,
+        spoilt: None,
         end: HostEnd::UnderWay,
         ended: None,
     });
@@ -114,6 +124,19 @@
     forwards[index].ended = Some(Instant::now());
 }
 
+/// A tool server that answers each call after `pause`.
+fn tool_server(pause: Duration) -> Peer {
+    Peer::start(move |message, conn| {
+        let key = message.header("idempotency-key").unwrap_or_default();
+        if conn.closes_within(pause.max(Duration::from_millis(1))) {
+            return false;
+        }
+        let result = format!(r#"{{"jsonrpc":"2.0","id":"{key}","result":1}}"#);
+        conn.answer("200 OK", "", &result);
+        true
+    })
+}
+
 fn prefill_worker(is_slow: bool, forwards: Forwards) -> Peer {
     Peer::start(move |message, conn| {
         if message.method() == "DELETE" {
@@ -132,9 +155,15 @@
     })
 }
 
-fn decode_worker(random: ChaCha8Rng, spoilt_percent: u32, forwards: Forwards) -> Peer {
+fn decode_worker(random: ChaCha8Rng, spoilt_percent: u32, shared: &Shared) -> Peer {
     let random = Mutex::new(random);
+    let shared = shared.clone();
     Peer::start(move |message, conn| {
+        if let Some(id) = message.path().strip_prefix("/internal/tool-results/") {
+            shared.tool_results.put(id);
+            conn.answer("204 No Content", "", "");
+            return true;
+        }
         if message.method() == "DELETE" {
             conn.answer("204 No Content", "", "");
             return true;
@@ -144,83 +173,25 @@
             let mut random = random.lock().unwrap_or_else(PoisonError::into_inner);
             Behaviour::draw(&mut *random, spoilt_percent)
         };
-        let index = note(&forwards, &mark, Some(behaviour));
-        let end = play(behaviour, &mark, conn);
-        note_end(&forwards, index, end);
-        end == HostEnd::Done && matches!(behaviour, Behaviour::Stream { .. } | Behaviour::NotRun)
+        let forwards = &shared.forwards;
+        let index = note(forwards, &mark, Some(behaviour));
+        let mut answer = Answer {
+            conn,
+            mark: &mark,
+            id: message.header("x-request-id").unwrap_or_default(),
+            tool_results: &shared.tool_results,
+            on_spoilt: &|| lock(forwards)[index].spoilt = Some(Instant::now()),
+        };
+        let end = answer.play(behaviour);
+        note_end(forwards, index, end);
+        end == HostEnd::Done && is_kept(behaviour)
     })
 }
 
-fn ended_if(is_closed: bool) -> Result<(), HostEnd> {
-    if is_closed {
-        Err(HostEnd::Closed)
-    } else {
-        Ok(())
-    }
-}
-
-fn play(behaviour: Behaviour, mark: &str, conn: &mut Conn) -> HostEnd {
-    try_play(behaviour, mark, conn).map_or_else(|end| end, |()| HostEnd::Done)
-}
-
-fn try_play(behaviour: Behaviour, mark: &str, conn: &mut Conn) -> Result<(), HostEnd> {
-    let text = format!("[{mark}]");
-    let begin = |conn: &mut Conn, events| {
-        conn.begin_stream();
-        (0..events).try_for_each(|_| {
-            conn.delta(&text);
-            ended_if(conn.closes_within(Duration::from_millis(30)))
-        })
-    };
+/// Whether the connection can carry another request.
+fn is_kept(behaviour: Behaviour) -> bool {
     match behaviour {
-        Behaviour::Stream {
-            events,
-            pause_ms,
-            comments,
-        } => {
-            conn.begin_stream();
-            for _ in 0..events {
-                conn.delta(&text);
-                if comments {
-                    ended_if(conn.closes_within(Duration::from_millis(pause_ms / 2)))?;
-                    conn.chunk(": working\n\n");
-                }
-                let left = if comments { pause_ms / 2 } else { pause_ms };
-                ended_if(conn.closes_within(Duration::from_millis(left)))?;
-            }
-            conn.end_stream();
-        }
-        Behaviour::SlowEvent { bytes, span_ms } => {
-            begin(conn, 1)?;
-            let pieces = (span_ms / 100) as usize;
-            conn.chunk(&format!(
-                r#"data: {{"choices":[{{"index":0,"delta":{{"content":"{text}"#
-            ));
-            for _ in 0..pieces {
-                conn.chunk(&"x".repeat(bytes / pieces));
-                ended_if(conn.closes_within(Duration::from_millis(100)))?;
-            }
-            conn.chunk("\"},\"finish_reason\":null}]}\n\n");
-            conn.end_stream();
-        }
-        Behaviour::Trickle { events, piece } => {
-            begin(conn, events)?;
-            let until = Instant::now() + PATIENCE;
-            while Instant::now() < until {
-                conn.chunk(piece);
-                ended_if(conn.closes_within(TRICKLE_PERIOD))?;
-            }
-        }
-        Behaviour::Silent { events, beginning } => {
-            begin(conn, events)?;
-            if !beginning.is_empty() {
-                conn.chunk(beginning);
-            }
-            ended_if(conn.closes_within(PATIENCE))?;
-        }
-        Behaviour::BreakOff { events } => begin(conn, events)?,
-        Behaviour::NotRun => conn.answer("503 Service Unavailable", "x-not-run: 1\r\n", ""),
-        Behaviour::Fail => conn.answer("500 Internal Server Error", "", ""),
+        Behaviour::Unusual(framing) => framing != SoundFraming::SecondAnswer,
+        _ => behaviour.is_sound() || behaviour == Behaviour::NotRun,
     }
-    Ok(())
 }
--- a/lab/src/stall_soak/mod.rs
+++ b/lab/src/stall_soak/mod.rs
@@ -1,9 +1,12 @@
-//! `whinhaven-lab stall-soak`: hosts and clients that trickle, stall, comment, read slowly, leave and come back.
+//! `whinhaven-lab stall-soak`: hosts and clients that trickle, stall, comment, spoil their framing, read slowly, leave and
+//! come back.
 //!
 //! One round starts a router on loopback with both fronts, lets hosts and clients of all kinds at it, then sends SIGTERM and
 //! further signals, and SIGKILL at the earliest moment that operators allow. The [`oracle`] reads the records of clients
-//! and model hosts alone. A round follows from its seed, but for the timing of the machine.
+//! and model hosts, and the router's counters and log. A round follows from its seed, but for the timing of the machine.
 
+mod answers;
+mod behaviour;
 mod clients;
 mod hosts;
 pub mod oracle;
@@ -117,8 +120,9 @@
     });
     drop(crowd);
     evidence.evidence.forwards = hosts.end();
+    let log: Vec<String> = history.records().iter().map(ToString::to_string).collect();
+    evidence.evidence.log.clone_from(&log);
     let broken = oracle::judge(&requests, &evidence.evidence);
-    let log = history.records().iter().map(ToString::to_string).collect();
     let broken_off = requests
         .iter()
         .filter(|r| r.ending == clients::Ending::BrokeOff)
@@ -142,6 +146,8 @@
 /// Lets the round run, sends the signals and at last SIGKILL.
 fn shut_down(plan: &Plan, router: &Conductor, is_over: &AtomicBool) -> RouterEnd {
     std::thread::sleep(plan.lead);
+    router.report();
+    let reported = Instant::now();
     let peak_kb = router.id().and_then(peak_memory_kb);
     let exited_early = router.exit_status();
     router.begin_to_terminate();
@@ -172,6 +178,8 @@
         peak_kb: peak_kb.unwrap_or_default(),
         evidence: Evidence {
             forwards: Vec::new(),
+            log: Vec::new(),
+            reported,
             terminated,
             killed,
             has_crowd: plan.crowd > 0,
@@ -202,7 +210,8 @@
 
 fn operator_file(plan: &Plan, hosts: &Hosts) -> String {
     let mut file = format!(
-        "name = \"router\"\nlisten = \"127.0.0.1:0\"\n[limits]\nsockets = 640\nmemory_mb = {MEMORY_MB}\n[tools]\ndial = \"127.0.0.1:1\"\n"
+        "name = \"router\"\nlisten = \"127.0.0.1:0\"\n[limits]\nsockets = 640\nmemory_mb = {MEMORY_MB}\n[tools]\ndial = \"{}\"\n",
+        hosts.tools
     );
     file += SETTINGS;
     let _ = writeln!(
--- a/lab/src/stall_soak/oracle.rs
+++ b/lab/src/stall_soak/oracle.rs
@@ -1,8 +1,9 @@
-//! Holds the records of a round against the rules, by what clients and hosts saw.
+//! Holds the records of a round against the rules, by what clients and hosts saw, and by the router's counters and log.
 
+use super::behaviour::Behaviour;
 use super::clients::{Ending, Request};
 use super::hosts::{Forward, HostEnd};
-use super::plan::{Behaviour, ClientKind};
+use super::plan::ClientKind;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,14 @@
     FinalAnswer,
     /// A client was left waiting on a stream that had stopped.
     LeftWaiting,
+    /// A stream whose framing is spoilt was left open.
+    LeftOnSpoilt,
+    /// An event of a stream that was spoilt before it reached a client.
+    SpoiltPassedOn,
+    /// A stream was ended without a line in the log.
+    Unlogged,
+    /// Spoilt framing was not counted.
+    Uncounted,
     /// A stream whose host was writing was cut off.
     CutOff,
     /// An answer with something of another request, or whole although its host had not ended it.
@@ -48,6 +57,10 @@
 pub struct Evidence {
     /// What reached the model hosts.
     pub forwards: Vec<Forward>,
+    /// All that happened, with the router's log.
+    pub log: Vec<String>,
+    /// When the router was asked for its counters.
+    pub reported: Instant,
     /// SIGTERM had been sent.
     pub terminated: Instant,
     /// SIGKILL was about to be sent.
@@ -81,6 +94,7 @@
             broken.push((rule, what));
         }
     }
+    broken.extend(uncounted_faults(requests, evidence).map(|what| (Rule::Uncounted, what)));
     broken.extend(
         evidence
             .failure
@@ -118,10 +132,65 @@
         }
         return broken;
     }
+    broken.extend(check_spoilt_stream(request, forwards, evidence));
     broken.extend(check_answer(request, forwards, evidence));
     broken
 }
 
+/// What is wrong with a stream that its host has spoilt.
+fn check_spoilt_stream(
+    request: &Request,
+    forwards: &[&Forward],
+    evidence: &Evidence,
+) -> Option<Rule> {
+    let mut behaviours = forwards.iter().filter_map(|forward| forward.behaviour);
+    if request.text.contains("]!") && behaviours.all(Behaviour::hides_spoilt_events) {
+        return Some(Rule::SpoiltPassedOn);
+    }
+    if matches!(request.ending, Ending::Left | Ending::NotSent) || request.status != Some(200) {
+        return None;
+    }
+    let last = forwards.iter().rev().find(|forward| may_have_run(forward));
+    let spoilt = last.and_then(|last| last.spoilt)?;
+    let seen_until = request.ended.min(evidence.killed);
+    let is_left = seen_until > spoilt + MAX_WAIT_FOR_END + MACHINE;
+    if is_left && request.kind != ClientKind::SlowReader {
+        return Some(Rule::LeftOnSpoilt);
+    }
+    // The platform's front passes on the client's id, which the log names.
+    let is_platform = request.mark.split('-').next()?.parse::<usize>().ok()? % 2 == 0;
+    let is_over = request.ended + MACHINE < evidence.terminated;
+    if request.ending != Ending::BrokeOff || !is_platform || !is_over {
+        return None;
+    }
+    let line = format!("request {}: stream from ", request.mark);
+    let is_logged = evidence.log.iter().any(|entry| entry.contains(&line));
+    (!is_logged).then_some(Rule::Unlogged)
+}
+
+/// Spoilt framing that the router did not count.
+fn uncounted_faults(requests: &[Request], evidence: &Evidence) -> Option<String> {
+    let stays = |mark: &str| {
+        let mut own = requests.iter().filter(|request| request.mark == mark);
+        own.all(|request| matches!(request.kind, ClientKind::Keeper | ClientKind::SlowWriter))
+    };
+    let is_counted = |forward: &&Forward| {
+        let is_fault = forward.behaviour.is_some_and(Behaviour::has_framing_fault);
+        let is_over = forward
+            .ended
+            .is_some_and(|ended| ended + MACHINE < evidence.reported);
+        is_fault && is_over && stays(&forward.mark)
+    };
+    let faults = evidence.forwards.iter().filter(is_counted).count();
+    let counted = evidence.log.iter().find_map(|entry| {
+        let counters = entry.split("counters: ").nth(1)?;
+        let value = counters.split("framing_faults=").nth(1)?;
+        value.split(' ').next()?.parse::<usize>().ok()
+    });
+    let counted = counted.unwrap_or_default();
+    (counted < faults).then(|| format!("{faults} faults of the framing, {counted} counted"))
+}
+
 /// The time from `from` to `at` in milliseconds.
 fn signed_ms(at: Instant, from: Instant) -> i128 {
     let after = at.saturating_duration_since(from).as_millis() as i128;
@@ -168,8 +237,7 @@
         return Some(Rule::FinalAnswer);
     }
     let last = forwards.iter().rev().find(|forward| may_have_run(forward));
-    let is_writing =
-        last.is_some_and(|last| matches!(last.behaviour, Some(Behaviour::SlowEvent { .. })));
+    let is_writing = last.is_some_and(|last| last.behaviour.is_some_and(Behaviour::is_slow_writer));
     let waited = request
         .last_event
         .map(|at| seen_until.saturating_duration_since(at));
@@ -189,12 +257,7 @@
     let own_marks = request.text.matches(&format!("[{}]", request.mark)).count();
     let all_marks =
         request.text.matches("content\":\"[").count() + request.text.matches("text\":\"[").count();
-    let is_sound = |behaviour| {
-        matches!(
-            behaviour,
-            Some(Behaviour::Stream { .. } | Behaviour::SlowEvent { .. })
-        )
-    };
+    let is_sound = |behaviour: Option<Behaviour>| behaviour.is_some_and(Behaviour::is_sound);
     match request.ending {
         Ending::Answered(200) => {
             let is_whole =
--- a/lab/src/stall_soak/plan.rs
+++ b/lab/src/stall_soak/plan.rs
@@ -11,81 +11,6 @@
 /// The longest deadline that counts for the time of SIGKILL.
 const MAX_KILL_DEADLINE: Duration = Duration::from_secs(3);
 
-/// Blocks that are no events, and data that is none after the last event.
-const TRICKLES: [&str; 7] = [
-    ": ping\n\n",
-    "\n",
-    "id: 7\n\n",
-    "event: ping\n\n",
-    "data:\n\n",
-    ": half",
-    "data: x",
-];
-
-/// What a decode worker does with one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Behaviour {
-    /// Streams events with this pause between them, and comments in the pauses if `comments`.
-    Stream {
-        events: u32,
-        pause_ms: u64,
-        comments: bool,
-    },
-    /// Writes one event of `bytes` within `span_ms`.
-    SlowEvent { bytes: usize, span_ms: u64 },
-    /// Streams some events, then sends `piece` again and again.
-    Trickle { events: u32, piece: &'static str },
-    /// Streams some events and falls silent, in the middle of an event or chunk if there is a beginning.
-    Silent {
-        events: u32,
-        beginning: &'static str,
-    },
-    /// Streams some events and breaks its connection.
-    BreakOff { events: u32 },
-    /// Refuses: the request has not run.
-    NotRun,
-    /// Fails: it may have run.
-    Fail,
-}
-
-impl Behaviour {
-    /// Draws what happens to one request.
-    pub fn draw(random: &mut impl Rng, spoilt_percent: u32) -> Behaviour {
-        let events = random.random_range(0..4);
-        if random.random_range(0..100) >= spoilt_percent {
-            return match random.random_range(0..10) {
-                0..6 => Behaviour::Stream {
-                    events: 6,
-                    pause_ms: 30,
-                    comments: false,
-                },
-                6..8 => Behaviour::Stream {
-                    events: 3,
-                    pause_ms: random.random_range(500..3_800),
-                    comments: random.random(),
-                },
-                8 => Behaviour::SlowEvent {
-                    bytes: random.random_range(6_000..40_000),
-                    span_ms: random.random_range(2_000..8_000),
-                },
-                _ => Behaviour::NotRun,
-            };
-        }
-        match random.random_range(0..8) {
-            0..4 => Behaviour::Trickle {
-                events,
-                piece: TRICKLES[random.random_range(0..TRICKLES.len())],
-            },
-            4 | 5 => Behaviour::Silent {
-                events,
-                beginning: ["", "data: {\"cho", ": half"][random.random_range(0..3)],
-            },
-            6 => Behaviour::BreakOff { events },
-            _ => Behaviour::Fail,
-        }
-    }
-}
-
 /// What a client does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ClientKind {
@@ -119,6 +44,8 @@
     pub seed: u64,
     /// For each decode worker, how many in a hundred of its requests it spoils.
     pub spoilt_percent: Vec<u32>,
+    /// How long the tool server takes, in milliseconds.
+    pub tool_ms: u64,
     /// For each prefill worker, whether it reads requests slowly.
     pub slow_prefill: Vec<bool>,
     /// The clients, half of them on either front.
@@ -161,6 +88,7 @@
         Plan {
             seed,
             spoilt_percent,
+            tool_ms: random.random_range(0..3_000),
             slow_prefill,
             clients,
             crowd: if random.random_range(0..4) == 0 {
--- a/src/net/host_socket.rs
+++ b/src/net/host_socket.rs
@@ -65,7 +65,7 @@
     fault: Cell<Option<FramingFault>>,
     /// When the first byte of the current head was received.
     head_since: Cell<Option<Instant>>,
-    /// When the first byte of the current chunk was received.
+    /// When the first byte of the current chunk was received; outdated while none is incomplete.
     chunk_since: Cell<Option<Instant>>,
     /// Notified when a response head starts.
     head_started: Notify,
@@ -125,7 +125,8 @@
         let mut framing = self.framing.borrow_mut();
         let (heads, chunks) = (framing.heads_begun(), framing.chunks_begun());
         let scanned = framing.scan(bytes);
-        if framing.chunks_begun() != chunks {
+        // Most chunks are complete when they are read, and the clock need not be read for them.
+        if framing.chunks_begun() != chunks && framing.open_part().is_some() {
             self.chunk_since.set(Some(Instant::now()));
         }
         if framing.heads_begun() != heads {
