--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,7 +12,7 @@
 pub mod event_memory;
 pub mod events;
 pub mod fault;
-mod host_socket;
+pub mod host_socket;
 pub mod host_starts;
 pub mod http1_framing;
 pub mod late_arrivals;
